--- /dev/null
+++ b/internal/command/tpcommand/doc.go
@@ -0,0 +1,2 @@
+// Package tpcommand holds the subcommands of both programs.
+package tpcommand
--- /dev/null
+++ b/internal/command/tpcommand/run.go
@@ -0,0 +1,79 @@
+package tpcommand
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+)
+
+// Exit statuses of the programs.
+const (
+	ExitOK    = 0
+	ExitError = 1 // the command failed and changed nothing
+	ExitUsage = 2 // the command line is wrong
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("teaselpin")
+
+// Env is the environment of a command.
+type Env struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Log    zerolog.Logger
+	// Stop receives the signals that ask for a planned stop.
+	Stop <-chan os.Signal
+}
+
+// System returns the environment of the process.
+func System() Env {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	return Env{
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+		Log:    zerolog.New(os.Stderr).With().Timestamp().Logger(),
+		Stop:   stop,
+	}
+}
+
+// subcommand is one verb of a program.
+type subcommand struct {
+	name  string
+	short string
+	long  string
+	data  any
+}
+
+// run parses the arguments, executes the subcommand and returns the exit status.
+func run(env Env, program string, args []string, commands []subcommand) int {
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			fmt.Fprintln(env.Stderr, err)
+			return ExitUsage
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(env.Stdout, err)
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(env.Stderr, err)
+		return ExitUsage
+	default:
+		fmt.Fprintf(env.Stderr, "%s: %v\n", program, err)
+		return ExitError
+	}
+}
--- /dev/null
+++ b/internal/command/tpcommand/standin.go
@@ -0,0 +1,94 @@
+package tpcommand
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/internal/standin/tpenginefake"
+	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
+	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
+)
+
+// Standin runs the program teaselpin-standin and returns its exit status.
+func Standin(env Env, args []string) int {
+	return run(env, "teaselpin-standin", args, []subcommand{
+		{"platform", "Run a stand-in platform", "Serves the object API and the list of VMs.", &Platform{env: env}},
+		{"engine", "Run a stand-in engine", "Serves language requests.", &Engine{env: env}},
+		{"service", "Run a stand-in service", "Serves calls and records each run.", &Service{env: env}},
+	})
+}
+
+// Listen holds the address that a stand-in serves.
+type Listen struct {
+	Listen string `long:"listen" description:"host:port to serve" default:"127.0.0.1:0"`
+}
+
+// Platform runs a stand-in platform.
+type Platform struct {
+	Listen
+
+	env Env
+}
+
+// Execute implements flags.Commander.
+func (c *Platform) Execute([]string) error {
+	return serveStandin(c.env, c.Listen.Listen, new(tpplatformfake.Platform).Handler())
+}
+
+// Engine runs a stand-in engine.
+type Engine struct {
+	Listen
+	Name  string        `long:"name" description:"name of the target" required:"true"`
+	Model string        `long:"model" description:"model that is loaded"`
+	Step  time.Duration `long:"step" description:"time of one batch step" default:"5ms"`
+
+	env Env
+}
+
+// Execute implements flags.Commander.
+func (c *Engine) Execute([]string) error {
+	duties, stop := tpduty.NewRunner(tpduty.Settings{})
+	defer stop()
+	e, cleanup, err := tpenginefake.New(tpenginefake.Settings{Name: c.Name, Model: c.Model, Step: c.Step}, duties)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return serveStandin(c.env, c.Listen.Listen, e.Handler())
+}
+
+// Service runs a stand-in service.
+type Service struct {
+	Listen
+	Name string `long:"name" description:"name of the target" required:"true"`
+
+	env Env
+}
+
+// Execute implements flags.Commander.
+func (c *Service) Execute([]string) error {
+	return serveStandin(c.env, c.Listen.Listen, (&tpservicefake.Service{Name: c.Name}).Handler())
+}
+
+// serveStandin prints the address as "listening HOST:PORT" and serves until
+// the stop signal.
+func serveStandin(env Env, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	fmt.Fprintln(env.Stdout, "listening", l.Addr())
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		<-env.Stop
+		_ = srv.Shutdown(context.Background())
+	}()
+	if err := srv.Serve(l); err != http.ErrServerClosed {
+		return Error.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/tpcommand/teaselpin.go
@@ -0,0 +1,25 @@
+package tpcommand
+
+import "fmt"
+
+// Version is the version of the programs.
+const Version = "0.1.0"
+
+// Teaselpin runs the program teaselpin and returns its exit status.
+func Teaselpin(env Env, args []string) int {
+	return run(env, "teaselpin", args, []subcommand{
+		{"serve", "Run a node", "Runs one node until SIGTERM, then stops it gracefully.", &Serve{env: env}},
+		{"version", "Print the version", "Prints the version of the program.", &VersionCommand{env: env}},
+	})
+}
+
+// VersionCommand prints the version.
+type VersionCommand struct {
+	env Env
+}
+
+// Execute implements flags.Commander.
+func (c *VersionCommand) Execute([]string) error {
+	_, err := fmt.Fprintln(c.env.Stdout, "teaselpin", Version)
+	return err
+}
--- /dev/null
+++ b/internal/edge/tpplatform/client_test.go
@@ -0,0 +1,24 @@
+package tpplatform_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/edge/tpplatform"
+	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+	"teaselpin.example/teaselpin/pkg/tpobject/tpobjecttest"
+)
+
+// Guards against an encoding that loses a version, an error kind or a change.
+func TestClientConforms(t *testing.T) {
+	tpobjecttest.Run(t, func(t *testing.T) tpobject.Store {
+		p := &tpplatformfake.Platform{WatchWait: time.Second}
+		srv := httptest.NewServer(p.Handler())
+		t.Cleanup(srv.Close)
+		c, cleanup := tpplatform.NewClient(srv.URL)
+		t.Cleanup(cleanup)
+		return c
+	})
+}
--- /dev/null
+++ b/internal/edge/tpplatform/doc.go
@@ -0,0 +1,3 @@
+// Package tpplatform is the HTTP client of the platform: the object API and
+// the list of VMs.
+package tpplatform
--- /dev/null
+++ b/internal/frame/tpduty/runner.go
@@ -0,0 +1,93 @@
+package tpduty
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"github.com/alitto/pond/v2"
+	"github.com/zeebo/errs"
+
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// DefaultMaxDuties is the number of duties of a runner whose Settings leave it
+// at zero.
+const DefaultMaxDuties = 64
+
+// Error is the class of errors of this package.
+var Error = errs.Class("duty")
+
+// Settings configures a Runner. The zero value is the default.
+type Settings struct {
+	// MaxDuties is the number of duties that can run at the same time.
+	MaxDuties int
+}
+
+// Runner runs the duties of one process.
+type Runner struct {
+	pool    pond.Pool
+	running atomic.Int64
+	started atomic.Int64
+}
+
+// NewRunner returns a runner and its clean-up function, which waits until
+// every duty has returned. The owner of each duty closes its input first.
+func NewRunner(cfg Settings) (*Runner, func()) {
+	n := cfg.MaxDuties
+	if n <= 0 {
+		n = DefaultMaxDuties
+	}
+	r := &Runner{pool: pond.NewPool(n, pond.WithQueueSize(1), pond.WithNonBlocking(true))}
+	return r, r.pool.StopAndWait
+}
+
+// Go starts a duty and returns a function that waits for its end. It returns
+// an error if the runner already runs as many duties as it can.
+func (r *Runner) Go(name string, duty func()) (wait func(), err error) {
+	task := r.pool.Submit(func() {
+		r.running.Add(1)
+		r.started.Add(1)
+		defer r.running.Add(-1)
+		duty()
+	})
+	select {
+	case <-task.Done():
+		if err := task.Wait(); err != nil {
+			return nil, Error.New("start %q: %w", name, err)
+		}
+	default:
+	}
+	return func() { _ = task.Wait() }, nil
+}
+
+// Running returns the number of duties that are running.
+func (r *Runner) Running() int64 { return r.running.Load() }
+
+// Var returns an expvar variable with the counts of running and started duties.
+func (r *Runner) Var() expvar.Var {
+	return expvar.Func(func() any {
+		return map[string]int64{"running": r.running.Load(), "started": r.started.Load()}
+	})
+}
+
+// Filter starts a duty that takes values from in until it is closed and
+// drained, and passes each to handle. The returned clean-up function closes
+// in and waits for the duty's end.
+func Filter[T any](r *Runner, name string, in *tpring.Ring[T], handle func(T)) (cleanup func(), err error) {
+	wait, err := r.Go(name, func() {
+		for {
+			v, err := in.Take()
+			if err != nil {
+				return
+			}
+			handle(v)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func() {
+		in.Close()
+		wait()
+	}, nil
+}
--- /dev/null
+++ b/internal/node/tpnode/request.go
@@ -0,0 +1,197 @@
+package tpnode
+
+import (
+	"expvar"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/edge/tptarget"
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/internal/request/stage2/tpadmission"
+	"teaselpin.example/teaselpin/internal/request/stage3/tprouter"
+	"teaselpin.example/teaselpin/internal/request/stage5/tpsender"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// requestPipeline holds the rings and decisions of the request pipeline:
+//
+//	submit -> admission ring -> admission -> routing ring -> router -> sending ring -> sender
+//
+// Completions go back to the admission and routing rings. Admission lets at
+// most Window requests be in flight, each with at most MaxAttempts completions
+// that were not yet counted. Both rings keep that much room free of arrivals
+// and reports, so puts after admission never block and the feedback cannot
+// deadlock.
+type requestPipeline struct {
+	admissionIn *tpring.Ring[tpadmission.Input]
+	routerIn    *tpring.Ring[tprouter.Input]
+	sendIn      *tpring.Ring[tpmessage.Assignment]
+	admission   *tpadmission.Admission[*tpadmission.FCFS]
+	router      *tprouter.Router[*tprouter.RoundRobin]
+	sender      *tpsender.Sender
+	outputs     []tpadmission.Output // scratch of the admission duty
+	refused     expvar.Map
+}
+
+func (n *Node) startRequestPipeline() error {
+	window := n.cfg.Window
+	reserve := window * (tpsender.MaxAttempts + 1)
+	p := &requestPipeline{
+		admissionIn: tpring.New[tpadmission.Input](tpring.Settings{Capacity: DefaultArrivals + reserve}),
+		routerIn:    tpring.New[tprouter.Input](tpring.Settings{Capacity: DefaultReports + reserve}),
+		sendIn:      tpring.New[tpmessage.Assignment](tpring.Settings{Capacity: window}),
+		admission:   tpadmission.New(tpadmission.Settings{Window: window}, &tpadmission.FCFS{}),
+		router:      tprouter.New(&tprouter.RoundRobin{}),
+	}
+	n.request = p
+	n.rings.Add("admission", p.admissionIn)
+	n.rings.Add("router", p.routerIn)
+	n.rings.Add("sender", p.sendIn)
+
+	transport, closeTransport := tptarget.NewTransport()
+	n.onStop(closeTransport)
+	p.sender = &tpsender.Sender{
+		Transport: transport,
+		Clock:     n.clock,
+		Events:    n.events,
+		Budget:    &tpsender.Budget{},
+		Counters:  &tpsender.Counters{},
+		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported},
+	}
+	// The clean-up functions run in the reverse order: the duties drain from
+	// the front of the pipeline to its end, while completions still find the
+	// rings behind them open or are no longer needed.
+	n.onStop(p.sender.Start(window))
+	if err := startFilter(n, "sender", p.sendIn, p.sender.Handle); err != nil {
+		return err
+	}
+	if err := startFilter(n, "router", p.routerIn, n.handleRouting); err != nil {
+		return err
+	}
+	if err := startFilter(n, "admission", p.admissionIn, n.handleAdmission); err != nil {
+		return err
+	}
+	return n.startTicks()
+}
+
+// startFilter starts a filter whose clean-up is part of the node's.
+func startFilter[T any](n *Node, name string, in *tpring.Ring[T], handle func(T)) error {
+	cleanup, err := tpduty.Filter(n.duties, name, in, handle)
+	if err != nil {
+		return err
+	}
+	n.onStop(cleanup)
+	return nil
+}
+
+// startTicks starts the duty that lets admission expire waiting work.
+func (n *Node) startTicks() error {
+	stop := make(chan struct{})
+	wait, err := n.duties.Go("ticks", func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-n.clock.After(DefaultTick):
+				_ = n.request.admissionIn.TryPutBelow(tpadmission.Input{Kind: tpadmission.InputTick}, DefaultArrivals)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	n.onStop(func() {
+		close(stop)
+		wait()
+	})
+	return nil
+}
+
+// submit passes work from the front end to admission.
+func (n *Node) submit(w tpmessage.Work) *tpmessage.Refusal {
+	n.events.Record(tpmessage.Event{Kind: "arrive", Request: w.Request.ID, Organisation: w.Request.Organisation})
+	err := n.request.admissionIn.TryPutBelow(
+		tpadmission.Input{Kind: tpadmission.InputArrival, Work: w}, DefaultArrivals)
+	if err == nil {
+		return nil
+	}
+	ref := &tpmessage.Refusal{
+		Code: tpmessage.RefusalNotRun, Reason: err.Error(), RetryAfter: time.Second, NotRun: true,
+	}
+	n.request.refused.Add(string(ref.Code), 1)
+	return ref
+}
+
+func (n *Node) handleAdmission(in tpadmission.Input) {
+	p := n.request
+	p.outputs = p.admission.Step(n.clock.Now(), in, p.outputs[:0])
+	for _, out := range p.outputs {
+		if out.Refusal != nil {
+			n.refuse(&out.Work, out.Refusal)
+			continue
+		}
+		_ = p.routerIn.Put(tprouter.Input{Kind: tprouter.InputWork, Work: out.Work})
+	}
+}
+
+func (n *Node) handleRouting(in tprouter.Input) {
+	p := n.request
+	out, ok := p.router.Step(n.clock.Now(), in)
+	if !ok {
+		return
+	}
+	if out.Refusal != nil {
+		w := &out.Assignment.Work
+		n.refuse(w, out.Refusal)
+		n.completed(tpmessage.Completion{
+			RequestID: w.Request.ID, Organisation: w.Request.Organisation,
+			Final: true, Outcome: tpmessage.OutcomeNotSent, At: n.clock.Now(),
+		})
+		return
+	}
+	_ = p.sendIn.Put(out.Assignment)
+}
+
+// refuse ends work that was not handed to a target.
+func (n *Node) refuse(w *tpmessage.Work, ref *tpmessage.Refusal) {
+	n.request.refused.Add(string(ref.Code), 1)
+	n.events.Record(tpmessage.Event{
+		Kind: "refuse", Request: w.Request.ID, Organisation: w.Request.Organisation, Detail: string(ref.Code),
+	})
+	// The ring of work that never ran is empty, so this does not block.
+	_ = w.Chunks.TryPut(tpmessage.Chunk{RequestID: w.Request.ID, Refusal: ref})
+	w.Chunks.Close()
+}
+
+// completed feeds the end of an attempt back to admission and to the router.
+func (n *Node) completed(c tpmessage.Completion) {
+	_ = n.request.admissionIn.Put(tpadmission.Input{Kind: tpadmission.InputCompletion, Completion: c})
+	_ = n.request.routerIn.Put(tprouter.Input{Kind: tprouter.InputCompletion, Completion: c})
+}
+
+// reported passes a load report to the router; a full ring loses it.
+func (n *Node) reported(rep tpmessage.LoadReport) {
+	_ = n.request.routerIn.TryPutBelow(tprouter.Input{Kind: tprouter.InputReport, Report: rep}, DefaultReports)
+}
+
+// apply passes a configuration to the filters.
+func (p *requestPipeline) apply(s *tpmessage.Snapshot) {
+	_ = p.admissionIn.Put(tpadmission.Input{Kind: tpadmission.InputConfig, Snapshot: s})
+	_ = p.routerIn.Put(tprouter.Input{Kind: tprouter.InputConfig, Snapshot: s})
+}
+
+// vars returns the counters of the pipeline.
+func (p *requestPipeline) vars() expvar.Var {
+	c := p.sender.Counters
+	return expvar.Func(func() any {
+		return map[string]uint64{
+			"streams":    c.Streams.Load(),
+			"retries":    c.Retries.Load(),
+			"resumes":    c.Resumes.Load(),
+			"crossed":    c.Crossed.Load(),
+			"doubled":    c.Doubled.Load(),
+			"late":       c.Late.Load(),
+			"incomplete": c.Incomplete.Load(),
+		}
+	})
+}
--- /dev/null
+++ b/internal/proof/tpprocess/fleet.go
@@ -0,0 +1,97 @@
+package tpprocess
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"teaselpin.example/teaselpin/internal/edge/tpplatform"
+	"teaselpin.example/teaselpin/internal/request/stage1/tpintake"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// Token is the bearer token of the organisation in a fleet's configuration.
+const Token = "test-token"
+
+// Fleet is a small deployment of separate processes.
+type Fleet struct {
+	Platform *Process
+	Engines  []*Process
+	Services []*Process
+	Nodes    []*Process
+	Config   tpmessage.Config
+	Client   *tpplatform.Client
+}
+
+// FleetSettings gives the sizes of a fleet.
+type FleetSettings struct {
+	Engines, Services, Nodes int
+	// EngineArgs are further arguments of each stand-in engine.
+	EngineArgs []string
+}
+
+// StartFleet starts the processes, publishes a configuration with the routes
+// /v1/language and /v1/booking, and waits until every node has it in force.
+func StartFleet(t testing.TB, s FleetSettings) *Fleet {
+	t.Helper()
+	f := &Fleet{Platform: Start(t, "platform", Standin, "platform")}
+	client, cleanup := tpplatform.NewClient("http://" + f.Platform.Addresses[0])
+	t.Cleanup(cleanup)
+	f.Client = client
+	language := tpmessage.Pool{Name: "language", Kind: tpmessage.PoolEngine, Model: "counsel"}
+	booking := tpmessage.Pool{Name: "booking", Kind: tpmessage.PoolService}
+	for i := range s.Engines {
+		name := fmt.Sprintf("engine-%d", i)
+		p := Start(t, name, Standin, append([]string{"engine", "--name", name}, s.EngineArgs...)...)
+		f.Engines = append(f.Engines, p)
+		language.Targets = append(language.Targets, tpmessage.Target{Name: name, Address: p.Addresses[0], Zone: "milano-a"})
+	}
+	for i := range s.Services {
+		name := fmt.Sprintf("service-%d", i)
+		p := Start(t, name, Standin, "service", "--name", name)
+		f.Services = append(f.Services, p)
+		booking.Targets = append(booking.Targets, tpmessage.Target{Name: name, Address: p.Addresses[0], Zone: "milano-a"})
+	}
+	f.Config = tpmessage.Config{
+		Deployment: "test",
+		Region:     "nord-ovest",
+		Zones:      []tpmessage.Zone{{Name: "milano-a"}},
+		Models:     []tpmessage.Model{{Name: "counsel", Version: "1"}},
+		Pools:      []tpmessage.Pool{language, booking},
+		Routes: []tpmessage.Route{
+			{Path: "/v1/language", Pool: "language", Idempotent: true},
+			{Path: "/v1/booking", Pool: "booking"},
+			{Path: "/v1/calendar", Pool: "booking", Idempotent: true},
+		},
+		Organisations: []tpmessage.Organisation{{Name: "bergamo", Share: 1, TokenHash: tpintake.TokenHash(Token)}},
+	}
+	if _, err := tprollout.Publish(t.Context(), client, &f.Config, 0, "test"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range s.Nodes {
+		f.Nodes = append(f.Nodes, f.StartNode(t, fmt.Sprintf("node-%d", i)))
+	}
+	for _, n := range f.Nodes {
+		WaitReady(t, n)
+	}
+	return f
+}
+
+// StartNode starts one node of the fleet with settings of its own.
+func (f *Fleet) StartNode(t testing.TB, name string) *Process {
+	t.Helper()
+	settings := fmt.Sprintf(`name: %s
+region: nord-ovest
+zone: milano-a
+callerAddress: 127.0.0.1:0
+peerAddress: 127.0.0.1:0
+platform: http://%s
+`, name, f.Platform.Addresses[0])
+	path := filepath.Join(t.TempDir(), name+".yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Start(t, name, Teaselpin, "serve", "--settings", path)
+}
--- /dev/null
+++ b/internal/request/stage1/tpintake/intake.go
@@ -0,0 +1,176 @@
+package tpintake
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeebo/xxh3"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+const (
+	// DefaultTimeout is the deadline of a request on a route without one.
+	DefaultTimeout = 2 * time.Minute
+	// DefaultMaxTokens bounds the answer of a request that states no bound.
+	DefaultMaxTokens = 1024
+	// MaxTokens is the largest bound that a request may state.
+	MaxTokens = 1 << 20
+	// BytesPerToken is the divisor for the estimate of a prompt's length.
+	BytesPerToken = 4
+	// PrefixBytes is the length of the prompt's leading part that identifies
+	// a shared prefix, one piece of work.
+	PrefixBytes = tpmessage.PieceTokens * BytesPerToken
+)
+
+// Proposal is what a caller sent, decoded but not yet checked.
+type Proposal struct {
+	Path        string
+	Token       string // bearer token
+	Site        string
+	RequestID   string // empty if the caller gave none
+	Key         string // idempotency key
+	Prompt      string
+	MaxTokens   int
+	Seed        int64
+	Adapter     string
+	Priority    int
+	LastChunk   int // number of the last chunk received, -1 for none
+	Timeout     time.Duration
+	Body        []byte // body of a call to a plain service
+	RemoteClock tpmessage.HybridTime
+}
+
+// Accept turns a proposal into a request, or returns a refusal. A refused
+// proposal has not run.
+func Accept(now time.Time, cfg *tpmessage.Config, p *Proposal) (tpmessage.Request, *tpmessage.Refusal) {
+	var req tpmessage.Request
+	route, ok := cfg.RouteAt(p.Path)
+	if !ok {
+		return req, badRequest("no route at %q", p.Path)
+	}
+	pool, ok := cfg.PoolNamed(route.Pool)
+	if !ok {
+		return req, badRequest("route %q has no pool", p.Path)
+	}
+	org, ok := organisationOf(cfg, p.Token)
+	if !ok {
+		return req, badRequest("the bearer token belongs to no organisation")
+	}
+	id, refusal := identity(p.RequestID)
+	if refusal != nil {
+		return req, refusal
+	}
+	req = tpmessage.Request{
+		ID:           id,
+		Organisation: org.Name,
+		Site:         p.Site,
+		Route:        route.Path,
+		Pool:         pool.Name,
+		Model:        pool.Model,
+		Adapter:      p.Adapter,
+		Idempotent:   route.Idempotent,
+		Key:          p.Key,
+		Priority:     p.Priority,
+		Resume:       p.LastChunk + 1,
+		Arrived:      now,
+		Deadline:     now.Add(timeout(route.Timeout, p.Timeout)),
+	}
+	if pool.Kind == tpmessage.PoolService {
+		return acceptCall(req, p)
+	}
+	return acceptLanguage(req, p)
+}
+
+func acceptLanguage(req tpmessage.Request, p *Proposal) (tpmessage.Request, *tpmessage.Refusal) {
+	if p.Prompt == "" {
+		return req, badRequest("the prompt is empty")
+	}
+	if p.MaxTokens < 0 || p.MaxTokens > MaxTokens {
+		return req, badRequest("maxTokens %d is not between 0 and %d", p.MaxTokens, MaxTokens)
+	}
+	req.Kind = tpmessage.KindLanguage
+	req.Idempotent = true
+	req.MaxTokens = p.MaxTokens
+	if req.MaxTokens == 0 {
+		req.MaxTokens = DefaultMaxTokens
+	}
+	req.Seed = p.Seed
+	req.PromptTokens = (len(p.Prompt) + BytesPerToken - 1) / BytesPerToken
+	req.PrefixHash = xxh3.HashString(p.Prompt[:min(len(p.Prompt), PrefixBytes)])
+	req.Fingerprint = xxh3.HashString(p.Prompt)
+	req.Body = []byte(p.Prompt)
+	return req, nil
+}
+
+func acceptCall(req tpmessage.Request, p *Proposal) (tpmessage.Request, *tpmessage.Refusal) {
+	req.Kind = tpmessage.KindCall
+	req.Body = p.Body
+	req.Fingerprint = xxh3.Hash(p.Body)
+	if req.Idempotent {
+		return req, nil
+	}
+	key, err := uuid.Parse(p.Key)
+	if err != nil || key.Version() != 7 {
+		return req, badRequest("a non-idempotent call needs an Idempotency-Key that is a UUID version 7, got %q", p.Key)
+	}
+	req.Key = key.String()
+	return req, nil
+}
+
+// identity checks the caller's request identity or makes a new one.
+func identity(id string) (string, *tpmessage.Refusal) {
+	if id == "" {
+		made, err := uuid.NewV7()
+		if err != nil {
+			return "", badRequest("no request identity: %v", err)
+		}
+		return made.String(), nil
+	}
+	parsed, err := uuid.Parse(id)
+	if err != nil {
+		return "", badRequest("request identity %q is not a UUID", id)
+	}
+	return parsed.String(), nil
+}
+
+// TokenHash returns the form in which the configuration holds a token.
+func TokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func organisationOf(cfg *tpmessage.Config, token string) (tpmessage.Organisation, bool) {
+	if token == "" {
+		return tpmessage.Organisation{}, false
+	}
+	hash := TokenHash(token)
+	for _, o := range cfg.Organisations {
+		if o.TokenHash == hash {
+			return o, true
+		}
+	}
+	return tpmessage.Organisation{}, false
+}
+
+// timeout returns the shorter of the route's and the caller's time limits.
+func timeout(route, caller time.Duration) time.Duration {
+	if route <= 0 {
+		route = DefaultTimeout
+	}
+	if caller <= 0 {
+		return route
+	}
+	return min(route, caller)
+}
+
+func badRequest(format string, args ...any) *tpmessage.Refusal {
+	return &tpmessage.Refusal{
+		Code:   tpmessage.RefusalBadRequest,
+		Reason: fmt.Sprintf(format, args...),
+		NotRun: true,
+	}
+}
--- /dev/null
+++ b/internal/request/stage3/tprouter/roundrobin.go
@@ -0,0 +1,19 @@
+package tprouter
+
+import (
+	"time"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// RoundRobin takes the targets in turn, without regard to load. It is a naive
+// policy. The zero value is ready to use.
+type RoundRobin struct {
+	next int
+}
+
+// Pick implements RoutePolicy.
+func (p *RoundRobin) Pick(_ time.Time, _ *tpmessage.Request, usable []*Candidate) int {
+	p.next++
+	return p.next % len(usable)
+}
--- /dev/null
+++ b/internal/standin/tpservicefake/doc.go
@@ -0,0 +1,3 @@
+// Package tpservicefake is a stand-in for a plain service with reservations,
+// confirmations and swaps. It records every run.
+package tpservicefake
--- /dev/null
+++ b/pkg/tpobject/store.go
@@ -0,0 +1,58 @@
+package tpobject
+
+import (
+	"context"
+	"errors"
+)
+
+// MaxValueBytes is the size of the largest value that the platform holds.
+const MaxValueBytes = 1 << 20
+
+var (
+	// ErrConflict is returned if the object's version is not the expected one.
+	// Nothing was written.
+	ErrConflict = errors.New("object version conflict")
+	// ErrNotFound is returned if the object does not exist.
+	ErrNotFound = errors.New("object not found")
+	// ErrUnavailable is returned if the platform refused the call before it
+	// ran it. Nothing was written.
+	ErrUnavailable = errors.New("object API unavailable")
+	// ErrOutcomeUnknown is returned if the answer was lost: a write may or may
+	// not have taken effect. The caller reads back to find out.
+	ErrOutcomeUnknown = errors.New("object API outcome unknown")
+	// ErrTooLarge is returned for a value over MaxValueBytes. Nothing was written.
+	ErrTooLarge = errors.New("object value too large")
+)
+
+// Object is a named value. Versions rise with every write to any object of
+// the store, so that a deleted and recreated object never repeats a version.
+type Object struct {
+	Name    string `json:"name"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+// Change is one entry of a watch. A deletion has Deleted set and no value.
+type Change struct {
+	Object  Object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+// Store is the platform's object API. Each method is one call that the
+// platform counts against its rate.
+type Store interface {
+	// Get returns the object, or ErrNotFound.
+	Get(ctx context.Context, name string) (Object, error)
+	// Put writes the value if the object's version is still version, where 0
+	// means that the object must not exist. It returns the new version, or
+	// ErrConflict.
+	Put(ctx context.Context, name string, value []byte, version uint64) (uint64, error)
+	// Delete removes the object if its version is still version.
+	Delete(ctx context.Context, name string, version uint64) error
+	// List returns the objects whose names begin with prefix, sorted by name.
+	List(ctx context.Context, prefix string) ([]Object, error)
+	// Watch waits until an object whose name begins with prefix has a version
+	// above after, and returns such changes in the order of their versions. It
+	// returns no changes and no error if the platform ended the wait first.
+	Watch(ctx context.Context, prefix string, after uint64) ([]Change, error)
+}
