Decide claims and results of non-idempotent calls in groups

A booking must run at most once, whatever process or answer is lost. The shard's tail is changed only by conditional update, a lost answer is settled by the group's identity, and DropBefore refuses keys that may be forgotten. The scheme is a type parameter; one object per call is the naive instance.

--- /dev/null
+++ b/internal/request/stage4/tpjournal/doc.go
@@ -0,0 +1,8 @@
+// Package tpjournal is the fourth stage of the request pipeline. It makes the
+// claim of a non-idempotent call durable before the first byte goes to a
+// target, records the result, and answers repeated calls from the record.
+//
+// An entry node passes claims and results to the holder of the key's shard.
+// The holder commits them in groups by one conditional update of the shard's
+// tail object; that update is the fence against a former holder.
+package tpjournal
--- /dev/null
+++ b/internal/request/stage4/tpjournal/record.go
@@ -0,0 +1,111 @@
+package tpjournal
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// Shards is the number of shards of a region.
+	Shards = 16
+	// MaxResultBytes bounds a result that is kept for repeats.
+	MaxResultBytes = 4 << 10
+	// Retention is the time for which a key is remembered, counted from the
+	// time in the key.
+	Retention = 15 * time.Minute
+	// MaxAhead bounds how far the time in a key may lie in the holder's
+	// future, because an entry is kept until its key's time is past Retention.
+	MaxAhead = time.Minute
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("journal")
+
+// State is the state of a key.
+type State string
+
+// States of a key.
+const (
+	StateClaimed State = "claimed" // one attempt may run the call
+	StateDone    State = "done"    // the result is known
+	StateNotRun  State = "notRun"  // the attempt ended before it sent a byte
+)
+
+// Entry is what the journal knows of one key.
+type Entry struct {
+	Key          string `json:"key"`
+	Attempt      string `json:"attempt"` // the only one that may send the call
+	Organisation string `json:"organisation"`
+	Fingerprint  uint64 `json:"fingerprint"`
+	Pool         string `json:"pool"`
+	State        State  `json:"state"`
+	Status       int    `json:"status,omitempty"`
+	Result       []byte `json:"result,omitempty"`
+	Omitted      bool   `json:"omitted,omitempty"` // the result was over MaxResultBytes
+}
+
+// entryOverhead is the size in bytes of an encoded entry without its strings
+// and its result.
+const entryOverhead = 140
+
+// size estimates the size of the encoded entry in bytes.
+func (e *Entry) size() int {
+	return entryOverhead + len(e.Key) + len(e.Attempt) + len(e.Organisation) + len(e.Pool) + len(e.Result)*4/3
+}
+
+// Archive names an object that holds entries of an earlier tail.
+type Archive struct {
+	Fencing uint64 `json:"fencing"` // of the holder that wrote it
+	Number  uint64 `json:"number"`
+	Newest  int64  `json:"newest"` // latest time of its keys, in milliseconds since 1970
+}
+
+// Record is the content of a journal object: a tail, an archive or one call.
+// Archives and calls use only Entries.
+type Record struct {
+	Group   string `json:"group,omitempty"`   // identity of the last update, to settle lost answers
+	Holder  string `json:"holder,omitempty"`  // incarnation that wrote the last update
+	Fencing uint64 `json:"fencing,omitempty"` // rises with each change of the holder
+	// DropBefore is a time in milliseconds since 1970. A key whose time is
+	// before it may have been forgotten and never runs. It only rises.
+	DropBefore int64 `json:"dropBefore,omitempty"`
+	// Archived is the number of archives written under Fencing and listed.
+	Archived uint64    `json:"archived,omitempty"`
+	Entries  []Entry   `json:"entries"`
+	Archives []Archive `json:"archives,omitempty"` // oldest first
+}
+
+// ShardOf returns the shard of a key.
+func ShardOf(key string) int { return int(xxh3.HashString(key) % Shards) }
+
+// ShardName returns the name of a shard, by which its holder is chosen.
+func ShardName(region string, shard int) string { return fmt.Sprintf("journal/%s/%d", region, shard) }
+
+// TailName returns the name of a shard's tail object.
+func TailName(region string, shard int) string { return ShardName(region, shard) + "/tail" }
+
+// ArchiveName returns the name of an archive object of a shard.
+func ArchiveName(region string, shard int, a Archive) string {
+	return fmt.Sprintf("%s/archive/%d-%d", ShardName(region, shard), a.Fencing, a.Number)
+}
+
+// CallName returns the name of the object of one call, for PerCall.
+func CallName(region, key string) string { return "journal/" + region + "/call/" + key }
+
+// KeyTime returns the time in a key, a UUID version 7, in milliseconds since
+// 1970, or 0 if the key is none.
+func KeyTime(key string) int64 {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return 0
+	}
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms
+}
--- /dev/null
+++ b/internal/request/stage4/tpjournal/server.go
@@ -0,0 +1,168 @@
+package tpjournal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/pkg/tpclock"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+const (
+	// ServerOps is the number of operations that wait for the holder filter.
+	ServerOps = 2 * MaxWaiting
+	// storeWorkers is the number of commands carried out at the same time:
+	// one for each shard, and questions to services.
+	storeWorkers = Shards * (1 + MaxAsks)
+	// storeQueue is the number of commands that wait for a worker.
+	storeQueue = 1024
+)
+
+// Asker asks the services of a pool whether they ran a key.
+type Asker interface {
+	Ask(ctx context.Context, pool, key string) (ran bool, status int, result []byte, err error)
+}
+
+// ServerSettings configures a Server. Store has no default.
+type ServerSettings struct {
+	Store tpobject.Store
+	Clock tpclock.Clock // nil means the system clock
+	Asker Asker         // nil if no service can be asked
+}
+
+// Server runs the holder filter and the store duty behind it:
+//
+//	Do -> holder ring -> holder filter -> store tasks -> holder ring
+//
+// The holder ring keeps room for the end of every command that can be
+// outstanding, so that a store task never waits for the filter.
+type Server[S Scheme] struct {
+	cfg     ServerSettings
+	holder  *Holder[S]
+	in      *tpring.Ring[Input]
+	tasks   pond.Pool
+	ctx     context.Context // ends the waits of store tasks at the stop
+	outputs []Output        // scratch of the holder filter
+}
+
+// NewServer starts the duties. The clean-up function ends them; operations
+// that are not answered by then are answered AnswerUndetermined.
+func NewServer[S Scheme](cfg ServerSettings, holder *Holder[S], duties *tpduty.Runner, rings *tpring.Group) (*Server[S], func(), error) {
+	if cfg.Clock == nil {
+		cfg.Clock = tpclock.System{}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server[S]{
+		cfg:    cfg,
+		holder: holder,
+		in:     tpring.New[Input](tpring.Settings{Capacity: ServerOps + storeWorkers + storeQueue + 1}),
+		tasks:  pond.NewPool(storeWorkers, pond.WithQueueSize(storeQueue)),
+		ctx:    ctx,
+	}
+	rings.Add("holder", s.in)
+	stopFilter, err := tpduty.Filter(duties, "holder", s.in, s.handle)
+	if err != nil {
+		cancel()
+		s.tasks.StopAndWait()
+		return nil, nil, err
+	}
+	return s, func() {
+		cancel()
+		stopFilter()
+		s.tasks.StopAndWait()
+	}, nil
+}
+
+// Do carries out one operation. It answers AnswerUndetermined if ctx ends
+// first, and AnswerRefused if the server is overloaded or stopped.
+func (s *Server[S]) Do(ctx context.Context, op Op) Answer {
+	op.Reply = tpring.New[Answer](tpring.Settings{Capacity: 1})
+	in := Input{Kind: InputOp, Shard: ShardOf(op.Key), Op: op}
+	if err := s.in.TryPutBelow(in, ServerOps); err != nil {
+		return Answer{State: AnswerRefused}
+	}
+	stop := context.AfterFunc(ctx, op.Reply.Close)
+	defer stop()
+	stopServer := context.AfterFunc(s.ctx, op.Reply.Close)
+	defer stopServer()
+	a, err := op.Reply.Take()
+	if err != nil {
+		return Answer{State: AnswerUndetermined}
+	}
+	return a
+}
+
+// handle is the holder filter.
+func (s *Server[S]) handle(in Input) {
+	s.outputs = s.holder.Step(s.cfg.Clock.Now(), in, s.outputs[:0])
+	for _, out := range s.outputs {
+		if out.Command != nil {
+			cmd := *out.Command
+			s.tasks.Submit(func() { s.run(cmd) })
+			continue
+		}
+		if out.Op.Reply != nil {
+			_ = out.Op.Reply.TryPut(out.Answer)
+		}
+	}
+	clear(s.outputs)
+}
+
+// run is a store task: it carries out one command.
+func (s *Server[S]) run(cmd Command) {
+	res := CommandResult{Command: cmd}
+	switch cmd.Kind {
+	case CommandGet:
+		var o tpobject.Object
+		o, res.Err = s.cfg.Store.Get(s.ctx, cmd.Name)
+		if res.Err == nil {
+			res.Version = o.Version
+			res.Err = Error.Wrap(json.Unmarshal(o.Value, &res.Record))
+		}
+	case CommandPut:
+		res.Version, res.Err = s.put(cmd)
+	case CommandDelete:
+		var o tpobject.Object
+		if o, res.Err = s.cfg.Store.Get(s.ctx, cmd.Name); res.Err == nil {
+			res.Err = s.cfg.Store.Delete(s.ctx, cmd.Name, o.Version)
+		}
+	case CommandWait:
+		s.wait(cmd.Until)
+	case CommandAsk:
+		res.Ran, res.Status, res.Result, res.Err = s.ask(cmd)
+	}
+	// The decisions name the object themselves; the content is not needed back.
+	res.Command.Record = Record{}
+	_ = s.in.Put(Input{Kind: InputResult, Shard: cmd.Shard, Result: res})
+}
+
+func (s *Server[S]) put(cmd Command) (uint64, error) {
+	value, err := json.Marshal(cmd.Record)
+	if err != nil {
+		return 0, Error.New("%w: %w", tpobject.ErrTooLarge, err)
+	}
+	return s.cfg.Store.Put(s.ctx, cmd.Name, value, cmd.Version)
+}
+
+func (s *Server[S]) wait(until time.Time) {
+	select {
+	case <-s.cfg.Clock.After(until.Sub(s.cfg.Clock.Now())):
+	case <-s.ctx.Done():
+	}
+}
+
+// errNotAskable is returned if no service can be asked.
+var errNotAskable = errors.New("no service can be asked")
+
+func (s *Server[S]) ask(cmd Command) (bool, int, []byte, error) {
+	if s.cfg.Asker == nil {
+		return false, 0, nil, errNotAskable
+	}
+	return s.cfg.Asker.Ask(s.ctx, cmd.Pool, cmd.Key)
+}
