Add the timeline: causal merge, four formats, command

Cause: operators need one view of events over all processes. Change: merge by hybrid time, filters by identity, text, JSON lines, trace events and a picture; teaselpin timeline gathers over twirp. Result: the property test finds no effect before its cause under clock skew.

--- /dev/null
+++ b/internal/edge/tppeer/events.go
@@ -0,0 +1,111 @@
+package tppeer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"teaselpin.example/teaselpin/internal/edge/tpwire"
+	"teaselpin.example/teaselpin/internal/frame/tpevent"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("peer")
+
+// GatherTimeout bounds the read of one process's events.
+const GatherTimeout = 5 * time.Second
+
+// TimeToWire converts a clock reading.
+func TimeToWire(t tpmessage.HybridTime) *tpwire.HybridTime {
+	return &tpwire.HybridTime{Wall: t.Wall, Counter: t.Counter}
+}
+
+// TimeFromWire converts a clock reading; a missing one is zero.
+func TimeFromWire(t *tpwire.HybridTime) tpmessage.HybridTime {
+	return tpmessage.HybridTime{Wall: t.GetWall(), Counter: t.GetCounter()}
+}
+
+func eventToWire(e *tpmessage.Event) *tpwire.Event {
+	return &tpwire.Event{
+		Time:         TimeToWire(e.Time),
+		Process:      e.Process,
+		Sequence:     e.Sequence,
+		Kind:         e.Kind,
+		Request:      e.Request,
+		Target:       e.Target,
+		Organisation: e.Organisation,
+		Lease:        e.Lease,
+		Order:        e.Order,
+		Generation:   e.Generation,
+		Detail:       e.Detail,
+	}
+}
+
+func eventFromWire(e *tpwire.Event) tpmessage.Event {
+	return tpmessage.Event{
+		Time:         TimeFromWire(e.GetTime()),
+		Process:      e.GetProcess(),
+		Sequence:     e.GetSequence(),
+		Kind:         e.GetKind(),
+		Request:      e.GetRequest(),
+		Target:       e.GetTarget(),
+		Organisation: e.GetOrganisation(),
+		Lease:        e.GetLease(),
+		Order:        e.GetOrder(),
+		Generation:   e.GetGeneration(),
+		Detail:       e.GetDetail(),
+	}
+}
+
+// ServeEvents answers the Events method of the Operations service.
+func ServeEvents(rec *tpevent.Recorder, req *tpwire.EventsRequest) *tpwire.EventsResponse {
+	rec.Observe(TimeFromWire(req.GetTime()))
+	events := rec.Events()
+	resp := &tpwire.EventsResponse{Events: make([]*tpwire.Event, len(events))}
+	for i := range events {
+		resp.Events[i] = eventToWire(&events[i])
+	}
+	resp.Time = TimeToWire(rec.Now())
+	return resp
+}
+
+// Gathered is what one process answered.
+type Gathered struct {
+	Address string
+	Events  []tpmessage.Event
+	Err     error
+}
+
+// GatherEvents reads the events of several processes at the same time. A
+// process that does not answer has Err set.
+func GatherEvents(ctx context.Context, addresses []string) []Gathered {
+	ctx, cancel := context.WithTimeout(ctx, GatherTimeout)
+	defer cancel()
+	all := make([]Gathered, len(addresses))
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		wg.Go(func() {
+			events, err := fetchEvents(ctx, address)
+			all[i] = Gathered{Address: address, Events: events, Err: err}
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+func fetchEvents(ctx context.Context, address string) ([]tpmessage.Event, error) {
+	client := tpwire.NewOperationsProtobufClient("http://"+address, http.DefaultClient)
+	resp, err := client.Events(ctx, &tpwire.EventsRequest{})
+	if err != nil {
+		return nil, Error.New("events of %s: %w", address, err)
+	}
+	events := make([]tpmessage.Event, len(resp.GetEvents()))
+	for i, e := range resp.GetEvents() {
+		events[i] = eventFromWire(e)
+	}
+	return events, nil
+}
--- /dev/null
+++ b/internal/edge/tptimeline/picture.go
@@ -0,0 +1,109 @@
+package tptimeline
+
+import (
+	"io"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/font"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// Size of a picture. A row is one process.
+const (
+	pictureWidth   = 28 * vg.Centimeter
+	pictureMargin  = 4 * vg.Centimeter
+	pictureRow     = 1 * vg.Centimeter
+	pictureMaxKind = 12 // kinds beyond it share one colour and legend entry
+)
+
+// writePicture draws one row for each process and one mark for each event,
+// over the seconds since the first event.
+func writePicture(w io.Writer, events []tpmessage.Event) error {
+	if len(events) == 0 {
+		return Error.New("there is no event to draw")
+	}
+	processes := processesOf(events)
+	p := plot.New()
+	p.Title.Text = "Timeline"
+	p.X.Label.Text = "seconds since the first event"
+	p.Y.Min, p.Y.Max = -0.5, float64(len(processes))-0.5
+	p.NominalY(processes...)
+	p.Legend.Top = true
+	p.Legend.Left = false
+	p.Legend.TextStyle.Font.Size = font.Length(8)
+	for i, kind := range kindsOf(events) {
+		if err := addKind(p, events, kind, processes, i); err != nil {
+			return err
+		}
+	}
+	height := pictureMargin + vg.Length(len(processes))*pictureRow
+	to, err := p.WriterTo(pictureWidth, height, "png")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = to.WriteTo(w)
+	return Error.Wrap(err)
+}
+
+// otherKinds stands for the kinds beyond pictureMaxKind.
+const otherKinds = "other"
+
+func addKind(p *plot.Plot, events []tpmessage.Event, kind string, processes []string, number int) error {
+	var points plotter.XYs
+	kinds := kindsOf(events)
+	for i := range events {
+		e := &events[i]
+		if e.Kind != kind && (kind != otherKinds || slices.Contains(kinds, e.Kind)) {
+			continue
+		}
+		points = append(points, plotter.XY{
+			X: float64(e.Time.Wall-events[0].Time.Wall) / 1e9,
+			Y: float64(slices.Index(processes, e.Process)),
+		})
+	}
+	s, err := plotter.NewScatter(points)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	s.GlyphStyle = draw.GlyphStyle{
+		Color:  plotutil.Color(number),
+		Radius: vg.Points(3),
+		Shape:  plotutil.Shape(number),
+	}
+	p.Add(s)
+	p.Legend.Add(kind, s)
+	return nil
+}
+
+func processesOf(events []tpmessage.Event) []string {
+	var names []string
+	for i := range events {
+		if !slices.Contains(names, events[i].Process) {
+			names = append(names, events[i].Process)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// kindsOf returns the kinds in the order of their first event, shortened to
+// pictureMaxKind.
+func kindsOf(events []tpmessage.Event) []string {
+	var kinds []string
+	for i := range events {
+		if slices.Contains(kinds, events[i].Kind) {
+			continue
+		}
+		if len(kinds) == pictureMaxKind {
+			return append(kinds, otherKinds)
+		}
+		kinds = append(kinds, events[i].Kind)
+	}
+	return kinds
+}
