--- a/internal/standin/tpplatformfake/platform.go
+++ b/internal/standin/tpplatformfake/platform.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
 	"teaselpin.example/teaselpin/pkg/tpobject"
 )
@@ -21,13 +23,27 @@
 // Faults is the state of the faults on command.
 type Faults struct {
 	Down       bool          `json:"down"`       // every call is refused
+	DownCalls  int           `json:"downCalls"`  // number of next calls that are refused
 	Delay      time.Duration `json:"delay"`      // added to every call, in nanoseconds
+	SlowCalls  int           `json:"slowCalls"`  // number of next calls that Delay is added to; 0 means all
 	LoseWrites int           `json:"loseWrites"` // number of next writes whose answer is lost
+	// Prefix limits the faults to objects whose names begin with it.
+	Prefix string `json:"prefix"`
 }
 
-// Counts is the number of calls by kind.
+// Counts is the number of calls by kind. A watch counts as one call, however
+// long it waits.
 type Counts struct {
-	Get, Put, Delete, List, Watch, VMs, Refused uint64
+	Get, Put, Delete, List, Watch, VMs uint64
+	Refused                            uint64 // by faults
+	Limited                            uint64 // by the rate limit
+	Waiting                            int64  // watches that are waiting now
+}
+
+// Limit is a rate limit over all calls together.
+type Limit struct {
+	PerSecond float64 `json:"perSecond"` // 0 means no limit
+	Burst     int     `json:"burst"`     // calls at once
 }
 
 // Platform serves the platform's interface over an in-memory store. The zero
@@ -37,10 +53,19 @@
 	// WatchWait bounds a watch; zero means DefaultWatchWait.
 	WatchWait time.Duration
 
-	mu     sync.Mutex
-	faults Faults
-	counts Counts
-	vms    []tpplatform.VM
+	mu      sync.Mutex
+	faults  Faults
+	slow    bool // SlowCalls was given and counts down
+	counts  Counts
+	limiter *rate.Limiter // nil means no limit
+	lag     time.Duration
+	lists   []vmList // oldest first
+}
+
+// vmList is a list of VMs and the time at which it became true.
+type vmList struct {
+	at  time.Time
+	vms []tpplatform.VM
 }
 
 // SetFaults replaces the faults.
@@ -48,13 +73,46 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
+	p.slow = f.SlowCalls > 0
 }
 
-// SetVMs replaces the list of VMs.
+// SetLimit replaces the rate limit.
+func (p *Platform) SetLimit(l Limit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limiter = nil
+	if l.PerSecond > 0 {
+		p.limiter = rate.NewLimiter(rate.Limit(l.PerSecond), max(l.Burst, 1))
+	}
+}
+
+// SetLag replaces the time by which the list of VMs lags.
+func (p *Platform) SetLag(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = d
+}
+
+// SetVMs replaces the list of VMs. It is shown once the lag has passed.
 func (p *Platform) SetVMs(vms []tpplatform.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms = vms
+	p.lists = append(p.lists, vmList{at: time.Now(), vms: vms})
+}
+
+// shownVMs returns the list as it was before the lag.
+func (p *Platform) shownVMs() []tpplatform.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shown := time.Now().Add(-p.lag)
+	var vms []tpplatform.VM
+	for _, l := range p.lists {
+		if l.at.After(shown) {
+			break
+		}
+		vms = l.vms
+	}
+	return vms
 }
 
 // Counts returns the number of calls by kind.
@@ -64,8 +122,9 @@
 	return p.counts
 }
 
-// Handler returns the HTTP interface. PUT /faults and PUT /vms set the faults
-// and the list; GET /counts returns the counts.
+// Handler returns the HTTP interface. PUT /faults, /vms, /lag (nanoseconds) and
+// /limit set the faults, the list, its lag and the rate limit; GET /counts
+// returns the counts.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+tpplatform.PathObjects, p.call(&p.counts.Get, p.get))
@@ -76,24 +135,24 @@
 	mux.HandleFunc("GET "+tpplatform.PathVMs, p.call(&p.counts.VMs, p.listVMs))
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) { set(w, r, p.SetFaults) })
 	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) { set(w, r, p.SetVMs) })
+	mux.HandleFunc("PUT /lag", func(w http.ResponseWriter, r *http.Request) { set(w, r, p.SetLag) })
+	mux.HandleFunc("PUT /limit", func(w http.ResponseWriter, r *http.Request) { set(w, r, p.SetLimit) })
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counts()) })
 	return mux
 }
 
-// call counts a call and applies the faults before it.
+// call counts a call and applies the rate limit and the faults before it.
 func (p *Platform) call(count *uint64, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		*count++
-		f := p.faults
-		if f.Down {
-			p.counts.Refused++
+		limited, down, delay := p.admit(count, target(r))
+		if limited {
+			http.Error(w, "over the platform's rate", http.StatusTooManyRequests)
+			return
 		}
-		p.mu.Unlock()
-		if f.Delay > 0 {
-			time.Sleep(f.Delay)
+		if delay > 0 {
+			time.Sleep(delay)
 		}
-		if f.Down {
+		if down {
 			http.Error(w, "the platform is down", http.StatusServiceUnavailable)
 			return
 		}
@@ -101,11 +160,36 @@
 	}
 }
 
+// admit counts one call on a name and returns what happens to it.
+func (p *Platform) admit(count *uint64, name string) (limited, down bool, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*count++
+	if p.limiter != nil && !p.limiter.Allow() {
+		p.counts.Limited++
+		return true, false, 0
+	}
+	f := &p.faults
+	if !strings.HasPrefix(name, f.Prefix) {
+		return false, false, 0
+	}
+	if f.Delay > 0 && (!p.slow || f.SlowCalls > 0) {
+		delay = f.Delay
+		f.SlowCalls = max(f.SlowCalls-1, 0)
+	}
+	down = f.Down || f.DownCalls > 0
+	f.DownCalls = max(f.DownCalls-1, 0)
+	if down {
+		p.counts.Refused++
+	}
+	return false, down, delay
+}
+
 // loseAnswer reports whether the answer to this write is to be lost.
-func (p *Platform) loseAnswer() bool {
+func (p *Platform) loseAnswer(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.faults.LoseWrites == 0 {
+	if p.faults.LoseWrites == 0 || !strings.HasPrefix(name, p.faults.Prefix) {
 		return false
 	}
 	p.faults.LoseWrites--
@@ -124,7 +208,7 @@
 		return
 	}
 	version, err := p.Store.Put(r.Context(), name(r), value, number(r, "version"))
-	if err == nil && p.loseAnswer() {
+	if err == nil && p.loseAnswer(name(r)) {
 		panic(http.ErrAbortHandler)
 	}
 	answer(w, tpplatform.PutAnswer{Version: version}, err)
@@ -132,7 +216,7 @@
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
 	err := p.Store.Delete(r.Context(), name(r), number(r, "version"))
-	if err == nil && p.loseAnswer() {
+	if err == nil && p.loseAnswer(name(r)) {
 		panic(http.ErrAbortHandler)
 	}
 	answer(w, struct{}{}, err)
@@ -150,15 +234,26 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
+	p.addWaiting(1)
+	defer p.addWaiting(-1)
 	changes, err := p.Store.Watch(ctx, r.URL.Query().Get("prefix"), number(r, "after"))
 	answer(w, changes, err)
 }
 
-func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) addWaiting(n int64) {
 	p.mu.Lock()
-	vms := p.vms
-	p.mu.Unlock()
-	writeJSON(w, vms)
+	defer p.mu.Unlock()
+	p.counts.Waiting += n
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.shownVMs()) }
+
+// target returns the name or prefix that a call is about.
+func target(r *http.Request) string {
+	if prefix := r.URL.Query().Get("prefix"); prefix != "" {
+		return prefix
+	}
+	return name(r)
 }
 
 func name(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, tpplatform.PathObjects) }
