--- /dev/null
+++ b/internal/node/tpnode/journal.go
@@ -0,0 +1,185 @@
+package tpnode
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	"teaselpin.example/teaselpin/internal/edge/tppeer"
+	"teaselpin.example/teaselpin/internal/edge/tpplatform"
+	"teaselpin.example/teaselpin/internal/edge/tptarget"
+	"teaselpin.example/teaselpin/internal/membership/tpmember"
+	"teaselpin.example/teaselpin/internal/request/stage4/tpjournal"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// journalPipeline holds the rings and decisions of the journal:
+//
+//	router -> journal ring -> journal filter -> sending ring
+//	journal filter -> claim tasks -> holder (here or at a peer) -> journal ring
+//	stream tasks -> settle tasks -> holder
+//
+// The journal ring has room for one call and one answer of each request in
+// flight, so neither the router nor a claim task waits for the filter.
+type journalPipeline struct {
+	in      *tpring.Ring[tpjournal.ClaimerInput]
+	claimer *tpjournal.Claimer
+	client  *tpjournal.Client
+	server  *tpjournal.Server[*tpjournal.Grouped]
+	drained chan struct{} // closed once the filter is draining and has no pending claim
+}
+
+// startJournal starts the holder filter and the tasks that reach the holders.
+// A node without a platform has no journal and refuses non-idempotent calls.
+func (n *Node) startJournal() error {
+	if n.cfg.Platform == "" {
+		return nil
+	}
+	store, closeStore := tpplatform.NewClient(n.cfg.Platform)
+	n.onStop(closeStore)
+	asker, closeAsker := tptarget.NewAsker(n.poolInForce)
+	n.onStop(closeAsker)
+	incarnation := n.cfg.Name + "/" + uuid.NewString()
+	holder := tpjournal.NewHolder(func(shard int) *tpjournal.Grouped {
+		return tpjournal.NewGrouped(tpjournal.Settings{Region: n.cfg.Region, Shard: shard, Holder: incarnation})
+	})
+	server, stopServer, err := tpjournal.NewServer(
+		tpjournal.ServerSettings{Store: store, Clock: n.clock, Asker: asker}, holder, n.duties, &n.rings)
+	if err != nil {
+		return err
+	}
+	n.onStop(stopServer)
+	peers, closePeers := tppeer.NewJournalClient(n.events)
+	n.onStop(closePeers)
+	j := &journalPipeline{
+		in:      tpring.New[tpjournal.ClaimerInput](tpring.Settings{Capacity: 2*n.cfg.Window + 1}),
+		claimer: tpjournal.NewClaimer(),
+		server:  server,
+		drained: make(chan struct{}),
+	}
+	n.rings.Add("journal", j.in)
+	client, stopClient := tpjournal.NewClient(tpjournal.ClientSettings{
+		Clock: n.clock, Directory: n, Peers: peers, Local: n.holdLocally, Answered: j.answered, Window: n.cfg.Window,
+	})
+	n.onStop(stopClient)
+	j.client = client
+	n.journal = j
+	return nil
+}
+
+// startJournalFilter starts the journal filter. Its clean-up lets the pending
+// claims end first.
+func (n *Node) startJournalFilter() error {
+	if n.journal == nil {
+		return nil
+	}
+	if err := startFilter(n, "journal", n.journal.in, n.handleJournal); err != nil {
+		return err
+	}
+	n.onStop(func() {
+		_ = n.journal.in.Put(tpjournal.ClaimerInput{Kind: tpjournal.ClaimerDrain})
+		<-n.journal.drained
+	})
+	return nil
+}
+
+// claim passes a non-idempotent call from the router to the journal.
+func (n *Node) claim(a tpmessage.Assignment) {
+	if n.journal == nil {
+		n.endUnsent(&a.Work, a.Targets[0].Name, tpmessage.Chunk{Refusal: &tpmessage.Refusal{
+			Code: tpmessage.RefusalNotRun, Reason: "this node has no platform to record the call", NotRun: true,
+		}})
+		return
+	}
+	a.Work.Attempt = uuid.NewString()
+	_ = n.journal.in.Put(tpjournal.ClaimerInput{Kind: tpjournal.ClaimerWork, Assignment: a})
+}
+
+func (j *journalPipeline) answered(attempt string, a tpjournal.Answer) {
+	_ = j.in.Put(tpjournal.ClaimerInput{Kind: tpjournal.ClaimerAnswer, Attempt: attempt, Answer: a})
+}
+
+func (n *Node) handleJournal(in tpjournal.ClaimerInput) {
+	j := n.journal
+	out := j.claimer.Step(n.clock.Now(), in)
+	if out.Claim != nil {
+		j.client.Claim(out.Claim.Work)
+	}
+	if out.Send != nil {
+		_ = n.request.sendIn.Put(*out.Send)
+	}
+	if out.Ended != nil {
+		if out.Release {
+			j.client.Settle(tpjournal.ReleaseOf(out.Ended))
+		}
+		n.endUnsent(out.Ended, out.Target, out.Last)
+	}
+	if out.Drained {
+		close(j.drained)
+	}
+}
+
+// settled records the end of a call that was sent.
+func (n *Node) settled(w tpmessage.Work, _ tpmessage.Outcome, handed bool, last *tpmessage.Chunk) {
+	if op, ok := tpjournal.SettlementOf(&w, handed, last); ok {
+		n.journal.client.Settle(op)
+	}
+}
+
+// endUnsent ends work that the router assigned and that is not sent.
+func (n *Node) endUnsent(w *tpmessage.Work, target string, last tpmessage.Chunk) {
+	if last.Refusal != nil {
+		n.refuse(w, last.Refusal)
+	} else {
+		// The ring of work that was not sent is empty, so this does not block.
+		_ = w.Chunks.TryPut(last)
+		w.Chunks.Close()
+	}
+	n.completed(tpmessage.Completion{
+		RequestID: w.Request.ID, Organisation: w.Request.Organisation, Target: target,
+		Final: true, Outcome: tpmessage.OutcomeNotSent, At: n.clock.Now(),
+	})
+}
+
+// HolderOf implements tpjournal.Directory: the holder is the live member that
+// rendezvous hashing chooses, or this node if every member is leaving.
+func (n *Node) HolderOf(shard int) (string, bool) {
+	ranked := tpmember.Rank(tpjournal.ShardName(n.cfg.Region, shard), n.Members())
+	if len(ranked) == 0 || ranked[0].Name == n.cfg.Name {
+		return "", true
+	}
+	return ranked[0].Address, false
+}
+
+// holdLocally passes an operation to this node's own holder filter.
+func (n *Node) holdLocally(ctx context.Context, op tpjournal.Op) tpjournal.Answer {
+	pool, ok := n.poolInForce(op.Pool)
+	op.CanAsk = ok && pool.CanAskKey
+	return n.journal.server.Do(ctx, op)
+}
+
+func (n *Node) poolInForce(name string) (tpmessage.Pool, bool) {
+	s := n.InForce()
+	if s == nil {
+		return tpmessage.Pool{}, false
+	}
+	return s.Config.PoolNamed(name)
+}
+
+// handleJournalPeers serves the peers' claims and settlements.
+func (n *Node) handleJournalPeers(mux *http.ServeMux) {
+	if n.journal == nil {
+		return
+	}
+	path, h := tppeer.NewJournalHandler(&tppeer.JournalServer{
+		Holds: func(shard int) bool {
+			_, self := n.HolderOf(shard)
+			return self
+		},
+		Do:     n.holdLocally,
+		Events: n.events,
+	})
+	mux.Handle("POST "+path, h)
+}
--- /dev/null
+++ b/internal/node/tpnode/journal_test.go
@@ -0,0 +1,175 @@
+package tpnode_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"teaselpin.example/teaselpin/internal/node/tpnode"
+	"teaselpin.example/teaselpin/internal/proof/tphistory"
+	"teaselpin.example/teaselpin/internal/request/stage1/tpintake"
+	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
+	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// bookings is a service, a platform, and nodes that share them.
+type bookings struct {
+	service  *tpservicefake.Service
+	platform *tpplatformfake.Platform
+	nodes    []*tpnode.Node
+	stops    []func()
+}
+
+func startBookings(t *testing.T, nodes int, canAsk bool) *bookings {
+	t.Helper()
+	b := &bookings{
+		service:  &tpservicefake.Service{Name: "service-0"},
+		platform: &tpplatformfake.Platform{WatchWait: time.Second},
+	}
+	service := httptest.NewServer(b.service.Handler())
+	t.Cleanup(service.Close)
+	platform := httptest.NewServer(b.platform.Handler())
+	t.Cleanup(platform.Close)
+	targets := []tpmessage.Target{{Name: "service-0", Address: service.Listener.Addr().String()}}
+	for i := range nodes {
+		n, stop, err := tpnode.New(tpnode.Settings{
+			Name: fmt.Sprintf("node-%d", i), Region: "nord-ovest", Platform: platform.URL,
+			CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StopGrace: time.Millisecond,
+		}, tpnode.Deps{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stop = sync.OnceFunc(stop)
+		t.Cleanup(stop)
+		b.nodes = append(b.nodes, n)
+		b.stops = append(b.stops, stop)
+		n.Apply(&tpmessage.Snapshot{Generation: 1, Config: tpmessage.Config{
+			Pools:         []tpmessage.Pool{{Name: "booking", Kind: tpmessage.PoolService, Targets: targets, CanAskKey: canAsk}},
+			Routes:        []tpmessage.Route{{Path: "/v1/booking", Pool: "booking"}},
+			Organisations: []tpmessage.Organisation{{Name: "bergamo", Share: 1, TokenHash: tpintake.TokenHash("secret")}},
+		}})
+	}
+	return b
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func (b *bookings) call(t *testing.T, node int, key, body string) tphistory.Operation {
+	t.Helper()
+	return tphistory.NewCaller(0, "secret").Call(t.Context(), b.nodes[node].CallerAddress(), "/v1/booking", key, body)
+}
+
+// Guards against a repeat that runs again, and against a result that is lost
+// between nodes that both believe to hold the shard.
+func TestBookingThroughSeveralNodes(t *testing.T) {
+	b := startBookings(t, 3, false)
+	key := newKey()
+	first := b.call(t, 0, key, "slot 9:00")
+	if first.Outcome != tphistory.OK {
+		t.Fatalf("first call: got %+v, want ok", first)
+	}
+	for node := range b.nodes {
+		repeat := func() bool {
+			op := b.call(t, node, key, "slot 9:00")
+			return op.Outcome == tphistory.OK && op.Answer == first.Answer
+		}
+		eventually(t, fmt.Sprintf("node %d answers from the record", node), repeat)
+	}
+	if op := b.call(t, 1, key, "slot 10:00"); op.Refusal.Code != tpmessage.RefusalBadRequest {
+		t.Errorf("another call under the key: got %+v, want badRequest", op)
+	}
+	if got := len(b.service.Runs()); got != 1 {
+		t.Errorf("runs: got %d, want 1", got)
+	}
+}
+
+// Guards against a group commit that loses, crosses or repeats calls when many
+// of them share it.
+func TestManyBookings(t *testing.T) {
+	b := startBookings(t, 1, false)
+	const calls = 200
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			if op := b.call(t, 0, newKey(), fmt.Sprint(i)); op.Outcome != tphistory.OK {
+				t.Errorf("call %d: got %+v, want ok", i, op)
+			}
+		})
+	}
+	wg.Wait()
+	if got := len(b.service.Runs()); got != calls {
+		t.Errorf("runs: got %d, want %d", got, calls)
+	}
+}
+
+// Guards against a call that is sent although its claim could not be recorded,
+// and against a refusal that is not true.
+func TestPlatformOutageRefusesBookings(t *testing.T) {
+	b := startBookings(t, 1, false)
+	b.platform.SetFaults(tpplatformfake.Faults{Down: true})
+	key := newKey()
+	op := b.call(t, 0, key, "slot")
+	if op.Refusal.Code != tpmessage.RefusalNotRun || !op.Refusal.NotRun {
+		t.Errorf("call in an outage: got %+v, want notRun", op)
+	}
+	if got := len(b.service.Runs()); got != 0 {
+		t.Errorf("runs in an outage: got %d, want 0", got)
+	}
+	b.platform.SetFaults(tpplatformfake.Faults{})
+	eventually(t, "the key runs after the outage", func() bool {
+		return b.call(t, 0, key, "slot").Outcome == tphistory.OK
+	})
+	if got := len(b.service.Runs()); got != 1 {
+		t.Errorf("runs after the outage: got %d, want 1", got)
+	}
+}
+
+// Guards against a planned stop that loses the result of a running booking.
+func TestStopSettlesBookings(t *testing.T) {
+	b := startBookings(t, 2, false)
+	key := newKey()
+	first := b.call(t, 0, key, "slot")
+	b.stops[0]()
+	if op := b.call(t, 1, key, "slot"); op.Outcome != tphistory.OK || op.Answer != first.Answer {
+		t.Errorf("repeat after the stop: got %+v, want %q", op, first.Answer)
+	}
+}
+
+// Guards against an answer that is lost for good although the service can be
+// asked, and against a second run when it cannot.
+func TestLostAnswerOfTheService(t *testing.T) {
+	for _, canAsk := range []bool{false, true} {
+		b := startBookings(t, 1, canAsk)
+		b.service.SetFaults(tpservicefake.Faults{LoseAnswers: 1})
+		key := newKey()
+		if op := b.call(t, 0, key, "slot"); op.Refusal.Code != tpmessage.RefusalUnknown || op.Refusal.NotRun {
+			t.Errorf("lost answer: got %+v, want unknown", op)
+		}
+		op := b.call(t, 0, key, "slot")
+		if canAsk && (op.Outcome != tphistory.OK || op.Answer != b.service.Runs()[0].Result) {
+			t.Errorf("repeat with a service that can be asked: got %+v, want its result", op)
+		}
+		if !canAsk && op.Refusal.Code != tpmessage.RefusalUnknown {
+			t.Errorf("repeat: got %+v, want unknown", op)
+		}
+		if got := len(b.service.Runs()); got != 1 {
+			t.Errorf("runs: got %d, want 1", got)
+		}
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(time.Minute)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within a minute: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -31,6 +31,7 @@
 	rings   tpring.Group
 	events  *tpevent.Recorder
 	request *requestPipeline
+	journal *journalPipeline // nil without a platform
 	inForce atomic.Pointer[tpmessage.Snapshot]
 	leaving atomic.Bool
 	callers *server
@@ -181,5 +182,6 @@
 		vars.Set("request", n.request.vars())
 		_, _ = w.Write([]byte(vars.String()))
 	})
+	n.handleJournalPeers(mux)
 	return mux
 }
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -56,7 +56,10 @@
 		Events:    n.events,
 		Budget:    &tpsender.Budget{},
 		Counters:  &tpsender.Counters{},
-		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported},
+		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported, Settled: n.settled},
+	}
+	if err := n.startJournal(); err != nil {
+		return err
 	}
 	// The clean-up functions run in the reverse order: the duties drain from
 	// the front of the pipeline to its end, while completions still find the
@@ -65,6 +68,9 @@
 	if err := startFilter(n, "sender", p.sendIn, p.sender.Handle); err != nil {
 		return err
 	}
+	if err := n.startJournalFilter(); err != nil {
+		return err
+	}
 	if err := startFilter(n, "router", p.routerIn, n.handleRouting); err != nil {
 		return err
 	}
@@ -149,6 +155,10 @@
 		})
 		return
 	}
+	if !out.Assignment.Work.Request.Idempotent {
+		n.claim(out.Assignment)
+		return
+	}
 	_ = p.sendIn.Put(out.Assignment)
 }
 
--- a/internal/proof/tphistory/caller.go
+++ b/internal/proof/tphistory/caller.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"teaselpin.example/teaselpin/internal/edge/tpfront"
 )
 
@@ -78,9 +80,13 @@
 
 // Call sends a call to a plain service with an idempotency key.
 func (c *Caller) Call(ctx context.Context, node, path, key, body string) Operation {
+	// A request identity of its own tells a service's runs for this call from
+	// those for other calls with the key.
+	id := uuid.NewString()
 	header := http.Header{}
 	header.Set(tpfront.HeaderKey, key)
-	op := Operation{Caller: c.Number, Key: key, Invoked: time.Now(), Outcome: Unknown}
+	header.Set(tpfront.HeaderRequestID, id)
+	op := Operation{Caller: c.Number, RequestID: id, Key: key, Invoked: time.Now(), Outcome: Unknown}
 	resp, err := c.post(ctx, node, path, header, body)
 	if err == nil {
 		op.readCall(resp)
--- /dev/null
+++ b/internal/proof/tphistory/calls.go
@@ -0,0 +1,113 @@
+package tphistory
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
+)
+
+// CheckTimeout bounds the search for an order of the calls.
+const CheckTimeout = time.Minute
+
+// callInput is a call with what the service ran for it.
+type callInput struct {
+	op   Operation
+	runs []tpservicefake.Run
+}
+
+// keyState is the register of one key.
+type keyState struct {
+	ran    bool
+	result string
+}
+
+// callModel is the sequential behaviour of non-idempotent calls: a key runs at
+// most once, in one of its calls; an answer is the result of that run; a call
+// that was refused as not run did not run.
+var callModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			key := op.Input.(callInput).op.Key
+			byKey[key] = append(byKey[key], op)
+		}
+		parts := make([][]porcupine.Operation, 0, len(byKey))
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return keyState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, in := state.(keyState), input.(callInput)
+		if len(in.runs) > 0 {
+			if s.ran || len(in.runs) > 1 || (in.op.Outcome == Refused && in.op.Refusal.NotRun) {
+				return false, s
+			}
+			s = keyState{ran: true, result: in.runs[0].Result}
+		}
+		if in.op.Outcome == OK && (!s.ran || s.result != in.op.Answer) {
+			return false, s
+		}
+		return true, s
+	},
+	DescribeOperation: func(input, _ any) string {
+		in := input.(callInput)
+		return fmt.Sprintf("%s: %s %s, %d runs", in.op.Key, in.op.Outcome, in.op.Refusal.Code, len(in.runs))
+	},
+}
+
+// CheckCalls reports an error if what callers saw and what the services ran is
+// not explained by calls that run at most once for each key. A call whose end
+// its caller does not know may have run at any later time.
+func CheckCalls(ops []Operation, runs []tpservicefake.Run) error {
+	byRequest := make(map[string][]tpservicefake.Run)
+	for _, run := range runs {
+		byRequest[run.RequestID] = append(byRequest[run.RequestID], run)
+	}
+	history := make([]porcupine.Operation, 0, len(ops))
+	for _, op := range ops {
+		end := op.Returned.UnixNano()
+		if op.Outcome == Unknown || (op.Outcome == Refused && !op.Refusal.NotRun) {
+			end = math.MaxInt64
+		}
+		history = append(history, porcupine.Operation{
+			ClientId: op.Caller, Call: op.Invoked.UnixNano(), Return: end,
+			Input: callInput{op: op, runs: byRequest[op.RequestID]},
+		})
+		delete(byRequest, op.RequestID)
+	}
+	for id, left := range byRequest {
+		return fmt.Errorf("the service ran request %s with key %s, which no caller sent", id, left[0].Key)
+	}
+	if got := porcupine.CheckOperationsTimeout(callModel, history, CheckTimeout); got != porcupine.Ok {
+		return fmt.Errorf("%d calls and %d runs are not explained by at most one run for each key: %s%s",
+			len(ops), len(runs), got, describe(ops, runs))
+	}
+	return nil
+}
+
+// describe lists the calls of the keys that alone explain a failed check.
+func describe(ops []Operation, runs []tpservicefake.Run) string {
+	count := make(map[string]int)
+	for _, run := range runs {
+		count[run.Key]++
+	}
+	result := make(map[string]string)
+	for _, run := range runs {
+		result[run.Key] = run.Result
+	}
+	text := ""
+	for _, op := range ops {
+		if count[op.Key] > 1 || (op.Outcome == OK && op.Answer != result[op.Key]) ||
+			(op.Refusal.NotRun && count[op.Key] > 0) {
+			text += fmt.Sprintf("\n%s caller %d request %s: %s %s %q, key ran %d times",
+				op.Key, op.Caller, op.RequestID, op.Outcome, op.Refusal.Code, op.Answer, count[op.Key])
+		}
+	}
+	return text
+}
--- a/internal/request/stage4/tpjournal/claimer.go
+++ b/internal/request/stage4/tpjournal/claimer.go
@@ -13,6 +13,7 @@
 const (
 	ClaimerWork   ClaimerKind = iota // a non-idempotent call from the router
 	ClaimerAnswer                    // the end of its claim
+	ClaimerDrain                     // no more work follows
 )
 
 // ClaimerInput is one message to the journal filter of an entry node.
@@ -31,12 +32,15 @@
 	Target  string                // that the router chose for Ended
 	Last    tpmessage.Chunk       // a refusal or the recorded result
 	Release bool                  // the claim of Ended may be durable and is to be released
+	Drained bool                  // no claim is pending and no more work follows
 }
 
 // Claimer decides on an entry node which calls may go to the sender: only those
 // whose claim has been answered as committed. It belongs to one filter.
 type Claimer struct {
-	pending map[string]tpmessage.Assignment // by attempt
+	pending  map[string]tpmessage.Assignment // by attempt
+	draining bool
+	drained  bool
 }
 
 // NewClaimer returns a claimer without pending claims.
@@ -47,6 +51,19 @@
 
 // Step takes one input.
 func (c *Claimer) Step(now time.Time, in ClaimerInput) ClaimerOutput {
+	out := c.step(now, in)
+	if c.draining && !c.drained && len(c.pending) == 0 {
+		c.drained = true
+		out.Drained = true
+	}
+	return out
+}
+
+func (c *Claimer) step(now time.Time, in ClaimerInput) ClaimerOutput {
+	if in.Kind == ClaimerDrain {
+		c.draining = true
+		return ClaimerOutput{}
+	}
 	if in.Kind == ClaimerWork {
 		c.pending[in.Assignment.Work.Attempt] = in.Assignment
 		return ClaimerOutput{Claim: &in.Assignment}
--- /dev/null
+++ b/internal/request/stage4/tpjournal/history_test.go
@@ -0,0 +1,254 @@
+package tpjournal_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"teaselpin.example/teaselpin/internal/edge/tpfront"
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/internal/proof/tphistory"
+	"teaselpin.example/teaselpin/internal/request/stage4/tpjournal"
+	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// faultyStore refuses calls, loses answers and lets writes arrive late.
+type faultyStore struct {
+	tpobject.Store
+	mu   sync.Mutex
+	rnd  *rand.Rand
+	late sync.WaitGroup
+	down bool
+}
+
+func (f *faultyStore) draw(n int) (int, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rnd.IntN(n), f.down
+}
+
+func (f *faultyStore) Get(ctx context.Context, name string) (tpobject.Object, error) {
+	if n, down := f.draw(20); down || n == 0 {
+		return tpobject.Object{}, tpobject.ErrUnavailable
+	}
+	return f.Store.Get(ctx, name)
+}
+
+func (f *faultyStore) Put(ctx context.Context, name string, value []byte, version uint64) (uint64, error) {
+	n, down := f.draw(20)
+	switch {
+	case down || n == 0:
+		return 0, tpobject.ErrUnavailable
+	case n == 1:
+		f.late.Go(func() {
+			time.Sleep(time.Duration(version%5) * time.Millisecond)
+			_, _ = f.Store.Put(context.Background(), name, value, version)
+		})
+		return 0, tpobject.ErrOutcomeUnknown
+	}
+	v, err := f.Store.Put(ctx, name, value, version)
+	if err == nil && n < 4 {
+		return 0, tpobject.ErrOutcomeUnknown
+	}
+	return v, err
+}
+
+func (f *faultyStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// cluster is entry nodes that each believe now and then to hold every shard.
+type cluster[S tpjournal.Scheme] struct {
+	servers []*tpjournal.Server[S]
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	service tpservicefake.Service
+}
+
+// HolderOf implements tpjournal.Directory. The members disagree at random.
+func (c *cluster[S]) HolderOf(shard int) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rnd.IntN(20) == 0 {
+		shard++
+	}
+	return fmt.Sprint(shard % len(c.servers)), false
+}
+
+// Do implements tpjournal.Peers.
+func (c *cluster[S]) Do(ctx context.Context, address string, op tpjournal.Op) (tpjournal.Answer, error) {
+	var n int
+	if _, err := fmt.Sscan(address, &n); err != nil {
+		return tpjournal.Answer{}, err
+	}
+	return c.servers[n].Do(ctx, op), nil
+}
+
+// entry is one entry node without its HTTP and target edges.
+type entry struct {
+	client  *tpjournal.Client
+	mu      sync.Mutex
+	claimer *tpjournal.Claimer
+	waiting map[string]chan tpjournal.ClaimerOutput // by attempt
+}
+
+func (e *entry) step(attempt string, in tpjournal.ClaimerInput) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.claimer.Step(time.Now(), in)
+	if out.Claim != nil {
+		e.client.Claim(out.Claim.Work)
+		return
+	}
+	e.waiting[attempt] <- out
+}
+
+// call is one call of a caller through the entry node.
+func (e *entry) call(service *tpservicefake.Service, caller int, key string, lose bool) tphistory.Operation {
+	attempt := uuid.NewString()
+	op := tphistory.Operation{Caller: caller, RequestID: uuid.NewString(), Key: key, Invoked: time.Now()}
+	w := tpmessage.Work{Attempt: attempt, Ctx: context.Background(), Request: tpmessage.Request{
+		ID: op.RequestID, Key: key, Deadline: time.Now().Add(time.Minute),
+	}}
+	answer := make(chan tpjournal.ClaimerOutput, 1)
+	e.mu.Lock()
+	e.waiting[attempt] = answer
+	e.mu.Unlock()
+	e.step(attempt, tpjournal.ClaimerInput{Kind: tpjournal.ClaimerWork, Assignment: tpmessage.Assignment{Work: w}})
+	out := <-answer
+	switch {
+	case out.Send != nil && lose:
+		service.Call(key, op.RequestID, "")
+		op.Outcome = tphistory.Unknown
+	case out.Send != nil:
+		op.Outcome = tphistory.OK
+		op.Answer = service.Call(key, op.RequestID, "").Result
+		settlement, _ := tpjournal.SettlementOf(&w, true, &tpmessage.Chunk{Text: op.Answer, Status: 200, End: true})
+		e.client.Settle(settlement)
+	case out.Last.Refusal != nil:
+		op.Outcome = tphistory.Refused
+		op.Refusal = tpfront.RefusalBody{Code: out.Last.Refusal.Code, NotRun: out.Last.Refusal.NotRun}
+		if out.Release {
+			e.client.Settle(tpjournal.ReleaseOf(&w))
+		}
+	default:
+		op.Outcome = tphistory.OK
+		op.Answer = out.Last.Text
+	}
+	op.Returned = time.Now()
+	return op
+}
+
+// record runs callers that repeat their keys through all entry nodes, and
+// returns what they saw and what the service ran.
+func record[S tpjournal.Scheme](t *testing.T, seed uint64, newShard func(holder string, shard int) S) ([]tphistory.Operation, []tpservicefake.Run) {
+	t.Helper()
+	const nodes, callers, keys = 3, 12, 20
+	duties, stopDuties := tpduty.NewRunner(tpduty.Settings{})
+	defer stopDuties()
+	store := &faultyStore{Store: new(tpobject.Memory), rnd: rand.New(rand.NewPCG(seed, 1))}
+	defer store.late.Wait()
+	c := &cluster[S]{rnd: rand.New(rand.NewPCG(seed, 2))}
+	entries := make([]*entry, nodes)
+	for i := range entries {
+		holder := tpjournal.NewHolder(func(shard int) S { return newShard(fmt.Sprint(i), shard) })
+		server, stop, err := tpjournal.NewServer(tpjournal.ServerSettings{Store: store}, holder, duties, new(tpring.Group))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stop()
+		c.servers = append(c.servers, server)
+	}
+	for i := range entries {
+		e := &entry{claimer: tpjournal.NewClaimer(), waiting: make(map[string]chan tpjournal.ClaimerOutput)}
+		client, stop := tpjournal.NewClient(tpjournal.ClientSettings{
+			Directory: c, Peers: c, Window: callers, Answered: func(attempt string, a tpjournal.Answer) {
+				e.step(attempt, tpjournal.ClaimerInput{Kind: tpjournal.ClaimerAnswer, Attempt: attempt, Answer: a})
+			},
+		})
+		defer stop()
+		e.client = client
+		entries[i] = e
+	}
+	names := make([]string, keys)
+	for i := range names {
+		names[i] = uuid.Must(uuid.NewV7()).String()
+	}
+	perCaller := make([][]tphistory.Operation, callers)
+	var wg sync.WaitGroup
+	for caller := range callers {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(seed, uint64(caller)+10))
+			for range 2 * keys {
+				e := entries[rnd.IntN(nodes)]
+				op := e.call(&c.service, caller, names[rnd.IntN(keys)], rnd.IntN(10) == 0)
+				perCaller[caller] = append(perCaller[caller], op)
+				if rnd.IntN(4*keys) == 0 {
+					store.setDown(true)
+					time.Sleep(20 * time.Millisecond)
+					store.setDown(false)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	var ops []tphistory.Operation
+	for _, some := range perCaller {
+		ops = append(ops, some...)
+	}
+	return ops, c.service.Runs()
+}
+
+func fast(holder string, shard int) tpjournal.Settings {
+	return tpjournal.Settings{Region: "r", Shard: shard, Holder: holder, Interval: time.Millisecond, TailEntries: 4}
+}
+
+// Guards against a second run, a false "not run" and a foreign result, with
+// holders that compete for their shards, lost answers, late writes and outages.
+func TestHistoryOfGroupedCalls(t *testing.T) {
+	for seed := range uint64(5) {
+		ops, runs := record(t, seed, func(h string, shard int) *tpjournal.Grouped {
+			return tpjournal.NewGrouped(fast(h, shard))
+		})
+		if err := tphistory.CheckCalls(ops, runs); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		ran := 0
+		for _, op := range ops {
+			if op.Outcome == tphistory.OK {
+				ran++
+			}
+		}
+		if ran == 0 {
+			t.Errorf("seed %d: no call of %d was answered", seed, len(ops))
+		}
+	}
+}
+
+// Guards against a naive version that is no valid baseline.
+func TestHistoryOfPerCall(t *testing.T) {
+	ops, runs := record(t, 1, func(h string, shard int) *tpjournal.PerCall {
+		return tpjournal.NewPerCall(fast(h, shard))
+	})
+	if err := tphistory.CheckCalls(ops, runs); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a check that passes a retry without a journal.
+func TestCheckCatchesUnrecordedCalls(t *testing.T) {
+	ops, runs := record(t, 1, func(string, int) tpjournal.Unrecorded { return tpjournal.Unrecorded{} })
+	if err := tphistory.CheckCalls(ops, runs); err == nil {
+		t.Errorf("check of %d calls and %d runs without a journal: got no error", len(ops), len(runs))
+	}
+}
