--- /dev/null
+++ b/internal/proof/journal_calls_test.go
@@ -0,0 +1,104 @@
+package proof_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"teaselpin.example/teaselpin/internal/proof/tphistory"
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
+	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
+)
+
+func startBookingFleet(t *testing.T) *tpprocess.Fleet {
+	t.Helper()
+	return tpprocess.StartFleet(t, tpprocess.FleetSettings{Services: 1, Nodes: 3})
+}
+
+// Guards against a second run or a false "not run" after nodes were killed,
+// which were entry nodes of some calls and holders for others.
+func TestJournalSurvivesKilledNodes(t *testing.T) {
+	f := startBookingFleet(t)
+	setFaults(t, f.Services[0], tpservicefake.Faults{DelayBefore: 5 * time.Millisecond, DelayAfter: 5 * time.Millisecond})
+	l := newBookingLoad(f, 1)
+	l.run(t, 8, 60,
+		func() { f.Nodes[0].Kill() },
+		func() { setFaults(t, f.Services[0], tpservicefake.Faults{LoseAnswers: 5}) },
+		func() { f.Nodes[1].Kill() },
+	)
+	l.check(t)
+}
+
+// Guards against a paused node that wakes up and acts on claims or shards that
+// it has lost.
+func TestJournalSurvivesPausedNodes(t *testing.T) {
+	f := startBookingFleet(t)
+	setFaults(t, f.Services[0], tpservicefake.Faults{DelayBefore: 5 * time.Millisecond})
+	l := newBookingLoad(f, 2)
+	l.patient = time.Second
+	l.run(t, 8, 60,
+		func() { f.Nodes[0].Pause(t) },
+		func() { f.Nodes[0].Resume(t); f.Nodes[1].Pause(t) },
+		func() { f.Nodes[1].Resume(t) },
+	)
+	l.check(t)
+}
+
+// Guards against calls that run without a recorded claim in an outage, and
+// against claims that are taken for lost when only the answer was.
+func TestJournalSurvivesPlatformFaults(t *testing.T) {
+	f := startBookingFleet(t)
+	l := newBookingLoad(f, 3)
+	journal := func(p tpplatformfake.Faults) func() {
+		return func() {
+			p.Prefix = "journal/"
+			setFaults(t, f.Platform, p)
+		}
+	}
+	l.run(t, 8, 60,
+		journal(tpplatformfake.Faults{LoseWrites: 30}),
+		journal(tpplatformfake.Faults{Down: true}),
+		journal(tpplatformfake.Faults{LoseWrites: 10, Delay: 30 * time.Millisecond}),
+		journal(tpplatformfake.Faults{DownCalls: 10, LoseWrites: 10}),
+	)
+	setFaults(t, f.Platform, tpplatformfake.Faults{})
+	c := tphistory.NewCaller(100, tpprocess.Token)
+	for _, n := range f.Nodes {
+		tpprocess.Eventually(t, "a new call through "+n.Name+" runs after the faults", func() bool {
+			return l.call(t.Context(), c, n, uuid.Must(uuid.NewV7()).String()).Outcome == tphistory.OK
+		})
+	}
+	l.check(t)
+}
+
+// Guards against a repeat that runs while the entry node of the first call is
+// paused in the middle of it, and against the loss of its result on waking.
+func TestJournalRecordsTheResultOfAPausedNode(t *testing.T) {
+	f := startBookingFleet(t)
+	setFaults(t, f.Services[0], tpservicefake.Faults{DelayAfter: 200 * time.Millisecond})
+	l := newBookingLoad(f, 4)
+	key := uuid.Must(uuid.NewV7()).String()
+	first := make(chan struct{})
+	go func() {
+		defer close(first)
+		l.call(t.Context(), tphistory.NewCaller(0, tpprocess.Token), f.Nodes[0], key)
+	}()
+	tpprocess.Eventually(t, "the service ran the call", func() bool { return len(serviceRuns(t, f.Services[0])) == 1 })
+	f.Nodes[0].Pause(t)
+	again := tphistory.NewCaller(1, tpprocess.Token)
+	for _, n := range f.Nodes[1:] {
+		if op := l.call(t.Context(), again, n, key); op.Outcome == tphistory.OK {
+			t.Errorf("repeat while the entry node is paused: got %+v, want a refusal", op)
+		}
+	}
+	f.Nodes[0].Resume(t)
+	<-first
+	for _, n := range f.Nodes {
+		tpprocess.Eventually(t, "a repeat through "+n.Name+" gets the recorded result", func() bool {
+			return l.call(t.Context(), again, n, key).Outcome == tphistory.OK
+		})
+	}
+	l.check(t)
+}
--- a/internal/request/stage4/tpjournal/grouped.go
+++ b/internal/request/stage4/tpjournal/grouped.go
@@ -14,6 +14,7 @@
 	phaseArchiving
 	phaseCommitting
 	phaseReadingBack
+	phaseConfirming
 	phaseDeleting
 	phaseWaiting
 )
@@ -39,6 +40,9 @@
 	deleted map[Archive]bool
 	groups  uint64 // started by this holder
 
+	confirm   bool      // the tail is to be read before the next group
+	confirmed time.Time // when this holder last saw that the tail is its own view
+
 	nextAt  time.Time // no platform call before
 	failing bool      // the last platform call failed
 	backoff time.Duration
@@ -86,14 +90,20 @@
 		g.waiting = append(g.waiting, op)
 		return dst
 	}
+	paused := g.failing && now.Before(g.nextAt)
 	if g.loaded {
 		e, ok := g.index[op.Key]
+		if ok && e.State == StateClaimed && !paused && now.Sub(g.confirmed) > ConfirmFor {
+			g.confirm = true
+			g.waiting = append(g.waiting, op)
+			return dst
+		}
 		var answered bool
 		if dst, answered = g.known(now, op, e, ok, g.tail.DropBefore, dst); answered {
 			return dst
 		}
 	}
-	if (g.failing && now.Before(g.nextAt)) || len(g.waiting) >= MaxWaiting {
+	if paused || len(g.waiting) >= MaxWaiting {
 		return reply(dst, op, AnswerRefused)
 	}
 	g.waiting = append(g.waiting, op)
@@ -187,6 +197,9 @@
 		case !g.loaded:
 			g.phase = phaseLoading
 			return command(dst, Command{Kind: CommandGet, Name: g.tailName()})
+		case g.confirm:
+			g.phase = phaseConfirming
+			return command(dst, Command{Kind: CommandGet, Name: g.tailName()})
 		case g.full():
 			return g.archive(dst)
 		case len(g.waiting) > 0:
@@ -213,6 +226,8 @@
 		return g.written(now, res, dst)
 	case phaseReadingBack:
 		return g.settleGroup(now, res, dst)
+	case phaseConfirming:
+		return g.checkView(now, res, dst)
 	case phaseDeleting:
 		g.removed(now, res)
 	}
--- a/internal/request/stage4/tpjournal/grouped_commit.go
+++ b/internal/request/stage4/tpjournal/grouped_commit.go
@@ -140,7 +140,7 @@
 	n := g.group
 	switch {
 	case res.Err == nil:
-		return g.committed(res.Version, dst)
+		return g.committed(now, res.Version, dst)
 	case n.uncertain:
 		// An earlier try may have taken effect, whatever this one says.
 		n.readBack = true
@@ -176,7 +176,7 @@
 		n.claims = nil
 		return g.refuseWaiting(dst)
 	case !missing && res.Record.Group == n.tail.Group:
-		return g.committed(res.Version, dst)
+		return g.committed(now, res.Version, dst)
 	case res.Version == n.expected:
 		// The update has not taken effect, but may still be on its way.
 		n.readBack = false
@@ -199,7 +199,7 @@
 }
 
 // committed takes over the group's tail and answers its operations.
-func (g *Grouped) committed(version uint64, dst []Output) []Output {
+func (g *Grouped) committed(now time.Time, version uint64, dst []Output) []Output {
 	n := g.group
 	g.group = nil
 	g.succeed()
@@ -212,6 +212,7 @@
 	g.tail = n.tail
 	g.version = version
 	g.owned = true
+	g.confirmed = now
 	for key, e := range n.changes {
 		g.index[key] = e
 	}
--- a/internal/request/stage4/tpjournal/grouped_load.go
+++ b/internal/request/stage4/tpjournal/grouped_load.go
@@ -29,7 +29,7 @@
 			Kind: CommandGet, Name: ArchiveName(g.cfg.Region, g.cfg.Shard, g.loading[0]),
 		})
 	}
-	g.finishLoad()
+	g.finishLoad(now)
 	return dst
 }
 
@@ -47,7 +47,9 @@
 }
 
 // finishLoad builds the index. A later entry of a key replaces an earlier one.
-func (g *Grouped) finishLoad() {
+func (g *Grouped) finishLoad(now time.Time) {
+	g.confirm = false
+	g.confirmed = now
 	g.succeed()
 	g.index = make(map[string]Entry, len(g.folded)+len(g.tail.Entries))
 	for _, e := range g.folded {
@@ -79,6 +81,21 @@
 	clear(g.deleted)
 }
 
+// checkView reads the shard again if another holder has changed it. If the
+// tail cannot be read, the view stays, because "unknown" is always allowed.
+func (g *Grouped) checkView(now time.Time, res CommandResult, dst []Output) []Output {
+	g.confirm = false
+	if res.Err != nil && !errors.Is(res.Err, tpobject.ErrNotFound) {
+		g.fail(now)
+		return dst
+	}
+	if res.Version != g.version {
+		return g.read(now, res, dst)
+	}
+	g.confirmed = now
+	return dst
+}
+
 // full reports whether the tail is to be archived first. Only a holder whose
 // fencing number is committed archives, so that no other holder ever writes an
 // archive of the same name.
--- a/internal/request/stage4/tpjournal/scheme.go
+++ b/internal/request/stage4/tpjournal/scheme.go
@@ -156,6 +156,11 @@
 	// MaxAsks is the number of keys of a shard that are asked about at once.
 	MaxAsks = 4
 
+	// ConfirmFor is the time for which a holder answers "unknown" without a
+	// look at the tail. Another holder may have recorded the result meanwhile
+	// if the members disagree on who holds the shard.
+	ConfirmFor = time.Second
+
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 2 * time.Second
 	// dropStep is the least rise of DropBefore; each rise walks all entries.
