Add membership by heartbeats

Nodes knew only themselves. Each node now sends a heartbeat to three random members a second, and one to a node that is listed, configured as a seed or was dropped before, so that the sides of a partition meet again. An entry carries its address only when it is new, once in eight heartbeats, or towards a stranger, which keeps the digest small.

--- /dev/null
+++ b/internal/edge/tppeer/members.go
@@ -0,0 +1,99 @@
+package tppeer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"teaselpin.example/teaselpin/internal/edge/tpwire"
+	"teaselpin.example/teaselpin/internal/frame/tpevent"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// MembersPath is the path prefix of the Members service.
+const MembersPath = tpwire.MembersPathPrefix
+
+// MembersServer serves the Members service.
+type MembersServer struct {
+	Events *tpevent.Recorder
+	// Receive passes a heartbeat to the membership filter and returns its answer.
+	Receive func(tpmessage.Heartbeat) (tpmessage.Heartbeat, error)
+}
+
+// Handler returns the HTTP handler of the service.
+func (s *MembersServer) Handler() http.Handler { return tpwire.NewMembersServer(s) }
+
+// Heartbeat implements tpwire.Members.
+func (s *MembersServer) Heartbeat(_ context.Context, m *tpwire.HeartbeatMessage) (*tpwire.HeartbeatMessage, error) {
+	s.Events.Observe(timeFromWire(m.GetTime()))
+	answer, err := s.Receive(heartbeatFromWire(m))
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	out := heartbeatToWire(answer)
+	out.Time = timeToWire(s.Events.Now())
+	return out, nil
+}
+
+// Heartbeat sends a heartbeat to a peer and returns the peer's answer.
+func (c *Client) Heartbeat(ctx context.Context, address string, hb tpmessage.Heartbeat) (tpmessage.Heartbeat, error) {
+	ctx, cancel := context.WithTimeout(ctx, HeartbeatTimeout)
+	defer cancel()
+	m := heartbeatToWire(hb)
+	m.Time = timeToWire(c.Events.Now())
+	answer, err := tpwire.NewMembersProtobufClient("http://"+address, c.HTTP).Heartbeat(ctx, m)
+	if err != nil {
+		return tpmessage.Heartbeat{}, Error.New("heartbeat to %s: %w", address, err)
+	}
+	c.Events.Observe(timeFromWire(answer.GetTime()))
+	return heartbeatFromWire(answer), nil
+}
+
+func heartbeatToWire(hb tpmessage.Heartbeat) *tpwire.HeartbeatMessage {
+	m := &tpwire.HeartbeatMessage{Generation: hb.Generation}
+	for _, b := range hb.Members {
+		m.Members = append(m.Members, &tpwire.Member{
+			Name: b.Member.Name, Address: b.Member.Address, Zone: b.Member.Zone,
+			Incarnation: b.Member.Incarnation, Beat: b.Beat,
+			Leaving: b.Member.Leaving, Generation: b.Member.Generation,
+		})
+	}
+	for _, u := range hb.Usage {
+		m.Usage = append(m.Usage, &tpwire.Usage{
+			Node: u.Node, Organisation: u.Organisation,
+			PrefillPieces: u.PrefillPieces, DecodePieces: u.DecodePieces,
+		})
+	}
+	for _, s := range hb.Suspects {
+		m.Suspects = append(m.Suspects, &tpwire.Suspect{
+			Fingerprint: s.Fingerprint, Targets: s.Targets, Cleared: s.Cleared,
+		})
+	}
+	return m
+}
+
+func heartbeatFromWire(m *tpwire.HeartbeatMessage) tpmessage.Heartbeat {
+	hb := tpmessage.Heartbeat{Generation: m.GetGeneration()}
+	for _, b := range m.GetMembers() {
+		hb.Members = append(hb.Members, tpmessage.MemberBeat{
+			Member: tpmessage.Member{
+				Name: b.GetName(), Address: b.GetAddress(), Zone: b.GetZone(),
+				Incarnation: b.GetIncarnation(), Leaving: b.GetLeaving(), Generation: b.GetGeneration(),
+			},
+			Beat: b.GetBeat(),
+		})
+	}
+	for _, u := range m.GetUsage() {
+		hb.Usage = append(hb.Usage, tpmessage.Usage{
+			Node: u.GetNode(), Organisation: u.GetOrganisation(),
+			PrefillPieces: u.GetPrefillPieces(), DecodePieces: u.GetDecodePieces(),
+		})
+	}
+	for _, s := range m.GetSuspects() {
+		hb.Suspects = append(hb.Suspects, tpmessage.Suspect{
+			Fingerprint: s.GetFingerprint(), Targets: s.GetTargets(), Cleared: s.GetCleared(),
+		})
+	}
+	return hb
+}
--- /dev/null
+++ b/internal/membership/tpmember/incarnation.go
@@ -0,0 +1,17 @@
+package tpmember
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+)
+
+// Incarnation names one run of a process: its start time in milliseconds and
+// a random number, both in base 36 and of fixed width, so that the names of
+// later runs sort after those of earlier ones.
+func Incarnation(start time.Time, rng *rand.Rand) string {
+	ms := strconv.FormatInt(max(0, start.UnixMilli()), 36)
+	nonce := strconv.FormatUint(rng.Uint64N(36*36*36*36), 36)
+	return fmt.Sprintf("%09s%04s", ms, nonce)
+}
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"teaselpin.example/teaselpin/internal/edge/tpfront"
+	"teaselpin.example/teaselpin/internal/edge/tppeer"
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/frame/tpevent"
 	"teaselpin.example/teaselpin/pkg/tpclock"
@@ -30,6 +31,7 @@
 	duties  *tpduty.Runner
 	rings   tpring.Group
 	events  *tpevent.Recorder
+	members *membership
 	request *requestPipeline
 	inForce atomic.Pointer[tpmessage.Snapshot]
 	leaving atomic.Bool
@@ -71,17 +73,22 @@
 	}
 	n.events = events
 	n.onStop(stopEvents)
+	if err := n.startMembership(); err != nil {
+		return err
+	}
 	if err := n.startRequestPipeline(); err != nil {
 		return err
 	}
 	if err := n.startServers(); err != nil {
 		return err
 	}
+	n.joinMembers()
 	return n.startRollout()
 }
 
 func (n *Node) stop() {
 	n.leaving.Store(true)
+	n.announceLeaving()
 	n.events.Record(tpmessage.Event{Kind: "stopping"})
 	for i := len(n.cleanup) - 1; i >= 0; i-- {
 		n.cleanup[i]()
@@ -168,6 +175,7 @@
 
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(tppeer.MembersPath, n.membersServer().Handler())
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if n.leaving.Load() || n.InForce() == nil {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -28,6 +28,9 @@
 	CallerAddress string `yaml:"callerAddress"` // host:port for callers
 	PeerAddress   string `yaml:"peerAddress"`   // host:port for peers and operators
 	Platform      string `yaml:"platform"`      // URL of the platform
+	// Seeds are addresses (host:port) of peers that are tried besides the
+	// platform's list of VMs.
+	Seeds []string `yaml:"seeds"`
 	// Window is the number of requests in flight on this node.
 	Window int `yaml:"window"`
 	// StopGrace is the time from the announcement of a planned stop to the
--- /dev/null
+++ b/pkg/tpmessage/heartbeat.go
@@ -0,0 +1,33 @@
+package tpmessage
+
+// Heartbeat is what one node tells another about the region. The answer to a
+// heartbeat is a heartbeat.
+type Heartbeat struct {
+	Members    []MemberBeat // the sender first
+	Generation uint64       // of the configuration in force on the sender
+	Usage      []Usage
+	Suspects   []Suspect
+}
+
+// MemberBeat is news of one member. Address and Zone are empty in a short
+// entry, which only a receiver that knows the incarnation can use.
+type MemberBeat struct {
+	Member Member
+	Beat   uint64 // rises with each heartbeat of the incarnation
+}
+
+// Usage is the work that one node has done for an organisation since the node
+// started, in pieces.
+type Usage struct {
+	Node          string
+	Organisation  string
+	PrefillPieces float64
+	DecodePieces  float64
+}
+
+// Suspect is a request that ran on targets when they crashed.
+type Suspect struct {
+	Fingerprint uint64
+	Targets     []string // targets that it was running on at a crash
+	Cleared     bool
+}
--- a/pkg/tpmessage/member.go
+++ b/pkg/tpmessage/member.go
@@ -7,5 +7,13 @@
 	Zone        string `json:"zone"`    // availability zone
 	Incarnation string `json:"incarnation"`
 	Leaving     bool   `json:"leaving"`
+	Suspect     bool   `json:"suspect"`    // silent, but not yet dropped
 	Generation  uint64 `json:"generation"` // of the configuration in force
 }
+
+// ListedVM is a node's VM on the platform's list, which lags behind.
+type ListedVM struct {
+	Name    string
+	Address string // host:port for peers
+	Leaving bool
+}
