--- a/internal/edge/tppeer/doc.go
+++ b/internal/edge/tppeer/doc.go
@@ -1,3 +1,3 @@
-// Package tppeer holds the twirp servers and clients between nodes, and the
-// conversion between wire messages and plain structs.
+// Package tppeer holds the twirp servers and clients between nodes. It
+// converts messages to and from plain structs; the decisions lie elsewhere.
 package tppeer
