Name the unknown field of a test so that the spelling check passes

Cause: the linter read the misspelt field as a spelling fault. Change: the test uses another unknown field, with the same expectation. Result: the linter is clean and all tests pass with the race detector.

--- a/pkg/tpconfig/load_test.go
+++ b/pkg/tpconfig/load_test.go
@@ -104,7 +104,7 @@
 // wrong place.
 func TestFaults(t *testing.T) {
 	cases := []struct{ name, old, replacement, want string }{
-		{"unknown field", "    model: counsel\n", "    modle: counsel\n", `base.yaml:17:5: unknown field "pools[0].modle"`},
+		{"unknown field", "    model: counsel\n", "    modelName: counsel\n", `base.yaml:17:5: unknown field "pools[0].modelName"`},
 		{"missing unit", "timeout: 30s", "timeout: 30", `base.yaml:33:14: routes[0].timeout: want a duration with a unit (ns, us, ms, s, m, h) such as 30s, found "30"`},
 		{"wrong unit", "timeout: 30s", "timeout: 30 seconds", `base.yaml:33:14: routes[0].timeout: want a duration with a unit (ns, us, ms, s, m, h) such as 30s, found "30 seconds"`},
 		{"wrong type", "idempotent: true", "idempotent: 3", `base.yaml:32:17: routes[0].idempotent: want true or false, found "3"`},
