--- a/internal/edge/tppeer/events.go
+++ b/internal/edge/tppeer/events.go
@@ -6,32 +6,17 @@
 	"sync"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"teaselpin.example/teaselpin/internal/edge/tpwire"
 	"teaselpin.example/teaselpin/internal/frame/tpevent"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
-// Error is the class of errors of this package.
-var Error = errs.Class("peer")
-
 // GatherTimeout bounds the read of one process's events.
 const GatherTimeout = 5 * time.Second
 
-// TimeToWire converts a clock reading.
-func TimeToWire(t tpmessage.HybridTime) *tpwire.HybridTime {
-	return &tpwire.HybridTime{Wall: t.Wall, Counter: t.Counter}
-}
-
-// TimeFromWire converts a clock reading; a missing one is zero.
-func TimeFromWire(t *tpwire.HybridTime) tpmessage.HybridTime {
-	return tpmessage.HybridTime{Wall: t.GetWall(), Counter: t.GetCounter()}
-}
-
 func eventToWire(e *tpmessage.Event) *tpwire.Event {
 	return &tpwire.Event{
-		Time:         TimeToWire(e.Time),
+		Time:         timeToWire(e.Time),
 		Process:      e.Process,
 		Sequence:     e.Sequence,
 		Kind:         e.Kind,
@@ -47,7 +32,7 @@
 
 func eventFromWire(e *tpwire.Event) tpmessage.Event {
 	return tpmessage.Event{
-		Time:         TimeFromWire(e.GetTime()),
+		Time:         timeFromWire(e.GetTime()),
 		Process:      e.GetProcess(),
 		Sequence:     e.GetSequence(),
 		Kind:         e.GetKind(),
@@ -63,13 +48,13 @@
 
 // ServeEvents answers the Events method of the Operations service.
 func ServeEvents(rec *tpevent.Recorder, req *tpwire.EventsRequest) *tpwire.EventsResponse {
-	rec.Observe(TimeFromWire(req.GetTime()))
+	rec.Observe(timeFromWire(req.GetTime()))
 	events := rec.Events()
 	resp := &tpwire.EventsResponse{Events: make([]*tpwire.Event, len(events))}
 	for i := range events {
 		resp.Events[i] = eventToWire(&events[i])
 	}
-	resp.Time = TimeToWire(rec.Now())
+	resp.Time = timeToWire(rec.Now())
 	return resp
 }
 
