--- a/internal/command/tpdemo/fleet.go
+++ b/internal/command/tpdemo/fleet.go
@@ -143,7 +143,12 @@
 }
 
 func (f *fleet) startNode(name, platform string, log zerolog.Logger) error {
+	var seeds []string
+	for _, n := range f.nodes {
+		seeds = append(seeds, n.PeerAddress())
+	}
 	n, cleanup, err := tpnode.New(tpnode.Settings{
+		Seeds:         seeds,
 		Name:          name,
 		Region:        "nord-ovest",
 		Zone:          "milano-a",
--- a/internal/node/tpnode/journal_test.go
+++ b/internal/node/tpnode/journal_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+
 	"github.com/google/uuid"
 
 	"teaselpin.example/teaselpin/internal/node/tpnode"
@@ -78,7 +80,7 @@
 			op := b.call(t, node, key, "slot 9:00")
 			return op.Outcome == tphistory.OK && op.Answer == first.Answer
 		}
-		eventually(t, fmt.Sprintf("node %d answers from the record", node), repeat)
+		tpprocess.Eventually(t, fmt.Sprintf("node %d answers from the record", node), repeat)
 	}
 	if op := b.call(t, 1, key, "slot 10:00"); op.Refusal.Code != tpmessage.RefusalBadRequest {
 		t.Errorf("another call under the key: got %+v, want badRequest", op)
@@ -121,7 +123,7 @@
 		t.Errorf("runs in an outage: got %d, want 0", got)
 	}
 	b.platform.SetFaults(tpplatformfake.Faults{})
-	eventually(t, "the key runs after the outage", func() bool {
+	tpprocess.Eventually(t, "the key runs after the outage", func() bool {
 		return b.call(t, 0, key, "slot").Outcome == tphistory.OK
 	})
 	if got := len(b.service.Runs()); got != 1 {
@@ -162,14 +164,3 @@
 		}
 	}
 }
-
-func eventually(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(time.Minute)
-	for !condition() {
-		if time.Now().After(deadline) {
-			t.Fatalf("not within a minute: %s", what)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
--- a/internal/node/tpnode/membership_test.go
+++ b/internal/node/tpnode/membership_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"sync"
 	"testing"
-	"time"
 
 	"teaselpin.example/teaselpin/internal/node/tpnode"
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
@@ -20,7 +20,7 @@
 	defer stopFirst()
 	defer stopSecond()
 	for _, n := range []*tpnode.Node{first, second, third} {
-		eventually(t, "three members", func() bool { return len(n.Members()) == 3 })
+		tpprocess.Eventually(t, "three members", func() bool { return len(n.Members()) == 3 })
 	}
 	if got, want := third.Members()[0].Name, "node-2"; got != want {
 		t.Errorf("first member of node-2: got %s, want %s", got, want)
@@ -33,14 +33,14 @@
 	first.OnSuspects(func(s []tpmessage.Suspect) { mu.Lock(); suspects = s; mu.Unlock() })
 	third.SetUsage([]tpmessage.Usage{{Node: "node-2", Organisation: "bergamo", PrefillPieces: 2}})
 	third.SetSuspects([]tpmessage.Suspect{{Fingerprint: 9, Targets: []string{"engine-1"}}})
-	eventually(t, "usage and suspects", func() bool {
+	tpprocess.Eventually(t, "usage and suspects", func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return len(usage) == 1 && usage[0].PrefillPieces == 2 && len(suspects) == 1 && suspects[0].Fingerprint == 9
 	})
 
 	stopThird()
-	eventually(t, "node-2 is leaving or gone", func() bool {
+	tpprocess.Eventually(t, "node-2 is leaving or gone", func() bool {
 		for _, m := range first.Members() {
 			if m.Name == "node-2" && !m.Leaving {
 				return false
@@ -60,15 +60,3 @@
 	}
 	return n, stop
 }
-
-// eventually waits for a condition with a generous bound.
-func eventually(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(time.Minute)
-	for !condition() {
-		if time.Now().After(deadline) {
-			t.Fatalf("not within a minute: %s", what)
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-}
