--- a/internal/request/stage2/tpadmission/admission.go
+++ b/internal/request/stage2/tpadmission/admission.go
@@ -11,8 +11,10 @@
 	DefaultWindow = 1024
 	// DefaultMaxQueued is the number of waiting requests if Settings say none.
 	DefaultMaxQueued = 4096
-	// RetryAfter is the advice given with a refusal in overload.
+	// RetryAfter is the least advice given with a refusal in overload.
 	RetryAfter = time.Second
+	// MaxRetryAfter is the largest advice given with a refusal in overload.
+	MaxRetryAfter = 30 * time.Second
 )
 
 // Settings configures an Admission. The zero value is the default.
@@ -21,6 +23,9 @@
 	Window int
 	// MaxQueued is the number of requests that may wait.
 	MaxQueued int
+	// MaxOrganisation is the number of requests of one organisation that may
+	// wait, half of MaxQueued by default.
+	MaxOrganisation int
 }
 
 // Queue orders waiting work. Implementations are used by one goroutine.
@@ -32,14 +37,35 @@
 	// Expire removes the work whose deadline has passed or whose caller is
 	// gone, and appends it to dst.
 	Expire(now time.Time, dst []tpmessage.Work) []tpmessage.Work
+	// Evict removes work to make room for an organisation's request, or
+	// returns false if that organisation has no better claim to the room.
+	Evict(organisation string) (tpmessage.Work, bool)
 	// Len returns the number of waiting requests.
 	Len() int
+	// Standing returns what the queue means to an organisation's next request.
+	Standing(organisation string) Standing
 	// Settle corrects the accounts by the work that a request really took.
 	Settle(now time.Time, c tpmessage.Completion)
+	// Charge adds peers' usage since their start to the accounts.
+	Charge(now time.Time, peers []tpmessage.Usage)
+	// Usage appends this node's own usage since its start to dst.
+	Usage(dst []tpmessage.Usage) []tpmessage.Usage
 	// SetShares replaces the promised shares.
 	SetShares(orgs []tpmessage.Organisation)
 }
 
+// Standing is an organisation's position in a queue.
+type Standing struct {
+	// Waiting is the number of the organisation's requests in the queue.
+	Waiting int
+	// Ahead is the cost, in the unit of Cost, that the node serves at most
+	// before the organisation's next request.
+	Ahead float64
+	// OverShare is true if the organisation holds more of the waiting work
+	// than its share among the organisations that wait.
+	OverShare bool
+}
+
 // Kind tells what an Input holds.
 type Kind uint8
 
@@ -49,6 +75,7 @@
 	InputCompletion
 	InputConfig
 	InputTick
+	InputUsage
 )
 
 // Input is one message to the admission filter.
@@ -57,6 +84,7 @@
 	Work       tpmessage.Work
 	Completion tpmessage.Completion
 	Snapshot   *tpmessage.Snapshot
+	Usage      []tpmessage.Usage // of peers, each since its node's start
 }
 
 // Output is one decision: admit the work, or refuse it.
@@ -70,6 +98,7 @@
 	cfg      Settings
 	queue    Q
 	inFlight int
+	rate     Rate
 	expired  []tpmessage.Work
 }
 
@@ -81,6 +110,9 @@
 	if cfg.MaxQueued <= 0 {
 		cfg.MaxQueued = DefaultMaxQueued
 	}
+	if cfg.MaxOrganisation <= 0 {
+		cfg.MaxOrganisation = max(1, cfg.MaxQueued/2)
+	}
 	return &Admission[Q]{cfg: cfg, queue: queue}
 }
 
@@ -90,14 +122,13 @@
 	case InputArrival:
 		dst = a.arrive(now, in.Work, dst)
 	case InputCompletion:
-		a.queue.Settle(now, in.Completion)
-		if in.Completion.Final {
-			a.inFlight--
-		}
+		a.complete(now, in.Completion)
 	case InputConfig:
 		a.queue.SetShares(in.Snapshot.Config.Organisations)
 	case InputTick:
 		dst = a.expire(now, dst)
+	case InputUsage:
+		a.queue.Charge(now, in.Usage)
 	}
 	return a.release(now, dst)
 }
@@ -105,18 +136,59 @@
 // InFlight returns the number of admitted requests without a final completion.
 func (a *Admission[Q]) InFlight() int { return a.inFlight }
 
+// Usage appends this node's own usage since its start to dst, ordered by
+// organisation.
+func (a *Admission[Q]) Usage(dst []tpmessage.Usage) []tpmessage.Usage { return a.queue.Usage(dst) }
+
 func (a *Admission[Q]) arrive(now time.Time, w tpmessage.Work, dst []Output) []Output {
+	if IsExpired(now, &w) {
+		return append(dst, Output{Work: w, Refusal: notRun("the deadline passed before admission", 0)})
+	}
+	st := a.queue.Standing(w.Request.Organisation)
+	if st.Waiting >= a.cfg.MaxOrganisation {
+		return append(dst, Output{Work: w, Refusal: a.overload("the organisation's queue on this node is full", st)})
+	}
+	if a.cannotMeet(now, &w, st) {
+		return append(dst, Output{Work: w, Refusal: a.overload("the queue ahead cannot be served before the deadline", st)})
+	}
 	if a.queue.Len() >= a.cfg.MaxQueued {
-		return append(dst, Output{Work: w, Refusal: notRun("the queue of this node is full")})
+		evicted, ok := a.queue.Evict(w.Request.Organisation)
+		if !ok {
+			return append(dst, Output{Work: w, Refusal: a.overload("the queue of this node is full", st)})
+		}
+		ref := a.overload("the queue of this node is full", Standing{OverShare: true})
+		dst = append(dst, Output{Work: evicted, Refusal: ref})
 	}
 	a.queue.Push(now, w)
 	return dst
 }
 
+// cannotMeet reports whether the measured service rate is too low for the
+// queue ahead to be served before the deadline.
+func (a *Admission[Q]) cannotMeet(now time.Time, w *tpmessage.Work, st Standing) bool {
+	if a.inFlight < a.cfg.Window {
+		return false
+	}
+	wait, known := a.rate.Duration(st.Ahead)
+	return known && !now.Add(wait).Before(w.Request.Deadline)
+}
+
+func (a *Admission[Q]) complete(now time.Time, c tpmessage.Completion) {
+	a.queue.Settle(now, c)
+	cost := Cost(c.PrefillPieces, c.DecodePieces)
+	if c.Outcome == tpmessage.OutcomeDone {
+		cost = max(cost, MinCost)
+	}
+	a.rate.Done(now, cost, a.queue.Len() > 0)
+	if c.Final {
+		a.inFlight--
+	}
+}
+
 func (a *Admission[Q]) expire(now time.Time, dst []Output) []Output {
 	a.expired = a.queue.Expire(now, a.expired[:0])
 	for _, w := range a.expired {
-		dst = append(dst, Output{Work: w, Refusal: notRun("the deadline passed in the queue")})
+		dst = append(dst, Output{Work: w, Refusal: notRun("the deadline passed in the queue", 0)})
 	}
 	return dst
 }
@@ -127,8 +199,12 @@
 		if !ok {
 			return dst
 		}
-		if !now.Before(w.Request.Deadline) {
-			dst = append(dst, Output{Work: w, Refusal: notRun("the deadline passed in the queue")})
+		if IsExpired(now, &w) {
+			a.queue.Settle(now, tpmessage.Completion{
+				RequestID: w.Request.ID, Organisation: w.Request.Organisation,
+				Final: true, Outcome: tpmessage.OutcomeNotSent,
+			})
+			dst = append(dst, Output{Work: w, Refusal: notRun("the deadline passed in the queue", 0)})
 			continue
 		}
 		a.inFlight++
@@ -137,11 +213,21 @@
 	return dst
 }
 
-func notRun(reason string) *tpmessage.Refusal {
+// overload refuses work that the node cannot serve in time.
+func (a *Admission[Q]) overload(reason string, st Standing) *tpmessage.Refusal {
+	wait, _ := a.rate.Duration(st.Ahead)
+	ref := notRun(reason, wait)
+	if st.OverShare {
+		ref.Code = tpmessage.RefusalOverShare
+	}
+	return ref
+}
+
+func notRun(reason string, wait time.Duration) *tpmessage.Refusal {
 	return &tpmessage.Refusal{
 		Code:       tpmessage.RefusalNotRun,
 		Reason:     reason,
-		RetryAfter: RetryAfter,
+		RetryAfter: min(max(wait, RetryAfter), MaxRetryAfter),
 		NotRun:     true,
 	}
 }
--- a/internal/request/stage2/tpadmission/fcfs.go
+++ b/internal/request/stage2/tpadmission/fcfs.go
@@ -9,47 +9,64 @@
 // FCFS serves work in the order of its arrival, without regard to shares. It
 // is the naive queue. The zero value is empty and ready to use.
 type FCFS struct {
-	waiting []tpmessage.Work
+	waiting fifo[tpmessage.Work]
+	cost    float64
 }
 
 // Push implements Queue.
-func (q *FCFS) Push(_ time.Time, w tpmessage.Work) { q.waiting = append(q.waiting, w) }
+func (q *FCFS) Push(_ time.Time, w tpmessage.Work) {
+	q.cost += Cost(estimate(&w.Request))
+	q.waiting.push(w)
+}
 
 // Pop implements Queue.
 func (q *FCFS) Pop(time.Time) (tpmessage.Work, bool) {
-	if len(q.waiting) == 0 {
+	if q.waiting.len() == 0 {
 		return tpmessage.Work{}, false
 	}
-	w := q.waiting[0]
-	q.waiting[0] = tpmessage.Work{}
-	q.waiting = q.waiting[1:]
+	w := q.waiting.pop()
+	q.cost -= Cost(estimate(&w.Request))
+	if q.waiting.len() == 0 {
+		q.cost = 0 // drops rounding errors
+	}
 	return w, true
 }
 
 // Expire implements Queue.
 func (q *FCFS) Expire(now time.Time, dst []tpmessage.Work) []tpmessage.Work {
-	kept := q.waiting[:0]
-	for _, w := range q.waiting {
-		if IsExpired(now, &w) {
-			dst = append(dst, w)
-			continue
+	q.waiting.filter(func(w *tpmessage.Work) bool {
+		if !IsExpired(now, w) {
+			return true
 		}
-		kept = append(kept, w)
-	}
-	q.waiting = kept
+		q.cost -= Cost(estimate(&w.Request))
+		dst = append(dst, *w)
+		return false
+	})
 	return dst
 }
 
+// Evict implements Queue; arrival order gives nobody a better claim.
+func (q *FCFS) Evict(string) (tpmessage.Work, bool) { return tpmessage.Work{}, false }
+
 // Len implements Queue.
-func (q *FCFS) Len() int { return len(q.waiting) }
+func (q *FCFS) Len() int { return q.waiting.len() }
+
+// Standing implements Queue; it does not tell organisations apart.
+func (q *FCFS) Standing(string) Standing { return Standing{Ahead: q.cost} }
 
 // Settle implements Queue; arrival order keeps no accounts.
 func (q *FCFS) Settle(time.Time, tpmessage.Completion) {}
 
+// Charge implements Queue; arrival order keeps no accounts.
+func (q *FCFS) Charge(time.Time, []tpmessage.Usage) {}
+
+// Usage implements Queue; arrival order keeps no accounts.
+func (q *FCFS) Usage(dst []tpmessage.Usage) []tpmessage.Usage { return dst }
+
 // SetShares implements Queue; arrival order knows no shares.
 func (q *FCFS) SetShares([]tpmessage.Organisation) {}
 
 // IsExpired reports whether the deadline of w has passed or its caller is gone.
 func IsExpired(now time.Time, w *tpmessage.Work) bool {
-	return !now.Before(w.Request.Deadline) || w.Ctx.Err() != nil
+	return !now.Before(w.Request.Deadline) || (w.Ctx != nil && w.Ctx.Err() != nil)
 }
--- a/pkg/tpmessage/request.go
+++ b/pkg/tpmessage/request.go
@@ -88,6 +88,7 @@
 	RequestID     string
 	Organisation  string
 	Target        string // empty if no target was tried
+	Next          string // target of the attempt that follows, if it is known
 	Final         bool   // no further attempt follows
 	Outcome       Outcome
 	PrefillPieces float64 // actual work done
--- a/pkg/tpmessage/target.go
+++ b/pkg/tpmessage/target.go
@@ -29,6 +29,8 @@
 	FreeCache      int64     `json:"freeCache"`      // tokens
 	Role           Role      `json:"role"`
 	Model          string    `json:"model"`
+	Version        string    `json:"version,omitempty"` // of the model
+	Adapter        string    `json:"adapter,omitempty"` // loaded beside the model
 	Leaving        bool      `json:"leaving"`
 }
 
