--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -41,7 +41,7 @@
 		routerIn:    tpring.New[tprouter.Input](tpring.Settings{Capacity: DefaultReports + reserve}),
 		sendIn:      tpring.New[tpmessage.Assignment](tpring.Settings{Capacity: window}),
 		admission:   tpadmission.New(tpadmission.Settings{Window: window}, &tpadmission.FCFS{}),
-		router:      tprouter.New(&tprouter.RoundRobin{}),
+		router:      tprouter.New(tprouter.Settings{}, &tprouter.RoundRobin{}),
 	}
 	n.request = p
 	n.rings.Add("admission", p.admissionIn)
--- a/internal/request/stage3/tprouter/roundrobin.go
+++ b/internal/request/stage3/tprouter/roundrobin.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"teaselpin.example/teaselpin/internal/report/tpload"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
@@ -13,7 +14,7 @@
 }
 
 // Pick implements RoutePolicy.
-func (p *RoundRobin) Pick(_ time.Time, _ *tpmessage.Request, usable []*Candidate) int {
+func (p *RoundRobin) Pick(_ time.Time, _ *tpmessage.Request, _ *tpload.View, g *tpload.Group) int {
 	p.next++
-	return p.next % len(usable)
+	return p.next % len(g.Members)
 }
--- a/internal/request/stage3/tprouter/router.go
+++ b/internal/request/stage3/tprouter/router.go
@@ -3,29 +3,30 @@
 import (
 	"time"
 
+	"teaselpin.example/teaselpin/internal/report/tpload"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
 // MaxCandidates is the number of targets given with an assignment.
 const MaxCandidates = 3
 
-// Candidate is a target with what the router knows of it.
-type Candidate struct {
-	Target tpmessage.Target
-	Report tpmessage.LoadReport // latest; zero if none has come
-	// SentPrefill and SentDecode are the pieces that this node has sent to
-	// the target since the report was taken.
-	SentPrefill float64
-	SentDecode  float64
-	InFlight    int // requests of this node at the target
-	Leaving     bool
-}
+// slabTargets is the number of targets for assignments that are allocated at
+// once, 16 KB.
+const slabTargets = 256
 
 // RoutePolicy chooses among the usable targets of a pool.
 type RoutePolicy interface {
-	// Pick returns the index of the best target in usable, which is not
-	// empty. It neither keeps nor changes the slice.
-	Pick(now time.Time, req *tpmessage.Request, usable []*Candidate) int
+	// Pick returns the place of the best target in the group, which is not
+	// empty. It neither keeps nor changes the group.
+	Pick(now time.Time, req *tpmessage.Request, v *tpload.View, g *tpload.Group) int
+}
+
+// Settings configures a Router. The zero value is the default.
+type Settings struct {
+	Node   string // name of this node
+	Load   tpload.Settings
+	Subset int    // targets of a pool that the node works with at least
+	Seed   uint64 // of the choice of alternatives
 }
 
 // Kind tells what an Input holds.
@@ -38,6 +39,8 @@
 	InputCompletion
 	InputConfig
 	InputLeaving
+	InputCacheEvent
+	InputNodes
 )
 
 // Input is one message to the router filter.
@@ -48,6 +51,8 @@
 	Completion tpmessage.Completion
 	Snapshot   *tpmessage.Snapshot
 	Leaving    []string // names of all targets known to be leaving
+	CacheEvent tpmessage.CacheEvent
+	Nodes      []string // names of the live nodes of the region, this one included
 }
 
 // Output is an assignment, or a refusal if no target is usable.
@@ -58,112 +63,164 @@
 
 // Router decides where work goes. It belongs to one filter.
 type Router[P RoutePolicy] struct {
+	cfg     Settings
 	policy  P
-	pools   map[string][]*Candidate
-	byName  map[string]*Candidate
-	leaving map[string]bool // from the platform's list and the configuration
-	usable  []*Candidate    // scratch
+	view    *tpload.View
+	source  source
+	config  *tpmessage.Config
+	pools   map[string]*pool
+	poolOf  map[string]*pool // by target
+	nodes   []string
+	leaving []string           // from the platform's list
+	slab    []tpmessage.Target // room for the targets of assignments
 }
 
 // New returns a router without targets.
-func New[P RoutePolicy](policy P) *Router[P] {
+func New[P RoutePolicy](cfg Settings, policy P) *Router[P] {
+	if cfg.Subset <= 0 {
+		cfg.Subset = DefaultSubset
+	}
 	return &Router[P]{
-		policy:  policy,
-		pools:   make(map[string][]*Candidate),
-		byName:  make(map[string]*Candidate),
-		leaving: make(map[string]bool),
+		cfg:    cfg,
+		policy: policy,
+		view:   tpload.NewView(cfg.Load),
+		source: newSource(cfg.Seed),
+		config: &tpmessage.Config{},
+		pools:  make(map[string]*pool),
+		poolOf: make(map[string]*pool),
 	}
 }
 
+// View returns the router's view of the targets.
+func (r *Router[P]) View() *tpload.View { return r.view }
+
 // Step takes one input. It returns an output and true for work.
 func (r *Router[P]) Step(now time.Time, in Input) (Output, bool) {
 	switch in.Kind {
 	case InputWork:
 		return r.route(now, in.Work), true
 	case InputReport:
-		r.report(in.Report)
+		if r.view.Report(&in.Report) {
+			r.regroup(in.Report.Target)
+		}
 	case InputCompletion:
-		r.complete(in.Completion)
+		r.view.Completed(now, &in.Completion)
 	case InputConfig:
-		r.configure(&in.Snapshot.Config)
+		r.config = &in.Snapshot.Config
+		r.configure()
 	case InputLeaving:
-		r.setLeaving(in.Leaving)
+		r.leaving = in.Leaving
+		r.setLeaving()
+	case InputCacheEvent:
+		r.view.CacheEvent(in.CacheEvent)
+	case InputNodes:
+		r.nodes = in.Nodes
+		r.configure()
 	}
 	return Output{}, false
 }
 
 func (r *Router[P]) route(now time.Time, w tpmessage.Work) Output {
 	out := Output{Assignment: tpmessage.Assignment{Work: w}}
-	r.usable = r.usable[:0]
-	for _, c := range r.pools[w.Request.Pool] {
-		if !c.Leaving {
-			r.usable = append(r.usable, c)
-		}
-	}
-	if len(r.usable) == 0 {
-		out.Refusal = &tpmessage.Refusal{
-			Code:       tpmessage.RefusalNotRun,
-			Reason:     "no target of pool " + w.Request.Pool + " takes new work",
-			RetryAfter: time.Second,
-			NotRun:     true,
-		}
+	out.Assignment.Targets = r.Choose(now, &w.Request, r.room())
+	if len(out.Assignment.Targets) > 0 {
 		return out
 	}
-	for len(out.Assignment.Targets) < MaxCandidates && len(r.usable) > 0 {
-		i := r.policy.Pick(now, &w.Request, r.usable)
-		c := r.usable[i]
-		out.Assignment.Targets = append(out.Assignment.Targets, c.Target)
-		if len(out.Assignment.Targets) == 1 {
-			c.InFlight++
-			c.SentPrefill += w.Request.PrefillPieces()
-			c.SentDecode += w.Request.DecodePieces()
-		}
-		r.usable = append(r.usable[:i], r.usable[i+1:]...)
+	out.Refusal = &tpmessage.Refusal{
+		Code:       tpmessage.RefusalNotRun,
+		Reason:     "no target of pool " + w.Request.Pool + " takes new work",
+		RetryAfter: time.Second,
+		NotRun:     true,
 	}
 	return out
 }
 
-func (r *Router[P]) report(rep tpmessage.LoadReport) {
-	c, ok := r.byName[rep.Target]
-	if !ok || rep.At.Before(c.Report.At) {
-		return
+// room returns an empty slice for the targets of one assignment.
+func (r *Router[P]) room() []tpmessage.Target {
+	if len(r.slab) < MaxCandidates {
+		r.slab = make([]tpmessage.Target, slabTargets)
 	}
-	c.Report = rep
-	c.SentPrefill, c.SentDecode = 0, 0
-	c.Leaving = rep.Leaving || r.leaving[rep.Target]
+	dst := r.slab[:0:MaxCandidates]
+	r.slab = r.slab[MaxCandidates:]
+	return dst
 }
 
-func (r *Router[P]) complete(done tpmessage.Completion) {
-	c, ok := r.byName[done.Target]
-	if ok && done.Final {
-		c.InFlight--
+// Choose appends the targets that may serve a request to dst, best first, and
+// counts the request at the first one. It appends none if no target of the
+// request's pool takes new work. It does not allocate if dst has room for
+// MaxCandidates.
+func (r *Router[P]) Choose(now time.Time, req *tpmessage.Request, dst []tpmessage.Target) []tpmessage.Target {
+	p, ok := r.pools[req.Pool]
+	if !ok {
+		return dst
+	}
+	g := p.group(req.Adapter)
+	if len(g.Members) == 0 {
+		return dst
 	}
+	first := r.policy.Pick(now, req, r.view, g)
+	c := g.Members[first]
+	dst = append(dst, c.Target)
+	r.view.Sent(now, req, c)
+	return r.alternatives(g, first, dst)
 }
 
-func (r *Router[P]) configure(cfg *tpmessage.Config) {
-	known := r.byName
-	r.pools = make(map[string][]*Candidate, len(cfg.Pools))
-	r.byName = make(map[string]*Candidate, len(known))
-	for _, p := range cfg.Pools {
-		for _, t := range p.Targets {
-			c, ok := known[t.Name]
-			if !ok {
-				c = &Candidate{}
-			}
-			c.Target = t
-			r.byName[t.Name] = c
-			r.pools[p.Name] = append(r.pools[p.Name], c)
+// alternatives appends members other than the first choice, which are only
+// used after a failure. They follow each other from a random place, so that
+// the work of a failed target spreads.
+func (r *Router[P]) alternatives(g *tpload.Group, first int, dst []tpmessage.Target) []tpmessage.Target {
+	n := len(g.Members)
+	place := r.source.below(n)
+	for range min(n, MaxCandidates) {
+		if len(dst) == MaxCandidates {
+			return dst
+		}
+		if place != first {
+			dst = append(dst, g.Members[place].Target)
+		}
+		place = (place + 1) % n
+	}
+	return dst
+}
+
+// configure takes the targets of the configuration that belong to this node.
+func (r *Router[P]) configure() {
+	r.pools = make(map[string]*pool, len(r.config.Pools))
+	r.poolOf = make(map[string]*pool)
+	versions := make(map[string]string, len(r.config.Models))
+	for _, m := range r.config.Models {
+		versions[m.Name] = m.Version
+	}
+	var all []tpmessage.Target
+	for _, cfg := range r.config.Pools {
+		p := &pool{model: cfg.Model, version: versions[cfg.Model]}
+		p.targets = Subset(r.cfg.Node, r.nodes, cfg.Targets, r.cfg.Subset, nil)
+		all = append(all, p.targets...)
+		r.pools[cfg.Name] = p
+		for _, t := range p.targets {
+			r.poolOf[t.Name] = p
 		}
 	}
-	r.setLeaving(cfg.Drains)
+	r.view.Configure(all)
+	r.setLeaving()
 }
 
-func (r *Router[P]) setLeaving(names []string) {
-	r.leaving = make(map[string]bool, len(names))
-	for _, name := range names {
-		r.leaving[name] = true
+func (r *Router[P]) setLeaving() {
+	names := make(map[string]bool, len(r.leaving)+len(r.config.Drains))
+	for _, name := range r.leaving {
+		names[name] = true
+	}
+	for _, name := range r.config.Drains {
+		names[name] = true
+	}
+	r.view.SetLeaving(func(name string) bool { return names[name] })
+	for _, p := range r.pools {
+		p.regroup(r.view)
 	}
-	for name, c := range r.byName {
-		c.Leaving = r.leaving[name] || c.Report.Leaving
+}
+
+func (r *Router[P]) regroup(target string) {
+	if p, ok := r.poolOf[target]; ok {
+		p.regroup(r.view)
 	}
 }
