--- a/internal/report/tpload/view.go
+++ b/internal/report/tpload/view.go
@@ -17,10 +17,27 @@
 	// It has the same source as that of admission.
 	DecodeWeight = 8.0
 	// OffRole is the speed of an engine at work for which it is not set up,
-	// relative to its own kind of work.
-	OffRole = 0.5
+	// relative to an engine with that role. It is an assumption of the model
+	// until engines are measured.
+	OffRole = 0.25
+	// MixedRole is the speed of a mixed engine at each kind of work, relative
+	// to an engine with that role. It is an assumption too.
+	MixedRole = 0.6
 )
 
+// Speeds returns the speeds of an engine of a role at prefill and at decode,
+// relative to an engine that is set up for that work.
+func Speeds(role tpmessage.Role) (prefill, decode float64) {
+	switch role {
+	case tpmessage.RolePrefill:
+		return 1, OffRole
+	case tpmessage.RoleDecode:
+		return OffRole, 1
+	default:
+		return MixedRole, MixedRole
+	}
+}
+
 // Settings configures a View. The zero value is the default.
 type Settings struct {
 	Zone        string        // availability zone of the node
@@ -122,17 +139,11 @@
 		before.Version != rep.Version || before.Adapter != rep.Adapter
 }
 
-// roleCost returns the cost of work at an engine of a role, in prefilled
-// pieces of an engine that is set up for them.
+// roleCost returns the cost of work at an engine of a role, in pieces that a
+// mixed engine prefills.
 func roleCost(role tpmessage.Role, prefill, decode float64) float64 {
-	decode *= DecodeWeight
-	switch role {
-	case tpmessage.RolePrefill:
-		decode /= OffRole
-	case tpmessage.RoleDecode:
-		prefill /= OffRole
-	}
-	return prefill + decode
+	p, d := Speeds(role)
+	return MixedRole * (prefill/p + DecodeWeight*decode/d)
 }
 
 // Load returns the load of a candidate in prefilled pieces: the reported load
