Wire fair admission, two-choice routing and the usage exchange

Cause: the node ran the naive policies, and shares held on each node alone. Change: type aliases name the chosen instances; each second the admission filter hands a digest of its usage to the heartbeats and tells the router the live nodes; engines get a lower priority for work of an organisation that is over its recent share, and a caller's stated priority counts only within that.

--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -4,8 +4,11 @@
 	"expvar"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"teaselpin.example/teaselpin/internal/edge/tptarget"
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/internal/report/tpload"
 	"teaselpin.example/teaselpin/internal/request/stage2/tpadmission"
 	"teaselpin.example/teaselpin/internal/request/stage3/tprouter"
 	"teaselpin.example/teaselpin/internal/request/stage5/tpsender"
@@ -13,6 +16,13 @@
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
+// The chosen policies. A test that compares another instance changes the type
+// here alone.
+type (
+	admissionQueue = *tpadmission.Fair
+	routePolicy    = *tprouter.TwoChoices
+)
+
 // requestPipeline holds the rings and decisions of the request pipeline:
 //
 //	submit -> admission ring -> admission -> routing ring -> router -> sending ring -> sender
@@ -26,10 +36,11 @@
 	admissionIn *tpring.Ring[tpadmission.Input]
 	routerIn    *tpring.Ring[tprouter.Input]
 	sendIn      *tpring.Ring[tpmessage.Assignment]
-	admission   *tpadmission.Admission[*tpadmission.FCFS]
-	router      *tprouter.Router[*tprouter.RoundRobin]
+	admission   *tpadmission.Admission[admissionQueue]
+	router      *tprouter.Router[routePolicy]
 	sender      *tpsender.Sender
 	outputs     []tpadmission.Output // scratch of the admission duty
+	exchange    usageExchange        // of the admission duty
 	refused     expvar.Map
 }
 
@@ -40,8 +51,8 @@
 		admissionIn: tpring.New[tpadmission.Input](tpring.Settings{Capacity: DefaultArrivals + reserve}),
 		routerIn:    tpring.New[tprouter.Input](tpring.Settings{Capacity: DefaultReports + reserve}),
 		sendIn:      tpring.New[tpmessage.Assignment](tpring.Settings{Capacity: window}),
-		admission:   tpadmission.New(tpadmission.Settings{Window: window}, &tpadmission.FCFS{}),
-		router:      tprouter.New(tprouter.Settings{}, &tprouter.RoundRobin{}),
+		admission:   tpadmission.New(tpadmission.Settings{Window: window}, tpadmission.NewFair()),
+		router:      n.newRouter(),
 	}
 	n.request = p
 	n.rings.Add("admission", p.admissionIn)
@@ -71,9 +82,18 @@
 	if err := startFilter(n, "admission", p.admissionIn, n.handleAdmission); err != nil {
 		return err
 	}
+	n.OnUsage(n.peersUsed)
 	return n.startTicks()
 }
 
+func (n *Node) newRouter() *tprouter.Router[routePolicy] {
+	// The seed differs from node to node, so that nodes do not choose alike.
+	seed := xxh3.HashString(n.cfg.Name)
+	return tprouter.New(tprouter.Settings{
+		Node: n.cfg.Name, Load: tpload.Settings{Zone: n.cfg.Zone}, Seed: seed,
+	}, tprouter.NewTwoChoices(seed))
+}
+
 // startFilter starts a filter whose clean-up is part of the node's.
 func startFilter[T any](n *Node, name string, in *tpring.Ring[T], handle func(T)) error {
 	cleanup, err := tpduty.Filter(n.duties, name, in, handle)
@@ -125,12 +145,20 @@
 func (n *Node) handleAdmission(in tpadmission.Input) {
 	p := n.request
 	p.outputs = p.admission.Step(n.clock.Now(), in, p.outputs[:0])
-	for _, out := range p.outputs {
+	n.pass(p.outputs)
+	if in.Kind == tpadmission.InputTick {
+		n.exchangeUsage()
+	}
+}
+
+// pass hands admitted work to the router and refuses the rest.
+func (n *Node) pass(outs []tpadmission.Output) {
+	for _, out := range outs {
 		if out.Refusal != nil {
 			n.refuse(&out.Work, out.Refusal)
 			continue
 		}
-		_ = p.routerIn.Put(tprouter.Input{Kind: tprouter.InputWork, Work: out.Work})
+		_ = n.request.routerIn.Put(tprouter.Input{Kind: tprouter.InputWork, Work: out.Work})
 	}
 }
 
--- a/internal/request/stage2/tpadmission/account.go
+++ b/internal/request/stage2/tpadmission/account.go
@@ -43,6 +43,7 @@
 	queued   float64 // cost of the queue
 	finish   amounts // finish tag of the last served work
 	debt     amounts // the part of finish that stands for usage on other nodes
+	recent   decaying
 	used     amounts // cost charged on this node, corrected by actual costs
 	reported amounts // highest used that peers may have been told
 	index    int     // in the heap of waiting accounts, -1 if none waits
--- a/internal/request/stage2/tpadmission/admission.go
+++ b/internal/request/stage2/tpadmission/admission.go
@@ -48,6 +48,8 @@
 	Settle(now time.Time, c tpmessage.Completion)
 	// Charge adds peers' usage since their start to the accounts.
 	Charge(now time.Time, peers []tpmessage.Usage)
+	// Retain forgets the usage of peers other than the given ones.
+	Retain(nodes []string)
 	// Usage appends this node's own usage since its start to dst.
 	Usage(dst []tpmessage.Usage) []tpmessage.Usage
 	// SetShares replaces the promised shares.
@@ -76,6 +78,7 @@
 	InputConfig
 	InputTick
 	InputUsage
+	InputNodes
 )
 
 // Input is one message to the admission filter.
@@ -85,6 +88,7 @@
 	Completion tpmessage.Completion
 	Snapshot   *tpmessage.Snapshot
 	Usage      []tpmessage.Usage // of peers, each since its node's start
+	Nodes      []string          // names of the live nodes of the region
 }
 
 // Output is one decision: admit the work, or refuse it.
@@ -129,6 +133,8 @@
 		dst = a.expire(now, dst)
 	case InputUsage:
 		a.queue.Charge(now, in.Usage)
+	case InputNodes:
+		a.queue.Retain(in.Nodes)
 	}
 	return a.release(now, dst)
 }
--- a/internal/request/stage2/tpadmission/fair.go
+++ b/internal/request/stage2/tpadmission/fair.go
@@ -29,6 +29,7 @@
 	charges  map[string]charge
 	peers    map[peerKey]amounts
 	charged  time.Time // instant of the last remote charge
+	recent   decaying  // cost of all organisations
 }
 
 // charge is the estimate under which a request was admitted.
@@ -83,7 +84,7 @@
 }
 
 // Pop implements Queue.
-func (q *Fair) Pop(time.Time) (tpmessage.Work, bool) {
+func (q *Fair) Pop(now time.Time) (tpmessage.Work, bool) {
 	if len(q.waiting) == 0 {
 		return tpmessage.Work{}, false
 	}
@@ -99,6 +100,8 @@
 	}
 	q.removed(a, it.cost)
 	q.open(a, &it)
+	it.work.Request.Priority = q.priority(now, a, it.work.Request.Priority)
+	q.note(now, a, it.cost.sum())
 	return it.work, true
 }
 
--- a/internal/request/stage2/tpadmission/fcfs.go
+++ b/internal/request/stage2/tpadmission/fcfs.go
@@ -60,6 +60,9 @@
 // Charge implements Queue; arrival order keeps no accounts.
 func (q *FCFS) Charge(time.Time, []tpmessage.Usage) {}
 
+// Retain implements Queue; arrival order keeps no accounts.
+func (q *FCFS) Retain([]string) {}
+
 // Usage implements Queue; arrival order keeps no accounts.
 func (q *FCFS) Usage(dst []tpmessage.Usage) []tpmessage.Usage { return dst }
 
--- a/internal/request/stage2/tpadmission/remote.go
+++ b/internal/request/stage2/tpadmission/remote.go
@@ -54,7 +54,7 @@
 	for _, a := range q.ordered {
 		rise, charged := rises[a]
 		if charged {
-			q.chargeRemote(a, rise)
+			q.chargeRemote(now, a, rise)
 		}
 		if charged || a.index >= 0 {
 			shares += a.share
@@ -65,7 +65,8 @@
 }
 
 // chargeRemote charges usage on other nodes and remembers it as debt.
-func (q *Fair) chargeRemote(a *account, rise amounts) {
+func (q *Fair) chargeRemote(now time.Time, a *account, rise amounts) {
+	q.note(now, a, rise.sum())
 	for r := range resources {
 		a.finish[r] = max(a.finish[r], q.virtual)
 		a.debt[r] += rise[r] / a.share
@@ -117,10 +118,14 @@
 	heap.Init(&q.waiting)
 }
 
-// Forget drops the counts of a peer that has left the region.
-func (q *Fair) Forget(node string) {
+// Retain implements Queue.
+func (q *Fair) Retain(nodes []string) {
+	live := make(map[string]bool, len(nodes))
+	for _, n := range nodes {
+		live[n] = true
+	}
 	for key := range q.peers {
-		if key.node == node {
+		if !live[key.node] {
 			delete(q.peers, key)
 		}
 	}
