--- a/internal/command/tpdemo/report.go
+++ b/internal/command/tpdemo/report.go
@@ -50,16 +50,25 @@
 	for _, run := range j.fleet.service.Runs() {
 		runs[run.Key]++
 	}
-	calls := 0
+	calls, lost, refused := 0, 0, 0
 	for _, b := range j.bookings {
-		calls += len(j.booked[b.key])
+		for _, op := range j.booked[b.key] {
+			calls++
+			switch op.Outcome {
+			case tphistory.Unknown:
+				lost++
+			case tphistory.Refused:
+				refused++
+			case tphistory.OK:
+			}
+		}
 		if err := checkBooking(runs[b.key], j.booked[b.key]); err != nil {
 			wrong++
 			fmt.Fprintf(w, "  booking %s: %v\n", b.key, err)
 		}
 	}
-	fmt.Fprintf(w, "%d bookings, sent %d times through both nodes, ran %d times at the service.\n",
-		len(j.bookings), calls, len(j.fleet.service.Runs()))
+	fmt.Fprintf(w, "%d bookings, sent %d times (%d refused, %d without an answer from the stopped node), ran %d times at the service.\n",
+		len(j.bookings), calls, refused, lost, len(j.fleet.service.Runs()))
 	return wrong
 }
 
--- a/internal/node/tpnode/journal_test.go
+++ b/internal/node/tpnode/journal_test.go
@@ -7,12 +7,11 @@
 	"testing"
 	"time"
 
-	"teaselpin.example/teaselpin/internal/proof/tpprocess"
-
 	"github.com/google/uuid"
 
 	"teaselpin.example/teaselpin/internal/node/tpnode"
 	"teaselpin.example/teaselpin/internal/proof/tphistory"
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/internal/request/stage1/tpintake"
 	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
 	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
