--- a/pkg/tpmessage/config.go
+++ b/pkg/tpmessage/config.go
@@ -48,6 +48,8 @@
 	Targets    []Target `json:"targets" yaml:"targets"`
 	// Roles gives the number of engines for each role; the rest are mixed.
 	Roles map[Role]int `json:"roles" yaml:"roles"`
+	// AutomaticRoles lets the system order role changes as the demand shifts.
+	AutomaticRoles bool `json:"automaticRoles" yaml:"automaticRoles"`
 	// CanAskKey is true if the service can be asked whether it ran a key.
 	CanAskKey bool `json:"canAskKey" yaml:"canAskKey"`
 }
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -16,15 +16,6 @@
 	Beat   uint64 // rises with each heartbeat of the incarnation
 }
 
-// Usage is the work that one node has done for an organisation since the node
-// started, in pieces.
-type Usage struct {
-	Node          string
-	Organisation  string
-	PrefillPieces float64
-	DecodePieces  float64
-}
-
 // Suspect is a request that ran on targets when they crashed.
 type Suspect struct {
 	Fingerprint uint64
