Follow the accepted configuration through watchers and peers

Every node watched the head, which at 370 nodes would cost some 145 watch calls and as many reads a second. Two nodes of a region, chosen by rendezvous hashing, now watch it; the others learn the generation by heartbeat and fetch changed parts from peers. A node reads the head itself when no live member's watch is answered, which its heartbeats tell, and a starting node without a platform takes the highest generation of its peers.

A lost answer is settled by the nonces of the newest heads, because the head may have moved on before it is read back: comparing only the newest nonce reported a race to an operator whose configuration had been accepted. Part objects that neither of the last two generations names are removed.

The naive acceptance, whatever was seen last, stays as a second instance; the checker reports its reverts.

Add the commands apply and status.

--- /dev/null
+++ b/internal/command/tpcommand/apply.go
@@ -0,0 +1,239 @@
+package tpcommand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os/user"
+	"strings"
+
+	"teaselpin.example/teaselpin/internal/edge/tpplatform"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
+	"teaselpin.example/teaselpin/pkg/tpconfig"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+)
+
+// Output holds the choice of the output's form.
+type Output struct {
+	Output string `long:"output" description:"form of the output" choice:"text" choice:"json" default:"text"`
+}
+
+// Apply makes a base file with its overlay the accepted configuration.
+type Apply struct {
+	Output
+	Base     string  `long:"base" description:"YAML file of the deployment" required:"true"`
+	Overlay  string  `long:"overlay" description:"YAML file of the site"`
+	Platform string  `long:"platform" description:"URL of the platform" required:"true"`
+	Expect   *uint64 `long:"expect" description:"accepted generation that the files are based on; the present one if it is left out"`
+	DryRun   bool    `long:"dry-run" description:"check and show the changes only"`
+	Author   string  `long:"author" description:"name that the configuration carries; the user's by default"`
+
+	env Env
+}
+
+// ApplyResult is the output of apply.
+type ApplyResult struct {
+	// Result is accepted, unchanged, dryRun, invalid, race, unavailable,
+	// unknown or failed.
+	Result     string   `json:"result"`
+	Generation uint64   `json:"generation"` // that is accepted as far as the command knows
+	Changes    []string `json:"changes"`    // from the accepted configuration to that of the files
+	// Since holds what other operators changed since the expected generation.
+	Since []string `json:"since,omitempty"`
+	// Faults holds the faults of the files.
+	Faults []string `json:"faults,omitempty"`
+	Error  string   `json:"error,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *Apply) Execute([]string) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	result, err := c.apply(ctx)
+	if err != nil {
+		result.Error = err.Error()
+	}
+	if c.Output.Output == "json" {
+		if printErr := printJSON(c.env, result); printErr != nil {
+			return printErr
+		}
+	} else {
+		c.print(result)
+	}
+	return err
+}
+
+func (c *Apply) apply(ctx context.Context) (ApplyResult, error) {
+	cfg, err := c.load()
+	if err != nil {
+		return invalid(err)
+	}
+	client, closeClient := tpplatform.NewClient(c.Platform)
+	defer closeClient()
+	before, err := readConfig(ctx, client)
+	if err != nil {
+		return failed(0, err)
+	}
+	result := ApplyResult{Generation: before.Generation, Changes: tpconfig.Diff(&before.Config, &cfg)}
+	expect := before.Generation
+	if c.Expect != nil {
+		expect = *c.Expect
+	}
+	if c.DryRun && expect == before.Generation {
+		result.Result = "dryRun"
+		return result, nil
+	}
+	if expect != before.Generation {
+		return c.race(ctx, client, tpmessage.Snapshot{Generation: expect}, &cfg)
+	}
+	head, err := tprollout.Publish(ctx, client, &cfg, expect, c.author())
+	switch {
+	case errors.Is(err, tprollout.ErrRace):
+		return c.race(ctx, client, before, &cfg)
+	case err != nil:
+		return failed(before.Generation, err)
+	case head.Generation == before.Generation:
+		result.Result = "unchanged"
+	default:
+		result.Result, result.Generation = "accepted", head.Generation
+	}
+	return result, nil
+}
+
+func (c *Apply) load() (tpmessage.Config, error) {
+	var files []tpconfig.File
+	for _, path := range []string{c.Base, c.Overlay} {
+		if path == "" {
+			continue
+		}
+		f, err := tpconfig.ReadFile(path)
+		if err != nil {
+			return tpmessage.Config{}, err
+		}
+		files = append(files, f)
+	}
+	return tpconfig.Load(files[0], files[1:]...)
+}
+
+func invalid(err error) (ApplyResult, error) {
+	var faults tpconfig.Faults
+	if !errors.As(err, &faults) {
+		return ApplyResult{Result: "failed"}, err
+	}
+	result := ApplyResult{Result: "invalid"}
+	for _, f := range faults {
+		result.Faults = append(result.Faults, f.String())
+	}
+	return result, &statusError{ExitInvalid, fmt.Errorf("%d faults; nothing was changed", len(faults))}
+}
+
+func failed(generation uint64, err error) (ApplyResult, error) {
+	result := ApplyResult{Result: "failed", Generation: generation}
+	switch {
+	case errors.Is(err, tpobject.ErrOutcomeUnknown):
+		result.Result = "unknown"
+		err = &statusError{ExitUnknown, fmt.Errorf("the configuration may or may not have been accepted; apply --dry-run shows whether it differs from the accepted one: %w", err)}
+	case errors.Is(err, tpobject.ErrUnavailable):
+		result.Result = "unavailable"
+		err = &statusError{ExitUnavailable, fmt.Errorf("nothing was changed: %w", err)}
+	}
+	return result, err
+}
+
+// race tells what changed since the configuration that the operator read. Its
+// content is known if it was just read or is the one before the accepted one.
+func (c *Apply) race(ctx context.Context, client *tpplatform.Client, read tpmessage.Snapshot, cfg *tpmessage.Config) (ApplyResult, error) {
+	head, _, err := tprollout.ReadHead(ctx, client)
+	if err != nil {
+		return failed(read.Generation, err)
+	}
+	now, err := readParts(ctx, client, head)
+	if err != nil {
+		return failed(head.Generation, err)
+	}
+	result := ApplyResult{Result: "race", Generation: head.Generation, Changes: tpconfig.Diff(&now.Config, cfg)}
+	known := read.Config.Deployment != ""
+	if previous := tprollout.Previous(head); !known && previous.Generation == read.Generation && read.Generation > 0 {
+		if s, err := readParts(ctx, client, previous); err == nil {
+			read, known = s, true
+		}
+	}
+	reason := &tprollout.RaceError{Expected: read.Generation, Found: head}
+	if known {
+		result.Since = tpconfig.Diff(&read.Config, &now.Config)
+	}
+	return result, &statusError{ExitRace, fmt.Errorf("nothing was changed: %w", reason)}
+}
+
+func (c *Apply) author() string {
+	if c.Author != "" {
+		return c.Author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// readConfig returns the accepted configuration. A head whose parts were
+// removed meanwhile was replaced twice, so it is read again.
+func readConfig(ctx context.Context, client *tpplatform.Client) (tpmessage.Snapshot, error) {
+	const attempts = 3
+	var err error
+	for range attempts {
+		var head tpmessage.Head
+		head, _, err = tprollout.ReadHead(ctx, client)
+		if err != nil {
+			return tpmessage.Snapshot{}, err
+		}
+		var s tpmessage.Snapshot
+		if s, err = readParts(ctx, client, head); !errors.Is(err, tpobject.ErrNotFound) {
+			return s, err
+		}
+	}
+	return tpmessage.Snapshot{}, err
+}
+
+func readParts(ctx context.Context, client *tpplatform.Client, head tpmessage.Head) (tpmessage.Snapshot, error) {
+	if head.Generation == 0 {
+		return tpmessage.Snapshot{}, nil
+	}
+	held, err := tprollout.ReadParts(ctx, client, head, tprollout.Held{})
+	if err != nil {
+		return tpmessage.Snapshot{}, err
+	}
+	cfg, err := tprollout.Join(held.Parts)
+	return tpmessage.Snapshot{Generation: head.Generation, Config: cfg}, err
+}
+
+// print writes the result as text. The error itself goes to the error output.
+func (c *Apply) print(r ApplyResult) {
+	for _, f := range r.Faults {
+		fmt.Fprintln(c.env.Stderr, f)
+	}
+	if len(r.Since) > 0 {
+		fmt.Fprintf(c.env.Stdout, "changed by others, now generation %d:\n%s\n", r.Generation, strings.Join(r.Since, "\n"))
+	}
+	switch r.Result {
+	case "accepted", "dryRun", "race":
+		if len(r.Changes) > 0 {
+			fmt.Fprintf(c.env.Stdout, "changes of the files:\n%s\n", strings.Join(r.Changes, "\n"))
+		}
+	}
+	switch r.Result {
+	case "accepted":
+		fmt.Fprintf(c.env.Stdout, "accepted as generation %d\n", r.Generation)
+	case "unchanged":
+		fmt.Fprintf(c.env.Stdout, "no change; generation %d stays accepted\n", r.Generation)
+	case "dryRun":
+		fmt.Fprintf(c.env.Stdout, "dry run; generation %d stays accepted\n", r.Generation)
+	}
+}
+
+func printJSON(env Env, v any) error {
+	e := json.NewEncoder(env.Stdout)
+	e.SetIndent("", "  ")
+	return Error.Wrap(e.Encode(v))
+}
--- a/internal/command/tpcommand/run.go
+++ b/internal/command/tpcommand/run.go
@@ -13,13 +13,27 @@
 	"github.com/zeebo/errs"
 )
 
-// Exit statuses of the programs.
+// Exit statuses of the programs. All but ExitOK and ExitUnknown mean that
+// nothing was changed.
 const (
-	ExitOK    = 0
-	ExitError = 1 // the command failed and changed nothing
-	ExitUsage = 2 // the command line is wrong
+	ExitOK          = 0
+	ExitError       = 1 // the command failed
+	ExitUsage       = 2 // the command line is wrong
+	ExitInvalid     = 3 // a file has faults
+	ExitRace        = 4 // another operator's configuration was accepted first
+	ExitUnavailable = 5 // the platform or the node cannot be reached
+	ExitUnknown     = 6 // the outcome could not be found out
 )
 
+// statusError is an error with its exit status.
+type statusError struct {
+	status int
+	err    error
+}
+
+func (e *statusError) Error() string { return e.err.Error() }
+func (e *statusError) Unwrap() error { return e.err }
+
 // Error is the class of errors of this package.
 var Error = errs.Class("teaselpin")
 
@@ -63,6 +77,7 @@
 	}
 	_, err := parser.ParseArgs(args)
 	var usage *flags.Error
+	var failed *statusError
 	switch {
 	case err == nil:
 		return ExitOK
@@ -72,6 +87,9 @@
 	case errors.As(err, &usage):
 		fmt.Fprintln(env.Stderr, err)
 		return ExitUsage
+	case errors.As(err, &failed):
+		fmt.Fprintf(env.Stderr, "%s: %v\n", program, err)
+		return failed.status
 	default:
 		fmt.Fprintf(env.Stderr, "%s: %v\n", program, err)
 		return ExitError
--- a/internal/command/tpcommand/teaselpin.go
+++ b/internal/command/tpcommand/teaselpin.go
@@ -9,6 +9,8 @@
 func Teaselpin(env Env, args []string) int {
 	return run(env, "teaselpin", args, []subcommand{
 		{"serve", "Run a node", "Runs one node until SIGTERM, then stops it gracefully.", &Serve{env: env}},
+		{"apply", "Put a configuration in force", "Merges and checks the files and makes them the accepted configuration.", &Apply{env: env}},
+		{"status", "Show a node's status", "Reads back the configuration in force and the members from a node.", &Status{env: env}},
 		{"version", "Print the version", "Prints the version of the program.", &VersionCommand{env: env}},
 	})
 }
--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -56,7 +56,7 @@
 		m.Members = append(m.Members, &tpwire.Member{
 			Name: b.Member.Name, Address: b.Member.Address, Zone: b.Member.Zone,
 			Incarnation: b.Member.Incarnation, Beat: b.Beat,
-			Leaving: b.Member.Leaving, Generation: b.Member.Generation,
+			Leaving: b.Member.Leaving, Generation: b.Member.Generation, Watching: b.Member.Watching,
 		})
 	}
 	for _, u := range hb.Usage {
@@ -80,6 +80,7 @@
 			Member: tpmessage.Member{
 				Name: b.GetName(), Address: b.GetAddress(), Zone: b.GetZone(),
 				Incarnation: b.GetIncarnation(), Leaving: b.GetLeaving(), Generation: b.GetGeneration(),
+				Watching: b.GetWatching(),
 			},
 			Beat: b.GetBeat(),
 		})
--- a/internal/membership/tpmember/table.go
+++ b/internal/membership/tpmember/table.go
@@ -108,7 +108,8 @@
 func (t *Table) Join(address string) { t.self.Address = address }
 
 // SetSelf sets the parts of the own entry that change. Leaving is never undone.
-func (t *Table) SetSelf(generation uint64, leaving bool) {
+func (t *Table) SetSelf(generation uint64, leaving, watching bool) {
+	t.self.Watching = watching
 	t.self.Generation = max(t.self.Generation, generation)
 	t.self.Leaving = t.self.Leaving || leaving
 }
@@ -308,6 +309,7 @@
 	r.beat = m.Beat
 	r.heard = now
 	r.member.Suspect = false
+	r.member.Watching = m.Member.Watching
 	r.member.Generation = max(r.member.Generation, m.Member.Generation)
 	if m.Member.Address != "" && m.Member.Address != r.member.Address {
 		r.member.Address = m.Member.Address
--- a/internal/node/tpnode/membership.go
+++ b/internal/node/tpnode/membership.go
@@ -224,7 +224,7 @@
 	if s := n.InForce(); s != nil {
 		generation = s.Generation
 	}
-	m.table.SetSelf(generation, n.leaving.Load())
+	m.table.SetSelf(generation, n.leaving.Load(), n.watchingHead())
 	now := n.clock.Now()
 	switch in.kind {
 	case memberTick:
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,7 @@
 	"teaselpin.example/teaselpin/internal/edge/tppeer"
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/frame/tpevent"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
 	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
@@ -32,12 +34,16 @@
 	rings   tpring.Group
 	events  *tpevent.Recorder
 	members *membership
+	rollout atomic.Pointer[tprollout.Rollout]
 	request *requestPipeline
 	inForce atomic.Pointer[tpmessage.Snapshot]
 	leaving atomic.Bool
 	callers *server
 	peers   *server
 	cleanup []func()
+
+	statusMu    sync.Mutex
+	statusParts map[string]func() any
 }
 
 // New starts a node. The clean-up function is its planned stop: it lets every
@@ -176,6 +182,8 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(tppeer.MembersPath, n.membersServer().Handler())
+	mux.Handle(tppeer.RolloutPath, n.rolloutServer().Handler())
+	mux.Handle(tppeer.OperationsPath, n.operationsServer().Handler())
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if n.leaving.Load() || n.InForce() == nil {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/internal/node/tpnode/rollout.go
+++ b/internal/node/tpnode/rollout.go
@@ -1,30 +1,110 @@
 package tpnode
 
 import (
-	"context"
+	"math/rand/v2"
 
+	"teaselpin.example/teaselpin/internal/edge/tppeer"
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
 	"teaselpin.example/teaselpin/internal/rollout/tprollout"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
-// startRollout starts the duty that follows the accepted configuration. A node
-// without a platform gets its configuration by Apply.
+// startRollout starts the duties that follow the accepted configuration. A
+// node without a platform learns it from peers, or gets it by Apply.
 func (n *Node) startRollout() error {
-	if n.cfg.Platform == "" {
-		return nil
-	}
-	client, closeClient := tpplatform.NewClient(n.cfg.Platform)
-	n.onStop(closeClient)
-	ctx, cancel := context.WithCancel(context.Background())
-	w := &tprollout.Watcher{Store: client, Clock: n.clock, Apply: n.Apply}
-	wait, err := n.duties.Go("rollout", func() { w.Run(ctx) })
+	cfg := tprollout.Settings{
+		Follower: tprollout.FollowerSettings{
+			Self: n.cfg.Name, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+		Peers:   n.members.client,
+		Clock:   n.clock,
+		Members: n.Members,
+		Apply:   n.Apply,
+	}
+	if n.cfg.Platform != "" {
+		client, closeClient := tpplatform.NewClient(n.cfg.Platform)
+		n.onStop(closeClient)
+		cfg.Store = client
+	}
+	r, cleanup, err := tprollout.Start(cfg, tprollout.ByGeneration{}, n.duties, &n.rings)
 	if err != nil {
-		cancel()
 		return err
 	}
-	n.onStop(func() {
-		cancel()
-		wait()
-	})
+	n.rollout.Store(r)
+	n.onStop(cleanup)
+	announce := r.Announce
+	n.members.onGeneration.Store(&announce)
 	return nil
 }
+
+// heldConfig returns what the node serves to peers.
+func (n *Node) heldConfig() tprollout.Held {
+	if r := n.rollout.Load(); r != nil {
+		return r.Held()
+	}
+	return tprollout.Held{}
+}
+
+func (n *Node) rolloutServer() *tppeer.RolloutServer {
+	return &tppeer.RolloutServer{Events: n.events, Held: n.heldConfig}
+}
+
+// watchingHead reports whether the platform answers this node's watch.
+func (n *Node) watchingHead() bool {
+	r := n.rollout.Load()
+	return r != nil && r.Watching()
+}
+
+// Status is what a node tells operators about itself.
+type Status struct {
+	Node string `json:"node"`
+	// Accepted is the highest generation that the node knows to be accepted.
+	Accepted uint64 `json:"accepted"`
+	// InForce is the generation in force on the node; 0 means none.
+	InForce uint64 `json:"inForce"`
+	// Digest is a hash of the configuration in force, the same on each node
+	// that has it in force.
+	Digest   string             `json:"digest"`
+	Watching bool               `json:"watching"`
+	Leaving  bool               `json:"leaving"`
+	Members  []tpmessage.Member `json:"members"`
+	// Parts holds what other parts of the node add, by name.
+	Parts map[string]any `json:"parts,omitempty"`
+}
+
+// AddStatus adds a part to the status. Its value is marshalled to JSON for
+// each call. It is called while the node starts.
+func (n *Node) AddStatus(name string, value func() any) {
+	n.statusMu.Lock()
+	defer n.statusMu.Unlock()
+	if n.statusParts == nil {
+		n.statusParts = make(map[string]func() any)
+	}
+	n.statusParts[name] = value
+}
+
+// Status returns the node's status.
+func (n *Node) Status() Status {
+	s := Status{Node: n.cfg.Name, Leaving: n.leaving.Load(), Members: n.Members(), Watching: n.watchingHead()}
+	if r := n.rollout.Load(); r != nil {
+		s.Accepted = r.Accepted()
+		s.Digest = r.Held().Digest()
+	}
+	if now := n.InForce(); now != nil {
+		s.InForce = now.Generation
+		s.Accepted = max(s.Accepted, s.InForce)
+	}
+	n.statusMu.Lock()
+	defer n.statusMu.Unlock()
+	for name, value := range n.statusParts {
+		if s.Parts == nil {
+			s.Parts = make(map[string]any, len(n.statusParts))
+		}
+		s.Parts[name] = value()
+	}
+	return s
+}
+
+func (n *Node) operationsServer() *tppeer.OperationsServer {
+	return &tppeer.OperationsServer{StatusOf: func() any { return n.Status() }}
+}
--- a/internal/rollout/tprollout/parts.go
+++ b/internal/rollout/tprollout/parts.go
@@ -16,6 +16,7 @@
 	HeadName   = "config/head"
 	PartPrefix = "config/part/"
 	PartFleet  = "fleet"
+	PartModels = "models"
 )
 
 // OrganisationParts is the number of parts over which the organisations are
@@ -25,25 +26,33 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("rollout")
 
+// modelPart is the part of the models and of what changes with them.
+type modelPart struct {
+	Models      []tpmessage.Model      `json:"models"`
+	EngineTypes []tpmessage.EngineType `json:"engineTypes"`
+	Policy      tpmessage.Policy       `json:"policy"`
+}
+
 // Split cuts a configuration into the JSON of its parts, by name.
 func Split(cfg *tpmessage.Config) (map[string][]byte, error) {
 	fleet := *cfg
 	fleet.Organisations = nil
+	fleet.Models, fleet.EngineTypes, fleet.Policy = nil, nil, tpmessage.Policy{}
+	models := modelPart{Models: cfg.Models, EngineTypes: cfg.EngineTypes, Policy: cfg.Policy}
 	groups := make(map[string][]tpmessage.Organisation)
 	for _, o := range cfg.Organisations {
 		name := organisationPart(o.Name)
 		groups[name] = append(groups[name], o)
 	}
-	parts := make(map[string][]byte, len(groups)+1)
-	data, err := json.Marshal(fleet)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	parts[PartFleet] = data
+	values := map[string]any{PartFleet: fleet, PartModels: models}
 	for name, group := range groups {
-		data, err := json.Marshal(group)
+		values[name] = group
+	}
+	parts := make(map[string][]byte, len(values))
+	for name, v := range values {
+		data, err := json.Marshal(v)
 		if err != nil {
-			return nil, Error.Wrap(err)
+			return nil, Error.New("part %q: %w", name, err)
 		}
 		parts[name] = data
 	}
@@ -61,8 +70,15 @@
 	if err := json.Unmarshal(fleet, &cfg); err != nil {
 		return cfg, Error.New("part %q: %w", PartFleet, err)
 	}
+	if data, ok := parts[PartModels]; ok {
+		var m modelPart
+		if err := json.Unmarshal(data, &m); err != nil {
+			return cfg, Error.New("part %q: %w", PartModels, err)
+		}
+		cfg.Models, cfg.EngineTypes, cfg.Policy = m.Models, m.EngineTypes, m.Policy
+	}
 	for name, data := range parts {
-		if name == PartFleet {
+		if name == PartFleet || name == PartModels {
 			continue
 		}
 		var group []tpmessage.Organisation
--- a/internal/rollout/tprollout/publish.go
+++ b/internal/rollout/tprollout/publish.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/google/uuid"
 
@@ -14,10 +15,33 @@
 	"teaselpin.example/teaselpin/pkg/tpobject"
 )
 
+const (
+	// lineageLength is the number of nonces that a head keeps. At 34,000
+	// changes a day, 16 of them span 40 s, and a call times out after 3 s.
+	lineageLength = 16
+	// writeAttempts is how often a write with an unknown outcome is tried. The
+	// expected version makes sure that at most one of them takes effect.
+	writeAttempts = 3
+)
+
 // ErrRace is returned if another configuration was accepted since the one
 // that the operator read. Nothing was accepted.
 var ErrRace = errors.New("another configuration was accepted first")
 
+// RaceError is an ErrRace with the head that was found instead.
+type RaceError struct {
+	Expected uint64
+	Found    tpmessage.Head
+}
+
+// Error implements error.
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("%v: expected generation %d, found %d by %s", ErrRace, e.Expected, e.Found.Generation, e.Found.Author)
+}
+
+// Unwrap makes the error match ErrRace.
+func (e *RaceError) Unwrap() error { return ErrRace }
+
 // ReadHead returns the accepted head and the version of its object, or a zero
 // head and version if no configuration was ever accepted.
 func ReadHead(ctx context.Context, store tpobject.Store) (tpmessage.Head, uint64, error) {
@@ -50,24 +74,26 @@
 	return held, nil
 }
 
-// Held is a head with the JSON of its parts.
-type Held struct {
-	Head  tpmessage.Head
-	Parts map[string][]byte
-}
-
 // Publish makes cfg the accepted configuration if the accepted generation is
 // still expect. Only the changed parts are written; the write of the head is
-// the acceptance. A lost answer is settled by reading the head back.
+// the acceptance. A lost answer is settled by reading the head back; an error
+// that matches tpobject.ErrOutcomeUnknown means that this was not possible.
+// An unchanged configuration keeps its generation.
 func Publish(ctx context.Context, store tpobject.Store, cfg *tpmessage.Config, expect uint64, author string) (tpmessage.Head, error) {
 	old, version, err := ReadHead(ctx, store)
 	if err != nil {
 		return tpmessage.Head{}, err
 	}
 	if old.Generation != expect {
-		return old, Error.New("%w: expected generation %d, found %d by %s", ErrRace, expect, old.Generation, old.Author)
+		return old, &RaceError{Expected: expect, Found: old}
 	}
 	held, err := ReadParts(ctx, store, old, Held{})
+	if errors.Is(err, tpobject.ErrNotFound) {
+		// The parts are removed two generations later.
+		if now, _, readErr := ReadHead(ctx, store); readErr == nil && now.Generation != expect {
+			return now, &RaceError{Expected: expect, Found: now}
+		}
+	}
 	if err != nil {
 		return old, err
 	}
@@ -75,38 +101,88 @@
 	if err != nil {
 		return old, err
 	}
+	head := succeed(old, held, parts, author)
+	if maps.Equal(head.Parts, old.Parts) {
+		return old, nil
+	}
+	written, err := putParts(ctx, store, head, parts)
+	if err == nil {
+		var now tpmessage.Head
+		now, err = commit(ctx, store, head, version)
+		if err == nil {
+			removeReplaced(ctx, store, old, head)
+			return head, nil
+		}
+		if errors.Is(err, ErrRace) {
+			old = now
+		}
+	}
+	if !errors.Is(err, tpobject.ErrOutcomeUnknown) {
+		removeObjects(ctx, store, written)
+	}
+	return old, err
+}
+
+// succeed returns the head that follows old with the given parts.
+func succeed(old tpmessage.Head, held Held, parts map[string][]byte, author string) tpmessage.Head {
 	head := tpmessage.Head{
-		Generation: expect + 1,
+		Generation: old.Generation + 1,
 		Parts:      make(map[string]string, len(parts)),
 		Nonce:      uuid.NewString(),
 		Author:     author,
+		Replaced:   make(map[string]string),
 	}
+	head.Lineage = append(slices.Clone(old.Lineage), head.Nonce)
+	head.Lineage = head.Lineage[max(0, len(head.Lineage)-lineageLength):]
 	for part, data := range parts {
 		if bytes.Equal(held.Parts[part], data) {
 			head.Parts[part] = old.Parts[part]
 			continue
 		}
-		object := fmt.Sprintf("%s%s/%d-%s", PartPrefix, part, head.Generation, head.Nonce)
-		if err := putPart(ctx, store, object, data); err != nil {
-			return old, err
+		head.Parts[part] = fmt.Sprintf("%s%s/%d-%s", PartPrefix, part, head.Generation, head.Nonce)
+		head.Replaced[part] = old.Parts[part]
+	}
+	for part, object := range old.Parts {
+		if head.Parts[part] == "" {
+			head.Replaced[part] = object
 		}
-		head.Parts[part] = object
 	}
-	if maps.Equal(head.Parts, old.Parts) {
-		return old, nil
+	return head
+}
+
+// putParts writes the part objects that the head is the first to name, and
+// returns the names of those that may exist now.
+func putParts(ctx context.Context, store tpobject.Store, head tpmessage.Head, parts map[string][]byte) ([]string, error) {
+	var written []string
+	for part, object := range head.Parts {
+		if objectGeneration(object) != head.Generation {
+			continue
+		}
+		written = append(written, object)
+		if err := putPart(ctx, store, object, parts[part]); err != nil {
+			// Without the head the part has no effect, so the outcome of the
+			// whole is known: nothing was accepted.
+			if errors.Is(err, tpobject.ErrOutcomeUnknown) {
+				err = fmt.Errorf("%w: %s", tpobject.ErrUnavailable, err.Error())
+			}
+			return written, Error.New("write part %q: %w", part, err)
+		}
 	}
-	return commit(ctx, store, head, version)
+	return written, nil
 }
 
 // putPart writes a part object. Its name is unique, so that a conflict after a
 // lost answer means that the write has taken effect.
 func putPart(ctx context.Context, store tpobject.Store, object string, data []byte) error {
-	_, err := store.Put(ctx, object, data, 0)
-	if errors.Is(err, tpobject.ErrOutcomeUnknown) {
+	var err error
+	for attempt := range writeAttempts {
 		_, err = store.Put(ctx, object, data, 0)
-		if errors.Is(err, tpobject.ErrConflict) {
+		if attempt > 0 && errors.Is(err, tpobject.ErrConflict) {
 			return nil
 		}
+		if !errors.Is(err, tpobject.ErrOutcomeUnknown) {
+			return err
+		}
 	}
 	return err
 }
@@ -117,22 +193,24 @@
 	if err != nil {
 		return head, Error.Wrap(err)
 	}
-	_, err = store.Put(ctx, HeadName, data, version)
-	if err == nil {
-		return head, nil
-	}
-	if !errors.Is(err, tpobject.ErrConflict) && !errors.Is(err, tpobject.ErrOutcomeUnknown) {
-		return head, err
-	}
-	now, _, readErr := ReadHead(ctx, store)
-	if readErr != nil {
-		return head, Error.New("%w; reading back: %w", err, readErr)
-	}
-	if now.Nonce == head.Nonce {
-		return head, nil
-	}
-	if errors.Is(err, tpobject.ErrConflict) || now.Generation >= head.Generation {
-		return now, Error.New("%w: generation %d by %s", ErrRace, now.Generation, now.Author)
+	for range writeAttempts {
+		_, err = store.Put(ctx, HeadName, data, version)
+		if err == nil || !errors.Is(err, tpobject.ErrConflict) && !errors.Is(err, tpobject.ErrOutcomeUnknown) {
+			return head, err
+		}
+		now, _, readErr := ReadHead(ctx, store)
+		if readErr != nil {
+			return head, Error.New("%w: the head could not be read back: %v", tpobject.ErrOutcomeUnknown, readErr)
+		}
+		if slices.Contains(now.Lineage, head.Nonce) {
+			return head, nil
+		}
+		if now.Generation >= head.Generation+lineageLength {
+			return now, Error.New("%w: too many configurations were accepted since", tpobject.ErrOutcomeUnknown)
+		}
+		if now.Generation >= head.Generation {
+			return now, &RaceError{Expected: head.Generation - 1, Found: now}
+		}
 	}
-	return now, err
+	return head, Error.New("%w: %v", tpobject.ErrOutcomeUnknown, err)
 }
--- /dev/null
+++ b/internal/rollout/tprollout/region_test.go
@@ -0,0 +1,354 @@
+package tprollout_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselpin.example/teaselpin/internal/proof/tphistory"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+)
+
+// platform is a store with faults on command.
+type platform struct {
+	tpobject.Memory
+	down   bool
+	lose   int    // number of next writes whose answer is lost
+	before func() // runs once before the next write of the head
+}
+
+func (p *platform) Get(ctx context.Context, name string) (tpobject.Object, error) {
+	if p.down {
+		return tpobject.Object{}, tpobject.ErrUnavailable
+	}
+	return p.Memory.Get(ctx, name)
+}
+
+func (p *platform) Put(ctx context.Context, name string, value []byte, version uint64) (uint64, error) {
+	if p.down {
+		return 0, tpobject.ErrUnavailable
+	}
+	if f := p.before; f != nil && name == tprollout.HeadName {
+		p.before = nil
+		f()
+	}
+	v, err := p.Memory.Put(ctx, name, value, version)
+	if err == nil && p.lose > 0 {
+		p.lose--
+		return 0, tpobject.ErrOutcomeUnknown
+	}
+	return v, err
+}
+
+// simNode is one node of a simulated region.
+type simNode struct {
+	step     func(time.Time, tprollout.Input, []tprollout.Action) []tprollout.Action
+	watching func() bool
+	up       bool
+	watch    bool
+	version  uint64
+	held     tprollout.Held
+	inbox    []tprollout.Input // results that arrive in the next round
+	seen     []tpmessage.Member
+}
+
+// sim runs followers against a platform in rounds of half a second. What a
+// node knows of its peers is up to two rounds old.
+type sim[P tprollout.Acceptance] struct {
+	platform platform
+	now      time.Time
+	rng      *rand.Rand
+	nodes    []*simNode
+	cut      func(a, b int) bool
+	reports  []tphistory.ConfigReport
+	accepted []tphistory.AcceptedConfig
+}
+
+func newSim[P tprollout.Acceptance](n int, seed uint64) *sim[P] {
+	s := &sim[P]{
+		now: time.Unix(1_700_000_000, 0),
+		rng: rand.New(rand.NewPCG(seed, 1)),
+		cut: func(int, int) bool { return false },
+	}
+	for i := range n {
+		s.nodes = append(s.nodes, nil)
+		s.start(i)
+	}
+	return s
+}
+
+func nodeName(i int) string { return fmt.Sprintf("node-%d", i) }
+
+func (s *sim[P]) start(i int) {
+	var policy P
+	f := tprollout.NewFollower(policy, tprollout.FollowerSettings{Self: nodeName(i), Platform: true, Random: s.rng})
+	s.nodes[i] = &simNode{step: f.Step, watching: f.Watching, up: true}
+}
+
+// publish adds an organisation as one operator.
+func (s *sim[P]) publish(author string) {
+	head, _, err := tprollout.ReadHead(context.Background(), &s.platform)
+	if err != nil {
+		return
+	}
+	cfg := &tpmessage.Config{Deployment: "test", Organisations: []tpmessage.Organisation{{Name: author, Share: 1}}}
+	if head, err = tprollout.Publish(context.Background(), &s.platform, cfg, head.Generation, author); err == nil {
+		s.accepted = append(s.accepted, tphistory.AcceptedConfig{Author: author, Generation: head.Generation})
+	}
+}
+
+func (s *sim[P]) round() {
+	s.now = s.now.Add(tprollout.TickInterval)
+	for i, n := range s.nodes {
+		if n.up {
+			s.runNode(i, n)
+			s.reports = append(s.reports, tphistory.ConfigReport{
+				Node: nodeName(i), At: s.now, InForce: n.held.Head.Generation, Digest: n.held.Digest(),
+			})
+		}
+	}
+}
+
+func (s *sim[P]) runNode(i int, n *simNode) {
+	if len(n.seen) == 0 || s.rng.IntN(3) > 0 || int(s.now.Unix())%2 == 0 {
+		n.seen = s.members(i)
+	}
+	inputs := append(n.inbox, tprollout.Input{Kind: tprollout.InputTick, Members: n.seen})
+	n.inbox = nil
+	if n.watch {
+		inputs = append(inputs, s.watched(n))
+	}
+	for _, in := range inputs {
+		for _, a := range n.step(s.now, in, nil) {
+			s.act(i, n, a)
+		}
+	}
+}
+
+func (s *sim[P]) members(i int) []tpmessage.Member {
+	members := []tpmessage.Member{s.member(i)}
+	for j, n := range s.nodes {
+		if j != i && n.up && !s.cut(i, j) {
+			members = append(members, s.member(j))
+		}
+	}
+	return members
+}
+
+func (s *sim[P]) member(i int) tpmessage.Member {
+	n := s.nodes[i]
+	return tpmessage.Member{
+		Name: nodeName(i), Address: nodeName(i), Generation: n.held.Head.Generation, Watching: n.watching(),
+	}
+}
+
+func (s *sim[P]) watched(n *simNode) tprollout.Input {
+	if s.platform.down {
+		return tprollout.Input{Kind: tprollout.InputWatch}
+	}
+	head, version, _ := tprollout.ReadHead(context.Background(), &s.platform)
+	in := tprollout.Input{Kind: tprollout.InputWatch, OK: true}
+	if version > n.version {
+		n.version, in.Head = version, head
+	}
+	return in
+}
+
+func (s *sim[P]) act(i int, n *simNode, a tprollout.Action) {
+	in := tprollout.Input{Kind: tprollout.InputFailed}
+	switch a.Kind {
+	case tprollout.ActionApply:
+		n.held = a.Held
+		return
+	case tprollout.ActionStartWatch, tprollout.ActionCancelWatch:
+		n.watch, n.version = a.Kind == tprollout.ActionStartWatch, 0
+		return
+	case tprollout.ActionReadHead:
+		if head, _, err := tprollout.ReadHead(context.Background(), &s.platform); err == nil {
+			in = tprollout.Input{Kind: tprollout.InputHead, Head: head}
+		}
+	case tprollout.ActionFetchParts:
+		if held, err := tprollout.ReadParts(context.Background(), &s.platform, a.Head, a.Held); err == nil {
+			in = tprollout.Input{Kind: tprollout.InputFetched, Held: held}
+		}
+	case tprollout.ActionFetchPeer:
+		var j int
+		_, _ = fmt.Sscanf(a.Address, "node-%d", &j)
+		if peer := s.nodes[j]; peer.up && !s.cut(i, j) {
+			held, err := tprollout.Complete(tprollout.ChangedSince(peer.held, a.Since), a.Held)
+			if err == nil {
+				in = tprollout.Input{Kind: tprollout.InputFetched, Held: held}
+			}
+		}
+	}
+	n.inbox = append(n.inbox, in)
+}
+
+// run draws faults and changes, ends the faults and lets the region settle.
+func (s *sim[P]) run(draw func(label string, n int) int) []string {
+	n := len(s.nodes)
+	s.publish("first")
+	for range 8 {
+		s.round()
+	}
+	for step := range 10 + draw("steps", 30) {
+		i := draw("node", n)
+		switch draw("fault", 9) {
+		case 0:
+			s.nodes[i].up = false // killed or paused: the state stays
+		case 1:
+			s.restart(i)
+		case 2:
+			s.nodes[i].up = true
+		case 3:
+			s.platform.down = true
+		case 4:
+			s.platform.down = false
+		case 5:
+			s.cut = func(a, b int) bool { return (a < i) != (b < i) }
+		case 6:
+			s.cut = func(int, int) bool { return false }
+		case 7:
+			s.platform.lose = 1
+			s.publish(fmt.Sprintf("operator-%d", step))
+		case 8:
+			s.platform.before = func() { s.publish(fmt.Sprintf("rival-%d", step)) }
+			s.publish(fmt.Sprintf("operator-%d", step))
+		}
+		s.round()
+	}
+	s.platform.down = false
+	s.cut = func(int, int) bool { return false }
+	for _, n := range s.nodes {
+		n.up = true
+	}
+	for range 20 {
+		s.round()
+	}
+	return tphistory.CheckRollout(s.reports, s.accepted)
+}
+
+// restart starts a process anew. In an outage it can learn no more than what
+// its peers hold, so then one of them must hold what it held.
+func (s *sim[P]) restart(i int) {
+	for j, n := range s.nodes {
+		if !s.platform.down || j != i && n.up && !s.cut(i, j) && n.held.Head.Generation >= s.nodes[i].held.Head.Generation {
+			s.start(i)
+			return
+		}
+	}
+}
+
+// Guards against a configuration that reverts, is lost or does not reach a
+// node, through kills, restarts, outages, partitions, lost answers and races.
+func TestRolloutThroughFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim[tprollout.ByGeneration](rapid.IntRange(2, 6).Draw(t, "nodes"), rapid.Uint64().Draw(t, "seed"))
+		faults := s.run(func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) })
+		for _, f := range faults {
+			t.Error(f)
+		}
+	})
+}
+
+// Guards against a checker that lets a reverted configuration pass: the naive
+// instance applies whatever it saw last, which a stale peer turns back.
+func TestCheckerCatchesLastSeen(t *testing.T) {
+	caught := 0
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		s := newSim[tprollout.LastSeen](4, seed)
+		for _, f := range s.run(func(_ string, n int) int { return rng.IntN(n) }) {
+			if strings.Contains(f, "reverted") {
+				caught++
+				break
+			}
+		}
+	}
+	if caught == 0 {
+		t.Error("runs of the naive instance with a reverted configuration: got none of 20")
+	}
+}
+
+// Guards against an operator who is told "accepted" although another one's
+// configuration was, or "race" although their own was, when an answer is lost
+// and the head moves on before it is read back.
+func TestPublishLostAnswerAndRace(t *testing.T) {
+	s := newSim[tprollout.ByGeneration](1, 1)
+	s.publish("first")
+	head, _, err := tprollout.ReadHead(t.Context(), &s.platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &tpmessage.Config{Deployment: "loser"}
+	s.platform.before = func() { s.publish("winner") }
+	_, err = tprollout.Publish(t.Context(), &s.platform, cfg, head.Generation, "loser")
+	var race *tprollout.RaceError
+	if !errors.As(err, &race) || !errors.Is(err, tprollout.ErrRace) || race.Found.Author != "winner" {
+		t.Errorf("loser of a race: got %v, want a race won by winner", err)
+	}
+
+	head, _, _ = tprollout.ReadHead(t.Context(), &s.platform)
+	lost := &afterwards{platform: &s.platform, then: func() { s.publish("later") }}
+	got, err := tprollout.Publish(t.Context(), lost, cfg, head.Generation, "lost")
+	if err != nil || got.Generation != head.Generation+1 {
+		t.Errorf("lost answer under a later change: got generation %d and %v, want %d and no error", got.Generation, err, head.Generation+1)
+	}
+	now, _, _ := tprollout.ReadHead(t.Context(), &s.platform)
+	if _, err := tprollout.ReadParts(t.Context(), &s.platform, now, tprollout.Held{}); err != nil {
+		t.Errorf("parts of the accepted head: got %v, want all", err)
+	}
+}
+
+// afterwards loses the answer to the first write of the head and lets another
+// operator commit before it is read back.
+type afterwards struct {
+	*platform
+	then func()
+}
+
+func (a *afterwards) Put(ctx context.Context, name string, value []byte, version uint64) (uint64, error) {
+	v, err := a.platform.Put(ctx, name, value, version)
+	if err != nil || name != tprollout.HeadName || a.then == nil {
+		return v, err
+	}
+	then := a.then
+	a.then = nil
+	then()
+	return 0, tpobject.ErrOutcomeUnknown
+}
+
+// Guards against part objects that pile up, and against the removal of one
+// that the head or the generation before it names.
+func TestPartObjectsAreRemoved(t *testing.T) {
+	s := newSim[tprollout.ByGeneration](1, 1)
+	for i := range 200 {
+		s.platform.before = func() { s.publish(fmt.Sprintf("rival-%d", i)) }
+		s.publish(fmt.Sprintf("operator-%d", i))
+		head, _, err := tprollout.ReadHead(t.Context(), &s.platform)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, h := range []tpmessage.Head{head, tprollout.Previous(head)} {
+			if _, err := tprollout.ReadParts(t.Context(), &s.platform, h, tprollout.Held{}); err != nil {
+				t.Fatalf("parts of generation %d: %v", h.Generation, err)
+			}
+		}
+		objects, err := s.platform.List(t.Context(), tprollout.PartPrefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		named := len(head.Parts) + len(tprollout.Previous(head).Parts)
+		if got, want := len(objects), named; got > want {
+			t.Fatalf("part objects at generation %d: got %d, want at most %d", head.Generation, got, want)
+		}
+	}
+}
--- a/pkg/tpmessage/config.go
+++ b/pkg/tpmessage/config.go
@@ -112,6 +112,12 @@
 	Parts      map[string]string `json:"parts"` // part to object name
 	Nonce      string            `json:"nonce"` // identifies the write, to settle lost answers
 	Author     string            `json:"author"`
+	// Replaced gives the objects of the previous generation that this one no
+	// longer names, by part; a part that the previous one lacked is empty.
+	Replaced map[string]string `json:"replaced,omitempty"`
+	// Lineage holds the nonces of the newest accepted generations, this one
+	// last, so that a lost answer can be settled after later changes.
+	Lineage []string `json:"lineage,omitempty"`
 }
 
 // Snapshot is a configuration with its generation.
--- a/pkg/tpmessage/member.go
+++ b/pkg/tpmessage/member.go
@@ -9,6 +9,8 @@
 	Leaving     bool   `json:"leaving"`
 	Suspect     bool   `json:"suspect"`    // silent, but not yet dropped
 	Generation  uint64 `json:"generation"` // of the configuration in force
+	// Watching is true if the platform answers the member's watch of the head.
+	Watching bool `json:"watching"`
 }
 
 // ListedVM is a node's VM on the platform's list, which lags behind.
