--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
@@ -79,16 +80,23 @@
 	return f
 }
 
-// StartNode starts one node of the fleet with settings of its own.
-func (f *Fleet) StartNode(t testing.TB, name string) *Process {
+// StartNode starts one node of the fleet with settings of its own. Its seeds
+// are the nodes that were started before, or the given ones.
+func (f *Fleet) StartNode(t testing.TB, name string, seeds ...string) *Process {
 	t.Helper()
+	if len(seeds) == 0 {
+		for _, n := range f.Nodes {
+			seeds = append(seeds, n.Addresses[1])
+		}
+	}
 	settings := fmt.Sprintf(`name: %s
 region: nord-ovest
 zone: milano-a
 callerAddress: 127.0.0.1:0
 peerAddress: 127.0.0.1:0
 platform: http://%s
-`, name, f.Platform.Addresses[0])
+seeds: [%s]
+`, name, f.Platform.Addresses[0], strings.Join(seeds, ", "))
 	path := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
