--- a/internal/command/tpcommand/teaselpin.go
+++ b/internal/command/tpcommand/teaselpin.go
@@ -11,6 +11,8 @@
 		{"serve", "Run a node", "Runs one node until SIGTERM, then stops it gracefully.", &Serve{env: env}},
 		{"demo", "Run the main job on stand-ins", "Runs nodes and stand-ins in one process, sends work, loses an engine, stops a node, and checks every answer.", &Demo{env: env}},
 		{"timeline", "Show the events of nodes", "Gathers the events of nodes and merges them in causal order.", &Timeline{env: env}},
+		{"apply", "Put a configuration in force", "Merges and checks the files and makes them the accepted configuration.", &Apply{env: env}},
+		{"status", "Show a node's status", "Reads back the configuration in force and the members from a node.", &Status{env: env}},
 		{"version", "Print the version", "Prints the version of the program.", &VersionCommand{env: env}},
 	})
 }
--- a/internal/proof/journal_calls_test.go
+++ b/internal/proof/journal_calls_test.go
@@ -21,11 +21,11 @@
 // which were entry nodes of some calls and holders for others.
 func TestJournalSurvivesKilledNodes(t *testing.T) {
 	f := startBookingFleet(t)
-	setFaults(t, f.Services[0], tpservicefake.Faults{DelayBefore: 5 * time.Millisecond, DelayAfter: 5 * time.Millisecond})
+	f.Services[0].SetFaults(t, tpservicefake.Faults{DelayBefore: 5 * time.Millisecond, DelayAfter: 5 * time.Millisecond})
 	l := newBookingLoad(f, 1)
 	l.run(t, 8, 60,
 		func() { f.Nodes[0].Kill() },
-		func() { setFaults(t, f.Services[0], tpservicefake.Faults{LoseAnswers: 5}) },
+		func() { f.Services[0].SetFaults(t, tpservicefake.Faults{LoseAnswers: 5}) },
 		func() { f.Nodes[1].Kill() },
 	)
 	l.check(t)
@@ -35,7 +35,7 @@
 // it has lost.
 func TestJournalSurvivesPausedNodes(t *testing.T) {
 	f := startBookingFleet(t)
-	setFaults(t, f.Services[0], tpservicefake.Faults{DelayBefore: 5 * time.Millisecond})
+	f.Services[0].SetFaults(t, tpservicefake.Faults{DelayBefore: 5 * time.Millisecond})
 	l := newBookingLoad(f, 2)
 	l.patient = time.Second
 	l.run(t, 8, 60,
@@ -54,7 +54,7 @@
 	journal := func(p tpplatformfake.Faults) func() {
 		return func() {
 			p.Prefix = "journal/"
-			setFaults(t, f.Platform, p)
+			f.Platform.SetFaults(t, p)
 		}
 	}
 	l.run(t, 8, 60,
@@ -63,7 +63,7 @@
 		journal(tpplatformfake.Faults{LoseWrites: 10, Delay: 30 * time.Millisecond}),
 		journal(tpplatformfake.Faults{DownCalls: 10, LoseWrites: 10}),
 	)
-	setFaults(t, f.Platform, tpplatformfake.Faults{})
+	f.Platform.SetFaults(t, tpplatformfake.Faults{})
 	c := tphistory.NewCaller(100, tpprocess.Token)
 	for _, n := range f.Nodes {
 		tpprocess.Eventually(t, "a new call through "+n.Name+" runs after the faults", func() bool {
@@ -77,7 +77,7 @@
 // paused in the middle of it, and against the loss of its result on waking.
 func TestJournalRecordsTheResultOfAPausedNode(t *testing.T) {
 	f := startBookingFleet(t)
-	setFaults(t, f.Services[0], tpservicefake.Faults{DelayAfter: 200 * time.Millisecond})
+	f.Services[0].SetFaults(t, tpservicefake.Faults{DelayAfter: 200 * time.Millisecond})
 	l := newBookingLoad(f, 4)
 	key := uuid.Must(uuid.NewV7()).String()
 	first := make(chan struct{})
