--- a/internal/command/tpcommand/apply.go
+++ b/internal/command/tpcommand/apply.go
@@ -126,7 +126,7 @@
 	for _, f := range faults {
 		result.Faults = append(result.Faults, f.String())
 	}
-	return result, &statusError{ExitInvalid, fmt.Errorf("%d faults; nothing was changed", len(faults))}
+	return result, &statusError{ExitInvalid, fmt.Errorf("nothing was changed; faults in the files: %d", len(faults))}
 }
 
 func failed(generation uint64, err error) (ApplyResult, error) {
--- /dev/null
+++ b/internal/command/tpcommand/apply_test.go
@@ -0,0 +1,127 @@
+package tpcommand_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"teaselpin.example/teaselpin/internal/command/tpcommand"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
+	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
+)
+
+const (
+	exampleBase = "../../../examples/consorzio/base.yaml"
+	exampleSite = "../../../examples/consorzio/site.yaml"
+)
+
+// teaselpin runs a command and returns its exit status and both outputs.
+func teaselpin(args ...string) (status int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	env := tpcommand.Env{Stdout: &out, Stderr: &errs, Log: zerolog.Nop(), Stop: make(chan os.Signal)}
+	status = tpcommand.Teaselpin(env, args)
+	return status, out.String(), errs.String()
+}
+
+// Guards against bad input, a wrong expectation or a dry run that changes
+// something, and against exit statuses that scripts cannot rely on.
+func TestApplyStatuses(t *testing.T) {
+	var platform tpplatformfake.Platform
+	srv := httptest.NewServer(platform.Handler())
+	t.Cleanup(srv.Close)
+	base, err := os.ReadFile(exampleBase)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(name, old, replacement string) string {
+		path := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(path, []byte(strings.Replace(string(base), old, replacement, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	faulty := write("faulty.yaml", "share: 0.25", "share: a quarter")
+	changed := write("changed.yaml", "timeout: 30s", "timeout: 31s")
+	for _, c := range []struct {
+		name       string
+		args       []string
+		status     int
+		generation uint64 // accepted afterwards
+		want       string // in either output
+	}{
+		{"dry run", []string{"--base", exampleBase, "--dry-run"}, tpcommand.ExitOK, 0, "generation 0 stays accepted"},
+		{"first", []string{"--base", exampleBase}, tpcommand.ExitOK, 1, "accepted as generation 1"},
+		{"unchanged", []string{"--base", exampleBase}, tpcommand.ExitOK, 1, "no change; generation 1 stays accepted"},
+		{"faulty", []string{"--base", faulty}, tpcommand.ExitInvalid, 1, "faulty.yaml:88:12: organisations[0].share: want a number"},
+		{"no file", []string{"--base", "nowhere.yaml"}, tpcommand.ExitError, 1, "nowhere.yaml"},
+		{"changed", []string{"--base", changed, "--expect", "1"}, tpcommand.ExitOK, 2, "~ routes[/v1/language].timeout: 30s -> 31s"},
+		{"race", []string{"--base", exampleBase, "--expect", "1"}, tpcommand.ExitRace, 2, "changed by others, now generation 2:\n~ routes[/v1/language].timeout: 30s -> 31s"},
+		{"race in a dry run", []string{"--base", exampleBase, "--expect", "1", "--dry-run"}, tpcommand.ExitRace, 2, "expected generation 1, found 2"},
+		{"unknown option", []string{"--base", exampleBase, "--force"}, tpcommand.ExitUsage, 2, "force"},
+		{"platform away", []string{"--base", changed, "--platform", "http://" + closedPort(t)}, tpcommand.ExitUnavailable, 2, "nothing was changed"},
+	} {
+		args := append([]string{"apply", "--overlay", exampleSite, "--platform", srv.URL}, c.args...)
+		status, stdout, stderr := teaselpin(args...)
+		if status != c.status || !strings.Contains(stdout+stderr, c.want) {
+			t.Errorf("%s: got status %d and\n%s%s\nwant status %d and %q", c.name, status, stdout, stderr, c.status, c.want)
+		}
+		head, _, err := tprollout.ReadHead(t.Context(), &platform.Store)
+		if err != nil || head.Generation != c.generation {
+			t.Errorf("%s: accepted generation: got %d and %v, want %d", c.name, head.Generation, err, c.generation)
+		}
+	}
+}
+
+// Guards against JSON output that is missing when the command fails.
+func TestApplyJSON(t *testing.T) {
+	status, stdout, _ := teaselpin("apply", "--base", exampleBase, "--overlay", exampleSite,
+		"--platform", "http://"+closedPort(t), "--output", "json")
+	var got tpcommand.ApplyResult
+	if err := json.Unmarshal([]byte(stdout), &got); err != nil {
+		t.Fatalf("output %q: %v", stdout, err)
+	}
+	if status != tpcommand.ExitUnavailable || got.Result != "unavailable" || got.Error == "" {
+		t.Errorf("got status %d and %+v, want %d and unavailable with an error", status, got, tpcommand.ExitUnavailable)
+	}
+}
+
+// Guards against a missing node or a port in use that gives more than one
+// clear error, or none.
+func TestOneClearError(t *testing.T) {
+	status, _, stderr := teaselpin("status", "--node", closedPort(t))
+	if status != tpcommand.ExitUnavailable || strings.Count(stderr, "\n") != 1 {
+		t.Errorf("status of no node: got status %d and %q, want %d and one line", status, stderr, tpcommand.ExitUnavailable)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	settings := "name: a\ncallerAddress: 127.0.0.1:0\npeerAddress: " + l.Addr().String() + "\n"
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	status, _, stderr = teaselpin("serve", "--settings", path)
+	if status != tpcommand.ExitError || strings.Count(stderr, "\n") != 1 || !strings.Contains(stderr, "address already in use") {
+		t.Errorf("port in use: got status %d and %q, want %d and one line", status, stderr, tpcommand.ExitError)
+	}
+}
+
+// closedPort returns an address on which nothing listens.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/internal/rollout/tprollout/duty.go
+++ b/internal/rollout/tprollout/duty.go
@@ -59,6 +59,7 @@
 	// cancelWatch ends the present watch; it belongs to the rollout filter.
 	cancelWatch context.CancelFunc
 	scratch     []Action
+	joiner      joiner // belongs to the fetch duty
 }
 
 // Start starts the duties. The clean-up function ends them.
@@ -176,18 +177,18 @@
 		if err != nil {
 			return Input{}, err
 		}
-		return fetched(held)
+		return r.fetched(held)
 	default:
 		held, err := ReadParts(r.ctx, r.cfg.Store, a.Head, a.Held)
 		if err != nil {
 			return Input{}, err
 		}
-		return fetched(held)
+		return r.fetched(held)
 	}
 }
 
-func fetched(held Held) (Input, error) {
-	cfg, err := Join(held.Parts)
+func (r *Rollout) fetched(held Held) (Input, error) {
+	cfg, err := r.joiner.join(held)
 	if err != nil {
 		return Input{}, err
 	}
--- a/internal/rollout/tprollout/publish.go
+++ b/internal/rollout/tprollout/publish.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -123,12 +124,18 @@
 	return old, err
 }
 
+// newNonce returns 60 random bits, which keep the names in a head short.
+func newNonce() string {
+	id := uuid.New()
+	return hex.EncodeToString(id[:8])
+}
+
 // succeed returns the head that follows old with the given parts.
 func succeed(old tpmessage.Head, held Held, parts map[string][]byte, author string) tpmessage.Head {
 	head := tpmessage.Head{
 		Generation: old.Generation + 1,
 		Parts:      make(map[string]string, len(parts)),
-		Nonce:      uuid.NewString(),
+		Nonce:      newNonce(),
 		Author:     author,
 		Replaced:   make(map[string]string),
 	}
