Let a starting node take no less than what it knows to be accepted

A process that restarts while the platform goes down could read the head, fail to read its parts, and then take a lower generation from a peer, which its earlier process had already replaced.

--- a/internal/rollout/tprollout/follower.go
+++ b/internal/rollout/tprollout/follower.go
@@ -218,7 +218,8 @@
 func (f *Follower[P]) take(in Input, actions []Action) []Action {
 	f.meet(in.Held.Head.Generation)
 	f.avoid = ""
-	if !f.policy.Replaces(f.held.Head.Generation, in.Held.Head.Generation) {
+	have, got := f.held.Head.Generation, in.Held.Head.Generation
+	if !f.policy.Replaces(have, got) || have == 0 && f.policy.Replaces(got, f.accepted) {
 		return actions
 	}
 	f.held = in.Held
@@ -299,7 +300,9 @@
 }
 
 // source returns a peer that holds the highest generation, or false if none is
-// to be fetched. It avoids the peer that failed last.
+// to be fetched. It avoids the peer that failed last. A node that has just
+// started does not take less than the highest generation that it has met: its
+// earlier process may have had that in force.
 func (f *Follower[P]) source(have uint64) (tpmessage.Member, bool) {
 	var best tpmessage.Member
 	seen := 0
@@ -322,6 +325,9 @@
 		}
 		seen++
 	}
+	if have == 0 && f.policy.Replaces(highest, f.accepted) {
+		return best, false
+	}
 	return best, best.Address != ""
 }
 
