Check a node's settings with the decoder of the configuration

A faulty settings file stopped at its first fault. All faults are now reported at once, and missing or malformed addresses are named before the node starts.

--- a/internal/command/tpcommand/apply_test.go
+++ b/internal/command/tpcommand/apply_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// Guards against a node that starts with settings that it misread.
+func TestServeFaultySettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	for settings, want := range map[string]string{
+		"name: a\nstopGrace: 2\nspeed: 1\n": path + ":2:12: stopGrace: want a duration with a unit (ns, us, ms, s, m, h) such as 30s, found \"2\"\n" +
+			path + ":3:1: unknown field \"speed\"\n",
+		"callerAddress: here\nplatform: 10.0.0.1\n": "name: a value is required\ncallerAddress: want host:port, found \"here\"\n" +
+			"peerAddress: want host:port, found \"\"\nplatform: want a URL such as http://10.0.0.1:7000, found \"10.0.0.1\"\n",
+	} {
+		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		status, _, stderr := teaselpin("serve", "--settings", path)
+		if status != tpcommand.ExitInvalid || !strings.HasSuffix(stderr, want) {
+			t.Errorf("got status %d and\n%s\nwant status %d and\n%s", status, stderr, tpcommand.ExitInvalid, want)
+		}
+	}
+}
+
 // closedPort returns an address on which nothing listens.
 func closedPort(t *testing.T) string {
 	t.Helper()
--- a/internal/command/tpcommand/serve.go
+++ b/internal/command/tpcommand/serve.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"os"
-
-	"github.com/goccy/go-yaml"
 
 	"teaselpin.example/teaselpin/internal/node/tpnode"
+	"teaselpin.example/teaselpin/pkg/tpconfig"
 )
 
 // Serve runs a node.
@@ -32,16 +30,18 @@
 	return nil
 }
 
-// readNodeSettings reads a node's settings; an unknown field is an error.
+// readNodeSettings reads and checks a node's settings.
 func readNodeSettings(path string) (tpnode.Settings, error) {
 	var cfg tpnode.Settings
-	f, err := os.Open(path)
+	f, err := tpconfig.ReadFile(path)
 	if err != nil {
-		return cfg, Error.Wrap(err)
+		return cfg, err
+	}
+	if err := tpconfig.Decode(f, &cfg); err != nil {
+		return cfg, &statusError{ExitInvalid, err}
 	}
-	defer f.Close()
-	if err := yaml.NewDecoder(f, yaml.Strict()).Decode(&cfg); err != nil {
-		return cfg, Error.New("%s: %w", path, err)
+	if err := cfg.Check(); err != nil {
+		return cfg, &statusError{ExitInvalid, Error.New("%s: %w", path, err)}
 	}
 	return cfg, nil
 }
--- a/internal/node/tpnode/membership.go
+++ b/internal/node/tpnode/membership.go
@@ -82,7 +82,7 @@
 }
 
 // Members returns the live members of the region, this node first. A suspect
-// is still a member; a dropped one is not.
+// is still a member; a dropped one is not. The caller must not change the list.
 func (n *Node) Members() []tpmessage.Member {
 	return *n.members.view.Load()
 }
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -1,6 +1,12 @@
 package tpnode
 
 import (
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/url"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,6 +51,27 @@
 	Log   *zerolog.Logger
 }
 
+// Check returns an error that names every setting that is missing or malformed.
+func (s *Settings) Check() error {
+	var faults []error
+	if s.Name == "" {
+		faults = append(faults, errors.New("name: a value is required"))
+	}
+	addresses := map[string]string{"callerAddress": s.CallerAddress, "peerAddress": s.PeerAddress}
+	for i, seed := range s.Seeds {
+		addresses[fmt.Sprintf("seeds[%d]", i)] = seed
+	}
+	for _, field := range slices.Sorted(maps.Keys(addresses)) {
+		if _, port, err := net.SplitHostPort(addresses[field]); err != nil || port == "" {
+			faults = append(faults, fmt.Errorf("%s: want host:port, found %q", field, addresses[field]))
+		}
+	}
+	if u, err := url.Parse(s.Platform); err != nil || s.Platform != "" && (u.Scheme == "" || u.Host == "") {
+		faults = append(faults, fmt.Errorf("platform: want a URL such as http://10.0.0.1:7000, found %q", s.Platform))
+	}
+	return errors.Join(faults...)
+}
+
 func (s *Settings) setDefaults() {
 	if s.Window <= 0 {
 		s.Window = DefaultWindow
--- a/internal/proof/members_test.go
+++ b/internal/proof/members_test.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"testing"
 
+	"teaselpin.example/teaselpin/internal/edge/tpplatform"
 	"teaselpin.example/teaselpin/internal/proof/tphistory"
 	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
@@ -40,6 +41,27 @@
 	}
 }
 
+// Guards against a platform's list that is the only way to a node, that drops
+// a live one which it lacks, or whose leaving mark is lost.
+func TestMembersThroughList(t *testing.T) {
+	f := tpprocess.StartFleet(t, tpprocess.FleetSettings{Engines: 1})
+	first := f.StartNode(t, "node-0")
+	listed := []tpplatform.VM{
+		{Name: "node-0", Address: first.Addresses[1]},
+		{Name: "engine-0", Address: f.Engines[0].Addresses[0], Target: true},
+	}
+	put(t, f, "/vms", listed)
+	nodes := []*tpprocess.Process{first, f.StartNode(t, "node-1"), f.StartNode(t, "node-2")}
+	eventuallyMembers(t, nodes, "node-0", "node-1", "node-2")
+	put(t, f, "/vms", []tpplatform.VM{{Name: "node-2", Address: nodes[2].Addresses[1], Leaving: true}})
+	for _, n := range nodes {
+		tpprocess.Eventually(t, n.Name+" sees node-2 leaving and node-0 live", func() bool {
+			members := membersOf(t, n)
+			return members["node-2"].Leaving && members["node-0"].Name != "" && !members["node-0"].Leaving
+		})
+	}
+}
+
 // Guards against a dead or frozen process that stays a member, a woken one
 // that does not return, a restarted one that passes for the dead one, and a
 // planned stop that peers learn of only from silence.
--- a/internal/proof/rollout_test.go
+++ b/internal/proof/rollout_test.go
@@ -101,11 +101,17 @@
 // setFaults puts the stand-in platform's faults in place.
 func setFaults(t *testing.T, f *tpprocess.Fleet, faults tpplatformfake.Faults) {
 	t.Helper()
-	body, err := json.Marshal(faults)
+	put(t, f, "/faults", faults)
+}
+
+// put sends a value to the stand-in platform.
+func put(t *testing.T, f *tpprocess.Fleet, path string, v any) {
+	t.Helper()
+	body, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+f.Platform.Addresses[0]+"/faults", bytes.NewReader(body))
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.Platform.Addresses[0]+path, bytes.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/tpconfig/load.go
+++ b/pkg/tpconfig/load.go
@@ -21,6 +21,18 @@
 	return File{Name: path, Data: data}, nil
 }
 
+// Decode fills the struct that v points to, by its yaml tags. The error is of
+// type Faults and holds every fault of the file.
+func Decode(f File, v any) error {
+	root, faults := read(f)
+	d := newDecoder()
+	d.decode("", root, reflect.ValueOf(v).Elem())
+	if faults = append(faults, d.faults...); len(faults) > 0 {
+		return faults.sorted(f.Name)
+	}
+	return nil
+}
+
 // Load merges the overlays into the base, in order, and checks the result. The
 // error is of type Faults and holds every fault of every file.
 func Load(base File, overlays ...File) (tpmessage.Config, error) {
