--- a/internal/proof/tpprocess/faults.go
+++ b/internal/proof/tpprocess/faults.go
@@ -10,11 +10,17 @@
 // SetFaults replaces the faults on command of a stand-in.
 func (p *Process) SetFaults(t testing.TB, faults any) {
 	t.Helper()
-	data, err := json.Marshal(faults)
+	p.Put(t, "/faults", faults)
+}
+
+// Put sends a value as JSON to a path of a stand-in.
+func (p *Process) Put(t testing.TB, path string, v any) {
+	t.Helper()
+	data, err := json.Marshal(v)
 	if err != nil {
 		t.Fatal(err)
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+p.Addresses[0]+"/faults", bytes.NewReader(data))
+	req, err := http.NewRequest(http.MethodPut, "http://"+p.Addresses[0]+path, bytes.NewReader(data))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -24,6 +30,6 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("faults of %s: got %s", p.Name, resp.Status)
+		t.Fatalf("PUT %s to %s: got %s", path, p.Name, resp.Status)
 	}
 }
