--- a/internal/model/tpmodel/bench_test.go
+++ b/internal/model/tpmodel/bench_test.go
@@ -71,6 +71,7 @@
 			}
 			b.Run(name+"clairvoyant", func(b *testing.B) { measureRoles(b, bound, bound) })
 			b.Run(name+"skiRental10", func(b *testing.B) { measureRoles(b, tpmodel.RunRoles(cfg, ski(10)), bound) })
+			b.Run(name+"skiRental20", func(b *testing.B) { measureRoles(b, tpmodel.RunRoles(cfg, ski(20)), bound) })
 			b.Run(name+"skiRental40", func(b *testing.B) { measureRoles(b, tpmodel.RunRoles(cfg, ski(40)), bound) })
 			b.Run(name+"follow", func(b *testing.B) { measureRoles(b, tpmodel.RunRoles(cfg, tprole.Follow{}), bound) })
 			b.Run(name+"static", func(b *testing.B) { measureRoles(b, tpmodel.RunRoles(cfg, tprole.Static{}), bound) })
--- a/internal/order/stage1/tprole/policies.go
+++ b/internal/order/stage1/tprole/policies.go
@@ -19,7 +19,9 @@
 // reaches the cost of the change (Karlin et al., 1988), so that it loses at
 // most twice what a clairvoyant policy loses in one shift. A split whose
 // advantage comes and goes has its loss counted down again, but not below
-// zero, so a demand that flaps faster than the cost causes no change.
+// zero, so a demand that flaps faster than the cost causes no change. A demand
+// that flaps just slower would make each change too late to be of use, so the
+// cost rises while changes reverse each other.
 type SkiRental struct {
 	// Weight is the cost of one role change in prefilled pieces of lost work,
 	// beyond the capacity that is lost while the engine changes.
@@ -30,8 +32,9 @@
 	// service: drain, change and return.
 	ChangeTime time.Duration
 
-	last   time.Time
-	losses []float64 // by number of prefill engines, in pieces
+	last    time.Time
+	losses  []float64 // by number of prefill engines, in pieces
+	damping damping
 }
 
 // Want implements Policy.
@@ -47,6 +50,7 @@
 	want := p.worthwhile(o.Split)
 	if want != o.Split.Prefill {
 		p.rebase(want)
+		p.damping.changed(o.At, want > o.Split.Prefill)
 	}
 	return want
 }
@@ -84,6 +88,6 @@
 
 // cost returns the cost of a number of changes in pieces.
 func (p *SkiRental) cost(changes int) float64 {
-	each := p.Weight + p.ChangeTime.Seconds()*p.EngineRate
+	each := (p.Weight + p.ChangeTime.Seconds()*p.EngineRate) * p.damping.factor()
 	return each * float64(max(changes, -changes))
 }
