--- a/internal/request/stage2/tpadmission/admission.go
+++ b/internal/request/stage2/tpadmission/admission.go
@@ -25,6 +25,9 @@
 type Settings struct {
 	// Window is the number of requests that may be in flight.
 	Window int
+	// PerTarget lowers Window to the node's part of so many requests for each
+	// target of the configuration. Zero leaves Window as it is.
+	PerTarget int
 	// MaxQueued is the number of requests that may wait.
 	MaxQueued int
 	// MaxOrganisation is the number of requests of one organisation that may
@@ -110,6 +113,9 @@
 	cfg      Settings
 	queue    Q
 	inFlight int
+	window   int // in force
+	targets  int
+	nodes    int
 	rate     Rate
 	service  [tpmessage.KindCall + 1]serviceTime
 	admitted map[string]admitted // by request identity
@@ -127,7 +133,7 @@
 	if cfg.MaxOrganisation <= 0 {
 		cfg.MaxOrganisation = max(1, cfg.MaxQueued/2)
 	}
-	return &Admission[Q]{cfg: cfg, queue: queue, admitted: make(map[string]admitted)}
+	return &Admission[Q]{cfg: cfg, queue: queue, window: cfg.Window, nodes: 1, admitted: make(map[string]admitted)}
 }
 
 // Step takes one input and appends the decisions that follow to dst.
@@ -139,13 +145,15 @@
 	case InputCompletion:
 		a.complete(now, in.Completion)
 	case InputConfig:
-		a.queue.SetShares(in.Snapshot.Config.Organisations)
+		a.configure(&in.Snapshot.Config)
 	case InputTick:
 		dst = a.expire(now, dst)
 	case InputUsage:
 		a.queue.Charge(now, in.Usage)
 	case InputNodes:
 		a.queue.Retain(in.Nodes)
+		a.nodes = max(1, len(in.Nodes))
+		a.setWindow()
 	}
 	return a.release(now, queued, dst)
 }
@@ -157,6 +165,25 @@
 // organisation.
 func (a *Admission[Q]) Usage(dst []tpmessage.Usage) []tpmessage.Usage { return a.queue.Usage(dst) }
 
+func (a *Admission[Q]) configure(cfg *tpmessage.Config) {
+	a.queue.SetShares(cfg.Organisations)
+	a.targets = 0
+	for _, p := range cfg.Pools {
+		a.targets += len(p.Targets)
+	}
+	a.setWindow()
+}
+
+// setWindow computes the window in force. Requests beyond what the targets run
+// at a time would queue in the targets, where no share holds.
+func (a *Admission[Q]) setWindow() {
+	a.window = a.cfg.Window
+	if a.cfg.PerTarget > 0 && a.targets > 0 {
+		part := (a.cfg.PerTarget*a.targets + a.nodes - 1) / a.nodes
+		a.window = min(a.cfg.Window, part)
+	}
+}
+
 func (a *Admission[Q]) arrive(now time.Time, w tpmessage.Work, dst []Output) []Output {
 	if IsExpired(now, &w) {
 		return append(dst, Output{Work: w, Refusal: notRun("the deadline passed before admission", 0)})
@@ -258,10 +285,10 @@
 }
 
 func (a *Admission[Q]) hasRoom(now time.Time) bool {
-	if a.inFlight < a.cfg.Window-a.cfg.Window/reservedPart {
+	if a.inFlight < a.window-a.window/reservedPart {
 		return true
 	}
-	return a.inFlight < a.cfg.Window && a.queue.Within(now)
+	return a.inFlight < a.window && a.queue.Within(now)
 }
 
 // overload refuses work that the node cannot serve in time.
--- a/internal/request/stage2/tpadmission/admission_test.go
+++ b/internal/request/stage2/tpadmission/admission_test.go
@@ -285,6 +285,50 @@
 	}
 }
 
+// Guards against a window that lets requests queue in the targets, and one
+// that ignores a change of the nodes or the targets.
+func TestWindowOfTargets(t *testing.T) {
+	a := tpadmission.New(tpadmission.Settings{Window: 20, PerTarget: 5}, &tpadmission.FCFS{})
+	pools := func(n int) tpadmission.Input {
+		in := shares()
+		in.Snapshot.Config.Pools = []tpmessage.Pool{{Targets: make([]tpmessage.Target, n)}}
+		return in
+	}
+	nodes := func(n int) tpadmission.Input {
+		return tpadmission.Input{Kind: tpadmission.InputNodes, Nodes: make([]string, n)}
+	}
+	for id := range 30 {
+		a.Step(epoch, arrival(work(id, "a", 1, 0, time.Hour)), nil)
+	}
+	if got := a.InFlight(); got != 20 {
+		t.Fatalf("without targets: got %d in flight, want 20", got)
+	}
+	steps := []struct {
+		in   tpadmission.Input
+		want int
+	}{
+		{pools(3), 15},
+		{nodes(2), 8},
+		{pools(1), 3},
+		{pools(9), 20},
+	}
+	next := 0
+	for i, s := range steps {
+		a.Step(epoch, s.in, nil)
+		for a.InFlight() > s.want {
+			a.Step(epoch, completion(&tpmessage.Request{ID: fmt.Sprint(next)}), nil)
+			next++
+			a.Step(epoch, arrival(work(100+next, "a", 1, 0, time.Hour)), nil)
+			if next > 200 {
+				t.Fatalf("step %d: got %d in flight, want %d", i, a.InFlight(), s.want)
+			}
+		}
+		if got := a.InFlight(); got != s.want {
+			t.Errorf("step %d: got %d in flight, want %d", i, got, s.want)
+		}
+	}
+}
+
 func ExampleFair() {
 	q := tpadmission.NewFair()
 	q.SetShares([]tpmessage.Organisation{{Name: "large", Share: 0.75}, {Name: "small", Share: 0.25}})
