--- a/internal/model/tpmodel/bench_test.go
+++ b/internal/model/tpmodel/bench_test.go
@@ -90,7 +90,7 @@
 
 func fleet(lag time.Duration, rival float64) tpmodel.FleetSettings {
 	cfg := tpmodel.FleetSettings{
-		Engines: 18, Nodes: 7, Window: 60, Lag: lag, Duration: 240 * time.Second, Deadline: 20 * time.Second,
+		Engines: 18, Nodes: 7, Window: 1024, PerTarget: 24, Lag: lag, Duration: 240 * time.Second, Deadline: 20 * time.Second,
 		PromptTokens: 2048, MaxTokens: 256, Seed: 1,
 	}
 	for i := range 10 {
@@ -110,13 +110,15 @@
 // the rival stays at 0.6 of its share, as the others do.
 func BenchmarkFleet(b *testing.B) {
 	for _, lag := range lags {
-		for _, scenario := range []string{"calm", "rival", "rivalWideWindow", "lost", "drained"} {
+		for _, scenario := range []string{"calm", "rival", "rivalPerTarget64", "rivalWideWindow", "lost", "drained"} {
 			cfg := fleet(lag, 10)
 			switch scenario {
 			case "calm":
 				cfg = fleet(lag, 0.6)
+			case "rivalPerTarget64":
+				cfg.PerTarget = 64
 			case "rivalWideWindow":
-				cfg.Window = 1024
+				cfg.PerTarget = 0
 			case "lost", "drained":
 				cfg = fleet(lag, 0.6)
 				for i := range 4 {
--- a/internal/model/tpmodel/fleet.go
+++ b/internal/model/tpmodel/fleet.go
@@ -40,6 +40,7 @@
 	Engines       int
 	Nodes         int
 	Window        int // requests in flight on each node
+	PerTarget     int // requests in flight for each engine; zero for no bound
 	Lag           time.Duration
 	Duration      time.Duration
 	Deadline      time.Duration
@@ -120,15 +121,24 @@
 	for i := range f.cfg.Nodes {
 		seed := f.cfg.Seed + uint64(i)
 		n := node[Q, P]{
-			admission: tpadmission.New(tpadmission.Settings{Window: f.cfg.Window}, queue()),
+			admission: tpadmission.New(tpadmission.Settings{Window: f.cfg.Window, PerTarget: f.cfg.PerTarget}, queue()),
 			router:    tprouter.New(tprouter.Settings{Seed: seed}, policy(seed)),
 		}
 		n.admission.Step(f.start, tpadmission.Input{Kind: tpadmission.InputConfig, Snapshot: snapshot}, nil)
+		n.admission.Step(f.start, tpadmission.Input{Kind: tpadmission.InputNodes, Nodes: f.nodeNames()}, nil)
 		n.router.Step(f.start, tprouter.Input{Kind: tprouter.InputConfig, Snapshot: snapshot})
 		f.nodes = append(f.nodes, n)
 	}
 }
 
+func (f *fleet[Q, P]) nodeNames() []string {
+	names := make([]string, f.cfg.Nodes)
+	for i := range names {
+		names[i] = fmt.Sprint("node-", i)
+	}
+	return names
+}
+
 // gap returns the time to the next arrival of a Poisson process.
 func (f *fleet[Q, P]) gap(rate float64) time.Duration {
 	if rate <= 0 {
@@ -280,11 +290,12 @@
 
 // exchange gives each node the usage of all others.
 func (f *fleet[Q, P]) exchange(now time.Time) {
+	names := f.nodeNames()
 	usage := make([][]tpmessage.Usage, len(f.nodes))
 	for i := range f.nodes {
 		usage[i] = f.nodes[i].admission.Usage(nil)
 		for k := range usage[i] {
-			usage[i][k].Node = fmt.Sprint("node-", i)
+			usage[i][k].Node = names[i]
 		}
 	}
 	for i := range f.nodes {
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -23,10 +23,6 @@
 	routePolicy    = *tprouter.TwoChoices
 )
 
-// defaultPerTarget is the number of requests in flight for each target, the
-// batch of the stand-in engine.
-const defaultPerTarget = 64
-
 // requestPipeline holds the rings and decisions of the request pipeline:
 //
 //	submit -> admission ring -> admission -> routing ring -> router -> sending ring -> sender
@@ -55,7 +51,7 @@
 		admissionIn: tpring.New[tpadmission.Input](tpring.Settings{Capacity: DefaultArrivals + reserve}),
 		routerIn:    tpring.New[tprouter.Input](tpring.Settings{Capacity: DefaultReports + reserve}),
 		sendIn:      tpring.New[tpmessage.Assignment](tpring.Settings{Capacity: window}),
-		admission:   tpadmission.New(tpadmission.Settings{Window: window, PerTarget: defaultPerTarget}, tpadmission.NewFair()),
+		admission:   tpadmission.New(tpadmission.Settings{Window: window, PerTarget: n.cfg.PerTarget}, tpadmission.NewFair()),
 		router:      n.newRouter(),
 	}
 	n.request = p
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -10,8 +10,12 @@
 
 // Defaults of a node.
 const (
-	DefaultWindow     = 1024
-	DefaultArrivals   = 1024
+	DefaultWindow   = 1024
+	DefaultArrivals = 1024
+	// DefaultPerTarget is the number of streams to which an engine gives a
+	// token in 39 ms when it generates 600 tokens a second. More streams make
+	// all of them slower; see docs/notes/load-policy.md.
+	DefaultPerTarget  = 24
 	DefaultReports    = 4096
 	DefaultTick       = 100 * time.Millisecond
 	DefaultStopGrace  = 2 * time.Second
@@ -33,6 +37,9 @@
 	Seeds []string `yaml:"seeds"`
 	// Window is the number of requests in flight on this node.
 	Window int `yaml:"window"`
+	// PerTarget is the number of requests in flight for each target of the
+	// fleet, of which the node takes its part.
+	PerTarget int `yaml:"perTarget"`
 	// StopGrace is the time from the announcement of a planned stop to the
 	// refusal of new requests, in which the balancer stops sending.
 	StopGrace time.Duration `yaml:"stopGrace"`
@@ -49,6 +56,9 @@
 	if s.Window <= 0 {
 		s.Window = DefaultWindow
 	}
+	if s.PerTarget <= 0 {
+		s.PerTarget = DefaultPerTarget
+	}
 	if s.StopGrace <= 0 {
 		s.StopGrace = DefaultStopGrace
 	}
