--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -51,7 +51,7 @@
 		admissionIn: tpring.New[tpadmission.Input](tpring.Settings{Capacity: DefaultArrivals + reserve}),
 		routerIn:    tpring.New[tprouter.Input](tpring.Settings{Capacity: DefaultReports + reserve}),
 		sendIn:      tpring.New[tpmessage.Assignment](tpring.Settings{Capacity: window}),
-		admission:   tpadmission.New(tpadmission.Settings{Window: window}, tpadmission.NewFair()),
+		admission:   tpadmission.New(tpadmission.Settings{Window: window, PerTarget: n.cfg.PerTarget}, tpadmission.NewFair()),
 		router:      n.newRouter(),
 	}
 	n.request = p
