Add the authority over engines: leases, order log, dispatch and wiring

A node holds the lease of a pool by conditional update, records each order before it sends it, and settles it by reading the engine. Engines that ignore the fencing number get the body only after 100 Continue and a second look at the lease. The stand-in engine takes orders and keeps its own history.

--- a/internal/command/tpcommand/standin.go
+++ b/internal/command/tpcommand/standin.go
@@ -11,6 +11,7 @@
 	"teaselpin.example/teaselpin/internal/standin/tpenginefake"
 	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
 	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
 // Standin runs the program teaselpin-standin and returns its exit status.
@@ -46,6 +47,13 @@
 	Model string        `long:"model" description:"model that is loaded"`
 	Step  time.Duration `long:"step" description:"time of one batch step" default:"5ms"`
 
+	Version          string        `long:"model-version" description:"version of the model that is loaded"`
+	ChecksFencing    bool          `long:"checks-fencing" description:"refuse orders with an older fencing number"`
+	OrderReadTimeout time.Duration `long:"order-read-timeout" description:"time from 100 Continue to the end of an order's body"`
+	ChangeTime       time.Duration `long:"change-time" description:"time for which a change takes the engine away" default:"100ms"`
+	ContinueDelay    time.Duration `long:"continue-delay" description:"time from an order's head to 100 Continue"`
+	CrashChanges     int           `long:"crash-changes" description:"number of next changes in which the engine crashes"`
+
 	env Env
 }
 
@@ -58,7 +66,18 @@
 		return err
 	}
 	defer cleanup()
-	return serveStandin(c.env, c.Listen.Listen, e.Handler())
+	return serveStandin(c.env, c.Listen.Listen, tpenginefake.NewOrders(c.orders(), e))
+}
+
+// orders returns how the engine takes orders.
+func (c *Engine) orders() tpenginefake.OrderSettings {
+	return tpenginefake.OrderSettings{
+		State:         tpmessage.EngineState{Model: c.Model, Version: c.Version},
+		ChecksFencing: c.ChecksFencing,
+		ReadTimeout:   c.OrderReadTimeout,
+		ChangeTime:    c.ChangeTime,
+		Faults:        tpenginefake.OrderFaults{ContinueDelay: c.ContinueDelay, CrashChanges: c.CrashChanges},
+	}
 }
 
 // Service runs a stand-in service.
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -31,8 +31,12 @@
 	rings   tpring.Group
 	events  *tpevent.Recorder
 	request *requestPipeline
+	orders  *orderPipeline
 	inForce atomic.Pointer[tpmessage.Snapshot]
 	leaving atomic.Bool
+	// naiveLease is Deps.NaiveLease.
+	naiveLease bool
+
 	callers *server
 	peers   *server
 	cleanup []func()
@@ -42,7 +46,7 @@
 // request finish before it returns.
 func New(cfg Settings, deps Deps) (*Node, func(), error) {
 	cfg.setDefaults()
-	n := &Node{cfg: cfg, clock: deps.Clock, log: zerolog.Nop()}
+	n := &Node{cfg: cfg, clock: deps.Clock, log: zerolog.Nop(), naiveLease: deps.NaiveLease}
 	if n.clock == nil {
 		n.clock = tpclock.System{}
 	}
@@ -74,6 +78,9 @@
 	if err := n.startRequestPipeline(); err != nil {
 		return err
 	}
+	if err := n.startOrders(); err != nil {
+		return err
+	}
 	if err := n.startServers(); err != nil {
 		return err
 	}
@@ -98,6 +105,7 @@
 	}
 	n.inForce.Store(s)
 	n.request.apply(s)
+	n.orders.apply(s)
 	n.events.Record(tpmessage.Event{Kind: "configurationInForce", Generation: s.Generation})
 	n.log.Info().Uint64("generation", s.Generation).Msg("configuration in force")
 }
@@ -179,6 +187,7 @@
 		vars.Set("rings", n.rings.Var())
 		vars.Set("duties", n.duties.Var())
 		vars.Set("request", n.request.vars())
+		vars.Set("orders", n.orders.vars())
 		_, _ = w.Write([]byte(vars.String()))
 	})
 	return mux
--- /dev/null
+++ b/internal/node/tpnode/order.go
@@ -0,0 +1,392 @@
+package tpnode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"sort"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+
+	"teaselpin.example/teaselpin/internal/edge/tpplatform"
+	"teaselpin.example/teaselpin/internal/membership/tpmember"
+	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
+	"teaselpin.example/teaselpin/internal/order/stage3/tporder"
+	"teaselpin.example/teaselpin/internal/order/stage4/tpdispatch"
+	"teaselpin.example/teaselpin/internal/request/stage3/tprouter"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// Capacities of the rings of the order pipeline.
+const (
+	desiredCapacity = 16
+	leavingCapacity = 64
+	// logCapacity leaves room for the results of all actions in progress.
+	logCapacity = 4 * tporder.DefaultMaxActions
+	// logTicks is the depth of the log's ring above which ticks are left out.
+	logTicks = 16
+)
+
+// desiredInput is a configuration in force, or the choice of a role policy.
+type desiredInput struct {
+	snapshot *tpmessage.Snapshot
+	roles    map[string]tpmessage.Role // by engine
+}
+
+// leavingInput is what one source knows of leaving targets.
+type leavingInput struct {
+	source string
+	names  []string
+}
+
+// orderPipeline holds the rings and decisions of the order pipeline:
+//
+//	configuration, roles -> desired -> leases
+//	                               \-> order log <-> dispatch -> engines
+//
+// Each lease has a duty of its own, whose authority goes to the order log.
+// Actions and results are bounded by the log's MaxActions, for which both
+// rings have room.
+type orderPipeline struct {
+	desiredIn *tpring.Ring[desiredInput]
+	leavingIn *tpring.Ring[leavingInput]
+	logIn     *tpring.Ring[tporder.Input]
+	actions   *tpring.Ring[tporder.Action]
+	store     tpobject.Store
+	log       *tporder.Log
+	outputs   []tporder.Output // scratch of the log's duty
+	counters  *tplease.Counters
+	sent      atomic.Uint64
+	postponed atomic.Uint64
+
+	// State of the desired filter.
+	snapshot *tpmessage.Snapshot
+	roles    map[string]tpmessage.Role
+	leases   map[string]func() // name to release
+	// State of the leaving filter.
+	bySource map[string][]string
+}
+
+// startOrders starts the order pipeline. A node without a platform gives no
+// orders.
+func (n *Node) startOrders() error {
+	n.orders = &orderPipeline{
+		desiredIn: tpring.New[desiredInput](tpring.Settings{Capacity: desiredCapacity}),
+		leavingIn: tpring.New[leavingInput](tpring.Settings{Capacity: leavingCapacity}),
+		logIn:     tpring.New[tporder.Input](tpring.Settings{Capacity: logCapacity}),
+		actions:   tpring.New[tporder.Action](tpring.Settings{Capacity: tporder.DefaultMaxActions}),
+		log:       tporder.New(n.cfg.orderSettings()),
+		counters:  &tplease.Counters{},
+		leases:    make(map[string]func()),
+		bySource:  make(map[string][]string),
+	}
+	n.rings.Add("desired", n.orders.desiredIn)
+	n.rings.Add("leaving", n.orders.leavingIn)
+	n.rings.Add("orders", n.orders.logIn)
+	n.rings.Add("dispatch", n.orders.actions)
+	if err := startFilter(n, "leaving", n.orders.leavingIn, n.handleLeaving); err != nil {
+		return err
+	}
+	if n.cfg.Platform == "" {
+		return nil
+	}
+	client, closeClient := tpplatform.NewClient(n.cfg.Platform)
+	n.onStop(closeClient)
+	n.orders.store = client
+	if n.naiveLease {
+		return startAuthority(n, tplease.Naive{})
+	}
+	return startAuthority(n, tplease.Strict{})
+}
+
+// startAuthority starts the duties that act for the leases. Their clean-up
+// first ends the log, then the actions in progress, then releases the leases.
+func startAuthority[T tplease.Trust](n *Node, trust T) error {
+	p := n.orders
+	base := tplease.Settings{
+		Holder: n.cfg.Name, Incarnation: uuid.NewString(),
+		Term: n.cfg.LeaseTerm, Renew: n.cfg.LeaseRenew, Margin: n.cfg.LeaseMargin,
+	}
+	desired := func(in desiredInput) { handleDesired(n, trust, base, in) }
+	n.onStop(n.releaseLeases)
+	if err := startFilter(n, "desired", p.desiredIn, desired); err != nil {
+		return err
+	}
+	engines, closeEngines := tpdispatch.NewEngines()
+	n.onStop(closeEngines)
+	dispatch := &tpdispatch.Duty{
+		Store:   p.store,
+		Engines: engines,
+		Confirm: func(ctx context.Context, lease string, fencing uint64) error {
+			cfg := base
+			cfg.Name = lease
+			return tplease.Confirm(ctx, p.store, cfg, trust, fencing)
+		},
+		Sink: func(r tporder.Result) {
+			if r.Err != nil {
+				n.log.Debug().Err(r.Err).Str("target", r.Action.Target.Name).Msg("order action failed")
+			}
+			_ = p.logIn.Put(tporder.Input{Kind: tporder.InputResult, Result: r})
+		},
+	}
+	n.onStop(dispatch.Start(tporder.DefaultMaxActions))
+	if err := startFilter(n, "dispatch", p.actions, dispatch.Handle); err != nil {
+		return err
+	}
+	if err := startFilter(n, "orders", p.logIn, n.handleOrders); err != nil {
+		return err
+	}
+	if err := n.startOrderTicks(); err != nil {
+		return err
+	}
+	return n.startDrainWatch()
+}
+
+// handleDesired turns the configuration and the roles into plans, and starts
+// and releases leases accordingly.
+func handleDesired[T tplease.Trust](n *Node, trust T, base tplease.Settings, in desiredInput) {
+	p := n.orders
+	if in.snapshot != nil {
+		p.snapshot = in.snapshot
+	}
+	if in.roles != nil {
+		p.roles = in.roles
+	}
+	if p.snapshot == nil {
+		return
+	}
+	lease := func(pool string) string { return tplease.ObjectName(n.cfg.Region, pool) }
+	plans := tporder.Desired(&p.snapshot.Config, p.roles, lease)
+	_ = p.logIn.Put(tporder.Input{Kind: tporder.InputPlans, Plans: plans, Policy: p.snapshot.Config.Policy})
+	wanted := make(map[string]bool, len(plans))
+	for _, plan := range plans {
+		if !tporder.Safe(plan.Type) {
+			continue
+		}
+		wanted[plan.Lease] = true
+		if p.leases[plan.Lease] != nil {
+			continue
+		}
+		cfg := base
+		cfg.Name = plan.Lease
+		if err := startLease(n, trust, cfg); err != nil {
+			n.log.Error().Err(err).Str("lease", plan.Lease).Msg("lease duty did not start")
+		}
+	}
+	for name, release := range p.leases {
+		if !wanted[name] {
+			release()
+			delete(p.leases, name)
+		}
+	}
+}
+
+// startLease starts the duty of one lease.
+func startLease[T tplease.Trust](n *Node, trust T, cfg tplease.Settings) error {
+	p := n.orders
+	duty := tplease.NewDuty(cfg, trust)
+	duty.Store, duty.Clock, duty.Rank, duty.Counters = p.store, n.clock, n.leaseRank, p.counters
+	duty.Sink = func(a tpmessage.Authority) {
+		_ = p.logIn.Put(tporder.Input{Kind: tporder.InputAuthority, Authority: a})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	wait, err := n.duties.Go(cfg.Name, func() { duty.Run(ctx) })
+	if err != nil {
+		cancel()
+		return err
+	}
+	p.leases[cfg.Name] = func() {
+		cancel()
+		wait()
+	}
+	return nil
+}
+
+// leaseRank returns the number of live members, other than the holder, that
+// should try to take a lease before this node.
+func (n *Node) leaseRank(name, holder string) int {
+	rank := 0
+	for _, m := range tpmember.Rank(name, n.Members()) {
+		if m.Name == n.cfg.Name {
+			break
+		}
+		if m.Name != holder {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (n *Node) releaseLeases() {
+	for _, release := range n.orders.leases {
+		release()
+	}
+	n.orders.leases = nil
+}
+
+// handleOrders runs the order log.
+func (n *Node) handleOrders(in tporder.Input) {
+	p := n.orders
+	p.outputs = p.log.Step(n.clock.Now(), in, p.outputs[:0])
+	for _, out := range p.outputs {
+		if out.Action != nil {
+			_ = p.actions.Put(*out.Action)
+			continue
+		}
+		n.reportOrder(out.Event)
+	}
+}
+
+func (n *Node) reportOrder(e *tpmessage.Event) {
+	n.events.Record(*e)
+	switch e.Kind {
+	case tporder.EventSent:
+		n.orders.sent.Add(1)
+	case tporder.EventPostponed:
+		n.orders.postponed.Add(1)
+	}
+	n.log.Info().Str("lease", e.Lease).Str("target", e.Target).Uint64("order", e.Order).
+		Str("detail", e.Detail).Msg(e.Kind)
+}
+
+// startOrderTicks starts the duty that lets the log look at its engines.
+func (n *Node) startOrderTicks() error {
+	stop := make(chan struct{})
+	wait, err := n.duties.Go("order ticks", func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-n.clock.After(DefaultTick):
+				_ = n.orders.logIn.TryPutBelow(tporder.Input{Kind: tporder.InputTick}, logTicks)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	n.onStop(func() {
+		close(stop)
+		wait()
+	})
+	return nil
+}
+
+// startDrainWatch starts the duty that follows the order objects, so that
+// this node routes nothing to an engine that drains.
+func (n *Node) startDrainWatch() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	wait, err := n.duties.Go("drain watch", func() { n.watchDrains(ctx) })
+	if err != nil {
+		cancel()
+		return err
+	}
+	n.onStop(func() {
+		cancel()
+		wait()
+	})
+	return nil
+}
+
+func (n *Node) watchDrains(ctx context.Context) {
+	drains := make(map[string]bool)
+	version := uint64(0)
+	for ctx.Err() == nil {
+		changes, err := n.orders.store.Watch(ctx, tporder.Prefix, version)
+		if err != nil {
+			select {
+			case <-n.clock.After(tprollout.RetryDelay):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		changed := false
+		for _, c := range changes {
+			version = max(version, c.Object.Version)
+			changed = followDrain(drains, c) || changed
+		}
+		if changed {
+			n.SetLeaving("orders", sortedKeys(drains))
+		}
+	}
+}
+
+// followDrain takes one change of an order object and reports whether a drain
+// began or ended.
+func followDrain(drains map[string]bool, c tpobject.Change) bool {
+	engine := c.Object.Name[len(tporder.Prefix):]
+	var r tporder.Record
+	if !c.Deleted && json.Unmarshal(c.Object.Value, &r) != nil {
+		return false
+	}
+	was := drains[engine]
+	if !c.Deleted && r.Drains() {
+		drains[engine] = true
+	} else {
+		delete(drains, engine)
+	}
+	return was != drains[engine]
+}
+
+func sortedKeys(set map[string]bool) []string {
+	keys := make([]string, 0, len(set))
+	for k := range set {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// SetLeaving replaces what one source knows of leaving targets. The router
+// gets the union of all sources.
+func (n *Node) SetLeaving(source string, names []string) {
+	_ = n.orders.leavingIn.Put(leavingInput{source: source, names: names})
+}
+
+// SetRoles replaces the roles that a role policy wants, by name of the engine.
+// An engine without a role keeps the one that the configuration gives it.
+func (n *Node) SetRoles(roles map[string]tpmessage.Role) {
+	_ = n.orders.desiredIn.PutDropOldest(desiredInput{roles: roles})
+}
+
+func (n *Node) handleLeaving(in leavingInput) {
+	p := n.orders
+	p.bySource[in.source] = in.names
+	all := make(map[string]bool)
+	for _, names := range p.bySource {
+		for _, name := range names {
+			all[name] = true
+		}
+	}
+	update := tprouter.Input{Kind: tprouter.InputLeaving, Leaving: sortedKeys(all)}
+	// The rest of the ring is kept for work and completions.
+	for errors.Is(n.request.routerIn.TryPutBelow(update, DefaultReports), tpring.ErrFull) {
+		<-n.clock.After(DefaultTick)
+	}
+}
+
+// apply passes a configuration to the filters.
+func (p *orderPipeline) apply(s *tpmessage.Snapshot) {
+	_ = p.leavingIn.Put(leavingInput{source: "configuration", names: s.Config.Drains})
+	if p.store != nil {
+		_ = p.desiredIn.Put(desiredInput{snapshot: s})
+	}
+}
+
+// vars returns the counters of the pipeline.
+func (p *orderPipeline) vars() expvar.Var {
+	return expvar.Func(func() any {
+		return map[string]uint64{
+			"leaseReads":      p.counters.Reads.Load(),
+			"leaseWrites":     p.counters.Writes.Load(),
+			"leaseGrants":     p.counters.Grants.Load(),
+			"ordersSent":      p.sent.Load(),
+			"ordersPostponed": p.postponed.Load(),
+		}
+	})
+}
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"teaselpin.example/teaselpin/internal/order/stage3/tporder"
 	"teaselpin.example/teaselpin/pkg/tpclock"
 )
 
@@ -33,6 +34,23 @@
 	// StopGrace is the time from the announcement of a planned stop to the
 	// refusal of new requests, in which the balancer stops sending.
 	StopGrace time.Duration `yaml:"stopGrace"`
+	// LeaseTerm, LeaseRenew and LeaseMargin are the times of the leases over
+	// engines. All nodes of a region have the same.
+	LeaseTerm   time.Duration `yaml:"leaseTerm"`
+	LeaseRenew  time.Duration `yaml:"leaseRenew"`
+	LeaseMargin time.Duration `yaml:"leaseMargin"`
+	// DrainGrace is the least time from the record of a drain to the order.
+	DrainGrace time.Duration `yaml:"drainGrace"`
+	// ModelLoadInterval is the time in which the weight store's limit allows
+	// this node one more model load.
+	ModelLoadInterval time.Duration `yaml:"modelLoadInterval"`
+}
+
+// orderSettings returns the settings of the order log.
+func (s *Settings) orderSettings() tporder.Settings {
+	return tporder.Settings{
+		Margin: s.LeaseMargin, DrainGrace: s.DrainGrace, LoadInterval: s.ModelLoadInterval,
+	}
 }
 
 // Deps are the parts that tests and the embedded run replace. The zero value
@@ -40,6 +58,9 @@
 type Deps struct {
 	Clock tpclock.Clock
 	Log   *zerolog.Logger
+	// NaiveLease runs the naive instance of the lease, for the proof that
+	// the check of the orders catches it.
+	NaiveLease bool
 }
 
 func (s *Settings) setDefaults() {
--- /dev/null
+++ b/internal/proof/orders_test.go
@@ -0,0 +1,231 @@
+package proof_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/edge/tptarget"
+	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
+	"teaselpin.example/teaselpin/internal/standin/tpenginefake"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// orderTimes shortens the leases, so that a takeover takes about a second.
+const orderTimes = `leaseTerm: 900ms
+leaseRenew: 300ms
+leaseMargin: 300ms
+drainGrace: 200ms
+modelLoadInterval: 10ms
+`
+
+// orderReadTimeout is the engines' read timeout. It exceeds the time of a
+// takeover, so that only the new holder's wait keeps a late body away.
+const orderReadTimeout = 3 * time.Second
+
+// engineKind is one of the two kinds of engines that orders may go to.
+type engineKind struct {
+	name string
+	args []string
+	typ  tpmessage.EngineType
+}
+
+var engineKinds = []engineKind{
+	{"checksFencing", []string{"--checks-fencing"}, tpmessage.EngineType{Name: "kind", ChecksFencing: true}},
+	{
+		"ignoresFencing",
+		[]string{"--order-read-timeout", orderReadTimeout.String()},
+		tpmessage.EngineType{Name: "kind", OrderReadTimeout: orderReadTimeout},
+	},
+}
+
+// startOrderFleet starts a fleet whose engines take orders of one kind.
+func startOrderFleet(t *testing.T, kind engineKind, engines, nodes int) *tpprocess.Fleet {
+	t.Helper()
+	args := []string{"--model", "counsel", "--model-version", "1", "--change-time", "200ms"}
+	return tpprocess.StartFleet(t, tpprocess.FleetSettings{
+		Engines: engines, Nodes: nodes,
+		EngineArgs:   append(args, kind.args...),
+		NodeSettings: orderTimes,
+		Configure: func(cfg *tpmessage.Config) {
+			cfg.EngineTypes = []tpmessage.EngineType{kind.typ}
+			cfg.Pools[0].EngineType = kind.typ.Name
+		},
+	})
+}
+
+// wantRole publishes a configuration in which every engine has one role.
+func wantRole(t *testing.T, f *tpprocess.Fleet, role tpmessage.Role) {
+	t.Helper()
+	f.Config.Pools[0].Roles = map[tpmessage.Role]int{role: len(f.Engines)}
+	for {
+		head, _, err := tprollout.ReadHead(t.Context(), f.Client)
+		if err == nil {
+			_, err = tprollout.Publish(t.Context(), f.Client, &f.Config, head.Generation, "test")
+		}
+		if err == nil {
+			return
+		}
+		t.Logf("publish: %v", err)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func getJSON(url string, into any) error {
+	resp, err := http.Get("http://" + url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", url, resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+func putJSON(t *testing.T, url string, v any) {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+url, strings.NewReader(string(data)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("PUT %s: %s", url, resp.Status)
+	}
+}
+
+func engineLog(t *testing.T, engine *tpprocess.Process) []tpenginefake.OrderEvent {
+	t.Helper()
+	var log []tpenginefake.OrderEvent
+	if err := getJSON(engine.Addresses[0]+tpenginefake.PathOrderLog, &log); err != nil {
+		t.Fatal(err)
+	}
+	return log
+}
+
+func waitRole(t *testing.T, engine *tpprocess.Process, role tpmessage.Role) {
+	t.Helper()
+	tpprocess.Eventually(t, engine.Name+" has role "+string(role), func() bool {
+		var s tptarget.EngineStatus
+		return getJSON(engine.Addresses[0]+tptarget.PathState, &s) == nil && s.State.Role == role && !s.Busy
+	})
+}
+
+// waitEvents waits until an engine's log holds n events of a kind.
+func waitEvents(t *testing.T, engine *tpprocess.Process, kind string, n int) {
+	t.Helper()
+	tpprocess.Eventually(t, fmt.Sprintf("%d events %q at %s", n, kind, engine.Name), func() bool {
+		found := 0
+		for _, e := range engineLog(t, engine) {
+			if e.Kind == kind {
+				found++
+			}
+		}
+		return found >= n
+	})
+}
+
+// waitHolder waits until the lease has a holder other than former, and
+// returns its process.
+func waitHolder(t *testing.T, f *tpprocess.Fleet, former *tpprocess.Process) *tpprocess.Process {
+	t.Helper()
+	var holder *tpprocess.Process
+	tpprocess.Eventually(t, "the lease has a holder", func() bool {
+		seen, err := tplease.Read(t.Context(), f.Client, tplease.ObjectName("nord-ovest", "language"))
+		if err != nil {
+			return false
+		}
+		for _, n := range f.Nodes {
+			if n.Name == seen.Lease.Holder && n != former {
+				holder = n
+			}
+		}
+		return holder != nil
+	})
+	return holder
+}
+
+// checkOrders checks one engine's own history. An engine receives conflicting
+// orders if two different orders carry one number, if an order takes effect
+// during another one, or after one that is newer by number or fencing number.
+func checkOrders(log []tpenginefake.OrderEvent) error {
+	wants := make(map[uint64]tpmessage.EngineState)
+	var last tpmessage.Order
+	for i, e := range log {
+		if e.Kind != tpenginefake.OrderApplied && e.Kind != tpenginefake.OrderRepeat {
+			continue
+		}
+		if want, ok := wants[e.Order.Number]; ok && want != e.Order.Want {
+			return fmt.Errorf("event %d: order %d asks for %v and for %v", i, e.Order.Number, want, e.Order.Want)
+		}
+		wants[e.Order.Number] = e.Order.Want
+		if e.Kind == tpenginefake.OrderApplied && e.Busy {
+			return fmt.Errorf("event %d: order %+v came during order %+v", i, e.Order, last)
+		}
+		if e.Order.Number < last.Number || e.Order.Fencing < last.Fencing {
+			return fmt.Errorf("event %d: order %+v took effect after %+v", i, e.Order, last)
+		}
+		last = e.Order
+	}
+	return nil
+}
+
+// verifyOrders fails the test if an engine's history breaks the promise.
+func verifyOrders(t *testing.T, f *tpprocess.Fleet) {
+	t.Helper()
+	for _, engine := range f.Engines {
+		log := engineLog(t, engine)
+		if err := checkOrders(log); err != nil {
+			t.Errorf("%s: %v\n%+v", engine.Name, err, log)
+		}
+	}
+}
+
+// Guards against an order path that works only inside one process: both kinds
+// of engines change to the wanted role, once for each configuration.
+func TestOrdersFlow(t *testing.T) {
+	for _, kind := range engineKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			f := startOrderFleet(t, kind, 2, 1)
+			for _, role := range []tpmessage.Role{tpmessage.RolePrefill, tpmessage.RoleDecode} {
+				wantRole(t, f, role)
+				for _, e := range f.Engines {
+					waitRole(t, e, role)
+				}
+			}
+			verifyOrders(t, f)
+			for _, e := range f.Engines {
+				applied := 0
+				for _, event := range engineLog(t, e) {
+					if event.Kind == tpenginefake.OrderApplied {
+						applied++
+					}
+				}
+				if applied != 2 {
+					t.Errorf("%s: got %d changes, want 2", e.Name, applied)
+				}
+			}
+			if err := f.Nodes[0].Stop(t, tpprocess.StartTimeout); err != nil {
+				t.Errorf("planned stop of the holder: got %v, want status 0", err)
+			}
+			seen, err := tplease.Read(t.Context(), f.Client, tplease.ObjectName("nord-ovest", "language"))
+			if err != nil || seen.Lease.Holder != "" {
+				t.Errorf("lease after a planned stop: got holder %q, %v, want none", seen.Lease.Holder, err)
+			}
+		})
+	}
+}
--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -23,6 +23,8 @@
 	Nodes    []*Process
 	Config   tpmessage.Config
 	Client   *tpplatform.Client
+
+	nodeSettings string
 }
 
 // FleetSettings gives the sizes of a fleet.
@@ -30,13 +32,17 @@
 	Engines, Services, Nodes int
 	// EngineArgs are further arguments of each stand-in engine.
 	EngineArgs []string
+	// Configure changes the configuration before it is published.
+	Configure func(*tpmessage.Config)
+	// NodeSettings are further lines of each node's settings.
+	NodeSettings string
 }
 
 // StartFleet starts the processes, publishes a configuration with the routes
 // /v1/language and /v1/booking, and waits until every node has it in force.
 func StartFleet(t testing.TB, s FleetSettings) *Fleet {
 	t.Helper()
-	f := &Fleet{Platform: Start(t, "platform", Standin, "platform")}
+	f := &Fleet{Platform: Start(t, "platform", Standin, "platform"), nodeSettings: s.NodeSettings}
 	client, cleanup := tpplatform.NewClient("http://" + f.Platform.Addresses[0])
 	t.Cleanup(cleanup)
 	f.Client = client
@@ -67,6 +73,9 @@
 		},
 		Organisations: []tpmessage.Organisation{{Name: "bergamo", Share: 1, TokenHash: tpintake.TokenHash(Token)}},
 	}
+	if s.Configure != nil {
+		s.Configure(&f.Config)
+	}
 	if _, err := tprollout.Publish(t.Context(), client, &f.Config, 0, "test"); err != nil {
 		t.Fatal(err)
 	}
@@ -81,6 +90,12 @@
 
 // StartNode starts one node of the fleet with settings of its own.
 func (f *Fleet) StartNode(t testing.TB, name string) *Process {
+	t.Helper()
+	return Start(t, name, Teaselpin, "serve", "--settings", f.SettingsFile(t, name))
+}
+
+// SettingsFile writes the settings of one node of the fleet.
+func (f *Fleet) SettingsFile(t testing.TB, name string) string {
 	t.Helper()
 	settings := fmt.Sprintf(`name: %s
 region: nord-ovest
@@ -88,10 +103,10 @@
 callerAddress: 127.0.0.1:0
 peerAddress: 127.0.0.1:0
 platform: http://%s
-`, name, f.Platform.Addresses[0])
+%s`, name, f.Platform.Addresses[0], f.nodeSettings)
 	path := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return Start(t, name, Teaselpin, "serve", "--settings", path)
+	return path
 }
--- a/internal/standin/tpenginefake/engine.go
+++ b/internal/standin/tpenginefake/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -54,6 +55,7 @@
 	in      *tpring.Ring[input]
 	waiting []*stream
 	running []*stream
+	role    atomic.Pointer[tpmessage.Role] // set by orders; nil means mixed
 }
 
 // New starts an engine. The clean-up function ends its streams and duties.
@@ -200,6 +202,9 @@
 		Role:    tpmessage.RoleMixed,
 		Model:   e.cfg.Model,
 	}
+	if role := e.role.Load(); role != nil {
+		rep.Role = *role
+	}
 	for _, s := range e.waiting {
 		rep.WaitingPrefill += float64(s.left) / tpmessage.PieceTokens
 		rep.WaitingDecode += float64((s.chunks-s.next)*e.cfg.ChunkTokens) / tpmessage.PieceTokens
--- a/pkg/tpmessage/order.go
+++ b/pkg/tpmessage/order.go
@@ -28,3 +28,13 @@
 	Term    time.Duration `json:"term"`
 	Nonce   string        `json:"nonce"` // identifies the write, to settle lost answers
 }
+
+// Authority is what a lease allows its holder at an instant.
+type Authority struct {
+	Lease   string
+	Held    bool
+	Fencing uint64
+	Until   time.Time // the holder no longer acts from this instant on its own clock
+	// Fenced is false for the naive lease alone: nothing checks the holder.
+	Fenced bool
+}
