Add property tests of leases and orders, and raise the fencing number after a lost send

An order whose outcome is unknown may arrive later at an engine that checks only the fencing number. The holder now grants itself a higher number before it sends the order again.

--- a/internal/node/tpnode/order.go
+++ b/internal/node/tpnode/order.go
@@ -36,6 +36,13 @@
 type desiredInput struct {
 	snapshot *tpmessage.Snapshot
 	roles    map[string]tpmessage.Role // by engine
+	raise    *tporder.Raise
+}
+
+// leaseDuty is a lease's duty that was started.
+type leaseDuty struct {
+	raise   *tpring.Ring[uint64]
+	release func()
 }
 
 // leavingInput is what one source knows of leaving targets.
@@ -67,7 +74,7 @@
 	// State of the desired filter.
 	snapshot *tpmessage.Snapshot
 	roles    map[string]tpmessage.Role
-	leases   map[string]func() // name to release
+	leases   map[string]leaseDuty
 	// State of the leaving filter.
 	bySource map[string][]string
 }
@@ -82,7 +89,7 @@
 		actions:   tpring.New[tporder.Action](tpring.Settings{Capacity: tporder.DefaultMaxActions}),
 		log:       tporder.New(n.cfg.orderSettings()),
 		counters:  &tplease.Counters{},
-		leases:    make(map[string]func()),
+		leases:    make(map[string]leaseDuty),
 		bySource:  make(map[string][]string),
 	}
 	n.rings.Add("desired", n.orders.desiredIn)
@@ -157,6 +164,12 @@
 	if in.roles != nil {
 		p.roles = in.roles
 	}
+	if in.raise != nil {
+		if d, ok := p.leases[in.raise.Lease]; ok {
+			_ = d.raise.PutDropOldest(in.raise.Above)
+		}
+		return
+	}
 	if p.snapshot == nil {
 		return
 	}
@@ -169,7 +182,7 @@
 			continue
 		}
 		wanted[plan.Lease] = true
-		if p.leases[plan.Lease] != nil {
+		if _, ok := p.leases[plan.Lease]; ok {
 			continue
 		}
 		cfg := base
@@ -178,9 +191,9 @@
 			n.log.Error().Err(err).Str("lease", plan.Lease).Msg("lease duty did not start")
 		}
 	}
-	for name, release := range p.leases {
+	for name, d := range p.leases {
 		if !wanted[name] {
-			release()
+			d.release()
 			delete(p.leases, name)
 		}
 	}
@@ -200,10 +213,10 @@
 		cancel()
 		return err
 	}
-	p.leases[cfg.Name] = func() {
+	p.leases[cfg.Name] = leaseDuty{raise: duty.Raise, release: func() {
 		cancel()
 		wait()
-	}
+	}}
 	return nil
 }
 
@@ -223,8 +236,8 @@
 }
 
 func (n *Node) releaseLeases() {
-	for _, release := range n.orders.leases {
-		release()
+	for _, d := range n.orders.leases {
+		d.release()
 	}
 	n.orders.leases = nil
 }
@@ -234,11 +247,15 @@
 	p := n.orders
 	p.outputs = p.log.Step(n.clock.Now(), in, p.outputs[:0])
 	for _, out := range p.outputs {
-		if out.Action != nil {
+		switch {
+		case out.Action != nil:
 			_ = p.actions.Put(*out.Action)
-			continue
+		case out.Raise != nil:
+			// The log asks again if the ring is full.
+			_ = p.desiredIn.TryPut(desiredInput{raise: out.Raise})
+		default:
+			n.reportOrder(out.Event)
 		}
-		n.reportOrder(out.Event)
 	}
 }
 
--- a/internal/order/stage2/tplease/duty.go
+++ b/internal/order/stage2/tplease/duty.go
@@ -12,6 +12,7 @@
 	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpobject"
+	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
 // Prefix is the first part of the names of lease objects.
@@ -43,7 +44,10 @@
 	// should try before this one.
 	Rank func(name, holder string) int
 	// Sink receives the authority after each change.
-	Sink     func(tpmessage.Authority)
+	Sink func(tpmessage.Authority)
+	// Raise receives fencing numbers above which the lease's own is to rise.
+	// It is looked at before each action, so at the latest after Renew.
+	Raise    *tpring.Ring[uint64]
 	Counters *Counters
 
 	cfg   Settings
@@ -52,7 +56,10 @@
 
 // NewDuty returns a duty for one lease. Run is its only goroutine.
 func NewDuty[T Trust](cfg Settings, trust T) *Duty[T] {
-	return &Duty[T]{cfg: cfg, lease: New(cfg, trust), Counters: &Counters{}}
+	return &Duty[T]{
+		cfg: cfg, lease: New(cfg, trust), Counters: &Counters{},
+		Raise: tpring.New[uint64](tpring.Settings{Capacity: 1}),
+	}
 }
 
 // Run keeps or competes for the lease until ctx is done, then releases it.
@@ -70,6 +77,9 @@
 
 // step performs one action. It returns false once the lease has ended.
 func (d *Duty[T]) step(ctx context.Context) bool {
+	if fencing, err := d.Raise.TryTake(); err == nil {
+		d.lease.RaiseAbove(fencing)
+	}
 	d.lease.SetRank(d.Rank(d.cfg.Name, d.lease.Holder()))
 	now := d.Clock.Now()
 	a := d.lease.Next(now)
--- a/internal/order/stage2/tplease/lease.go
+++ b/internal/order/stage2/tplease/lease.go
@@ -97,6 +97,7 @@
 	pending   *attempt
 	attempts  uint64
 	rank      int
+	raise     uint64 // the fencing number is to rise above it
 	releasing bool
 	ended     bool
 }
@@ -110,6 +111,10 @@
 // SetRank sets the number of other candidates that should try first.
 func (l *Lease[T]) SetRank(rank int) { l.rank = rank }
 
+// RaiseAbove asks a holder for a grant to itself with a fencing number above
+// fencing, so that what it sent under that number loses its effect.
+func (l *Lease[T]) RaiseAbove(fencing uint64) { l.raise = max(l.raise, fencing) }
+
 // Release asks for the release of the lease on a planned stop.
 func (l *Lease[T]) Release() { l.releasing = true }
 
@@ -160,10 +165,14 @@
 	if l.releasing {
 		return l.write(now, tpmessage.Lease{Name: l.cfg.Name, Fencing: l.seen.Lease.Fencing, Term: l.cfg.Term})
 	}
+	fencing := l.seen.Lease.Fencing
+	if fencing <= l.raise && l.trust.Fenced() {
+		return l.write(now, l.grant(fencing+1))
+	}
 	if now.Before(l.renewAt) {
 		return Action{Kind: ActionWait, At: l.renewAt}
 	}
-	return l.write(now, l.grant(l.seen.Lease.Fencing))
+	return l.write(now, l.grant(fencing))
 }
 
 func (l *Lease[T]) nextOfCandidate(now time.Time) Action {
--- /dev/null
+++ b/internal/order/stage2/tplease/lease_test.go
@@ -0,0 +1,252 @@
+package tplease_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+)
+
+const leaseName = "lease/nord-ovest/language"
+
+func settings(i int) tplease.Settings {
+	return tplease.Settings{
+		Name: leaseName, Holder: fmt.Sprintf("node-%d", i), Incarnation: fmt.Sprintf("process-%d", i),
+		Term: 3 * time.Second, Renew: time.Second, Margin: time.Second,
+	}
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// A run without a seed of its own is the same each time.
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// candidate is one process of the simulation. A call passes through three
+// instants: it is sent, the platform executes it, and its answer arrives.
+type candidate[T tplease.Trust] struct {
+	lease    *tplease.Lease[T]
+	action   tplease.Action
+	sent     bool
+	executed bool
+	seen     tplease.Seen
+	err      error
+}
+
+// world is a simulation of candidates, a store and a time of its own.
+type world[T tplease.Trust] struct {
+	now   time.Time
+	store tpobject.Memory
+	nodes []*candidate[T]
+	late  []tplease.Action // writes whose answer was lost before they took effect
+}
+
+func (w *world[T]) put(a tplease.Action) (uint64, error) {
+	value, err := json.Marshal(a.Lease)
+	if err != nil {
+		return 0, err
+	}
+	return w.store.Put(context.Background(), a.Lease.Name, value, a.Version)
+}
+
+// execute lets the platform execute the candidate's call.
+func (w *world[T]) execute(c *candidate[T], fault int) {
+	c.executed = true
+	if c.action.Kind == tplease.ActionRead {
+		c.seen, c.err = tplease.Read(context.Background(), &w.store, leaseName)
+		return
+	}
+	switch fault {
+	case 0: // the answer is lost after the write has taken effect
+		_, _ = w.put(c.action)
+		c.err = tpobject.ErrOutcomeUnknown
+	case 1: // the answer is lost, and the write takes effect later
+		w.late = append(w.late, c.action)
+		c.err = tpobject.ErrOutcomeUnknown
+	case 2:
+		c.err = tpobject.ErrUnavailable
+	default:
+		c.seen.Version, c.err = w.put(c.action)
+	}
+}
+
+// step lets one candidate take its next step.
+func (w *world[T]) step(c *candidate[T], fault int) {
+	switch {
+	case !c.sent:
+		c.action = c.lease.Next(w.now)
+		c.sent = c.action.Kind == tplease.ActionRead || c.action.Kind == tplease.ActionWrite
+	case !c.executed:
+		w.execute(c, fault)
+	default:
+		c.sent, c.executed = false, false
+		if c.action.Kind == tplease.ActionRead {
+			c.lease.Read(w.now, c.seen, c.err)
+			return
+		}
+		c.lease.Wrote(w.now, c.seen.Version, c.err)
+	}
+}
+
+// acting returns an error if two candidates act at once, and otherwise the
+// fencing number of the one that acts, or 0.
+func (w *world[T]) acting() (uint64, error) {
+	var fencing uint64
+	holders := 0
+	for _, c := range w.nodes {
+		if c.lease.Acts(w.now) {
+			fencing = c.lease.Authority().Fencing
+			holders++
+		}
+	}
+	if holders > 1 {
+		return 0, fmt.Errorf("%d candidates act at once", holders)
+	}
+	return fencing, nil
+}
+
+// run draws an interleaving and returns the first breach of the rules: two
+// candidates act at once, or a later grant has a lower fencing number. It also
+// returns the number of grants.
+func run[T tplease.Trust](t *rapid.T, trust T) (int, error) {
+	w := &world[T]{now: time.Unix(1000, 0)}
+	for i := range rapid.IntRange(2, 4).Draw(t, "candidates") {
+		c := &candidate[T]{lease: tplease.New(settings(i), trust)}
+		c.lease.SetRank(i)
+		w.nodes = append(w.nodes, c)
+	}
+	grants, last := 0, uint64(0)
+	favourite := 0
+	for range 600 {
+		switch rapid.IntRange(0, 9).Draw(t, "kind") {
+		case 0, 1:
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+		case 2:
+			if len(w.late) > 0 {
+				_, _ = w.put(w.late[0])
+				w.late = w.late[1:]
+			}
+		case 3:
+			// The others are paused until the next choice.
+			favourite = rapid.IntRange(0, len(w.nodes)-1).Draw(t, "favourite")
+		case 4:
+			i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "any")
+			w.step(w.nodes[i], rapid.IntRange(0, 9).Draw(t, "fault"))
+		default:
+			w.step(w.nodes[favourite], rapid.IntRange(0, 9).Draw(t, "fault"))
+		}
+		fencing, err := w.acting()
+		if err != nil {
+			return grants, err
+		}
+		if fencing != 0 && fencing < last {
+			return grants, fmt.Errorf("fencing number %d after %d", fencing, last)
+		}
+		if fencing > last {
+			last = fencing
+			grants++
+		}
+	}
+	return grants, nil
+}
+
+// Guards against two holders that act at once, in interleavings of pauses,
+// lost answers and late writes.
+func TestOneHolderActs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := run(t, tplease.Strict{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a check that would pass for any lease: the same runs with
+// the naive lease must show two holders, and with the strict one takeovers.
+func TestCheckCatchesNaiveLease(t *testing.T) {
+	const runs = 200
+	caught, grants := 0, 0
+	for seed := range runs {
+		naive := rapid.Custom(func(t *rapid.T) error { _, err := run(t, tplease.Naive{}); return err })
+		if naive.Example(seed) != nil {
+			caught++
+		}
+		strict := rapid.Custom(func(t *rapid.T) int { n, _ := run(t, tplease.Strict{}); return n })
+		grants += strict.Example(seed)
+	}
+	if caught == 0 || grants < 2*runs {
+		t.Errorf("got %d naive runs caught and %d strict grants in %d runs, want some and at least two a run",
+			caught, grants, runs)
+	}
+	t.Logf("caught %d of %d naive runs; %d strict grants", caught, runs, grants)
+}
+
+// Guards against a candidate that tries too early, and against a holder that
+// counts its term from the answer instead of from before the write was sent.
+func TestTimes(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := tplease.New(settings(0), tplease.Strict{})
+	foreign := tplease.Seen{Lease: tpmessage.Lease{Holder: "other", Fencing: 4, Term: 3 * time.Second}, Version: 9}
+	l.Read(start, foreign, nil)
+	if a := l.Next(start.Add(4*time.Second - 1)); a.Kind == tplease.ActionWrite {
+		t.Errorf("got a write before Term+Margin")
+	}
+	sent := start.Add(4 * time.Second)
+	a := l.Next(sent)
+	if a.Kind != tplease.ActionWrite || a.Lease.Fencing != 5 || a.Version != 9 {
+		t.Fatalf("got %+v, want a write of fencing number 5 over version 9", a)
+	}
+	l.Wrote(sent.Add(2*time.Second), 10, nil)
+	if !l.Acts(sent.Add(3*time.Second-1)) || l.Acts(sent.Add(3*time.Second)) {
+		t.Errorf("the term does not count from before the write was sent")
+	}
+}
+
+// Guards against a planned stop that keeps the lease from others for a term.
+func TestRelease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := tplease.New(settings(0), tplease.Strict{})
+	l.Read(now, tplease.Seen{}, nil)
+	l.Next(now)
+	l.Wrote(now, 1, nil)
+	l.Release()
+	if l.Authority().Held {
+		t.Errorf("a releasing holder still has authority")
+	}
+	a := l.Next(now)
+	if a.Kind != tplease.ActionWrite || a.Lease.Holder != "" || a.Lease.Fencing != 1 {
+		t.Fatalf("got %+v, want a release that keeps the fencing number", a)
+	}
+	l.Wrote(now, 2, nil)
+	if got := l.Next(now).Kind; got != tplease.ActionEnd {
+		t.Errorf("got action %d after the release, want the end", got)
+	}
+	next := tplease.New(settings(1), tplease.Strict{})
+	next.Read(now, tplease.Seen{Lease: a.Lease, Version: 2}, nil)
+	if a := next.Next(now); a.Kind != tplease.ActionWrite || a.Lease.Fencing != 2 {
+		t.Errorf("got %+v, want a grant at once", a)
+	}
+}
+
+func BenchmarkHolder(b *testing.B) {
+	b.ReportAllocs()
+	now := time.Unix(1000, 0)
+	l := tplease.New(settings(0), tplease.Strict{})
+	l.Read(now, tplease.Seen{}, nil)
+	for i := range b.N {
+		now = now.Add(time.Second)
+		l.Next(now)
+		l.Wrote(now, uint64(i+1), nil)
+	}
+}
--- a/internal/order/stage3/tporder/engine.go
+++ b/internal/order/stage3/tporder/engine.go
@@ -23,6 +23,7 @@
 	nextAt     time.Time
 	drainSince time.Time
 	retryAt    time.Time // no new order before
+	raise      uint64    // nothing is sent before the fencing number is above it
 	failures   int       // orders in a row that did not bring the wanted state
 }
 
@@ -143,6 +144,9 @@
 		// The repeat carries this holder's fencing number, and the write
 		// keeps the former holder from recording anything more.
 		l.write(p, e, next)
+	case e.raise >= p.authority.Fencing:
+		l.out = append(l.out, Output{Raise: &Raise{Lease: p.plan.Lease, Above: e.raise}})
+		e.nextAt = now.Add(l.cfg.Retry)
 	default:
 		l.emit(p, e, Action{Kind: ActionSend, Record: e.record})
 	}
@@ -217,7 +221,7 @@
 		}
 		l.report(EventDrainBegun, &e.record)
 	case PhaseSending:
-		if p.acts(now) {
+		if p.acts(now) && e.raise < e.record.Order.Fencing {
 			l.emit(p, e, Action{Kind: ActionSend, Record: e.record})
 		}
 	case PhaseSettled:
@@ -253,6 +257,11 @@
 	case errors.Is(r.Err, ErrSendUnknown) && !p.plan.Type.ChecksFencing:
 		// The engine has read or discarded the body by then.
 		e.nextAt = now.Add(p.plan.Type.OrderReadTimeout + l.cfg.Margin)
+	case errors.Is(r.Err, ErrSendUnknown) && p.authority.Fenced:
+		// The body may arrive at any later time. A repeat under a higher
+		// fencing number leaves it without effect.
+		e.raise = r.Action.Record.Order.Fencing
+		e.nextAt = now.Add(l.cfg.Retry)
 	default:
 		e.nextAt = now.Add(l.cfg.Retry)
 	}
--- a/internal/order/stage3/tporder/log.go
+++ b/internal/order/stage3/tporder/log.go
@@ -213,8 +213,10 @@
 		return
 	}
 	granted := a.Held && (!p.authority.Held || p.authority.Fencing != a.Fencing)
+	raised := a.Held && p.authority.Held && a.Fencing == p.authority.Fencing+1
 	p.authority = a
-	if !granted {
+	if !granted || raised {
+		// Nobody else held the lease between two numbers that follow each other.
 		return
 	}
 	p.notBefore = now
--- a/internal/order/stage3/tporder/record.go
+++ b/internal/order/stage3/tporder/record.go
@@ -127,10 +127,18 @@
 	Result    Result
 }
 
-// Output is an action to perform, or an event to record.
+// Raise asks for a grant of a lease with a fencing number above Above.
+type Raise struct {
+	Lease string
+	Above uint64
+}
+
+// Output is an action to perform, an event to record, or a fencing number
+// that is to rise.
 type Output struct {
 	Action *Action
 	Event  *tpmessage.Event
+	Raise  *Raise
 }
 
 // Kinds of the events that the log reports.
--- /dev/null
+++ b/internal/order/stage3/tporder/sim_test.go
@@ -0,0 +1,309 @@
+package tporder_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
+	"teaselpin.example/teaselpin/internal/order/stage3/tporder"
+	"teaselpin.example/teaselpin/internal/proof/tphistory"
+	"teaselpin.example/teaselpin/internal/standin/tpenginefake"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+)
+
+const (
+	simLease  = "lease/nord-ovest/language"
+	simEngine = "engine-0"
+	simChange = 700 * time.Millisecond
+)
+
+// simStep is something that happens next: at a node, or on the way between
+// two processes if node is nil.
+type simStep struct {
+	node *bool     // paused
+	at   time.Time // not before
+	run  func()
+}
+
+// simNode is one node with its lease and its order log.
+type simNode[T tplease.Trust] struct {
+	paused bool
+	cfg    tplease.Settings
+	lease  *tplease.Lease[T]
+	log    *tporder.Log
+	call   bool // a call for the lease is in progress
+}
+
+// sim is a simulation of nodes, one engine and the platform. Every message may
+// overtake others, and be late for many seconds.
+type sim[T tplease.Trust] struct {
+	t     *rapid.T
+	trust T
+	kind  tpmessage.EngineType
+	now   time.Time
+	store tpobject.Memory
+	nodes []*simNode[T]
+	steps []simStep
+
+	last    tpmessage.Order
+	fencing uint64
+	busy    int // number of the change in progress
+	changes int
+	state   tpmessage.EngineState
+	history []tpenginefake.OrderEvent
+}
+
+// simulate draws one run, and returns the number of orders that took effect
+// and the first breach.
+func simulate[T tplease.Trust](t *rapid.T, trust T, kind tpmessage.EngineType) (int, error) {
+	s := &sim[T]{t: t, trust: trust, kind: kind, now: time.Unix(1000, 0)}
+	s.state.Role = tpmessage.RoleMixed
+	for i := range 2 {
+		cfg := tplease.Settings{
+			Name: simLease, Holder: string(rune('a' + i)), Incarnation: string(rune('A' + i)),
+			Term: time.Second, Renew: 300 * time.Millisecond, Margin: 300 * time.Millisecond,
+		}
+		n := &simNode[T]{cfg: cfg, lease: tplease.New(cfg, trust)}
+		n.lease.SetRank(i)
+		n.log = tporder.New(tporder.Settings{
+			Margin: 300 * time.Millisecond, DrainGrace: time.Millisecond, Retry: 100 * time.Millisecond,
+			Probe: 300 * time.Millisecond, LoadInterval: time.Millisecond,
+		})
+		s.nodes = append(s.nodes, n)
+		s.want(n, tpmessage.RoleDecode)
+	}
+	for range 6000 {
+		s.next()
+	}
+	applied := 0
+	for _, e := range s.history {
+		if e.Kind == tpenginefake.OrderApplied {
+			applied++
+		}
+	}
+	return applied, tphistory.CheckOrders(s.history)
+}
+
+// next draws what happens next.
+func (s *sim[T]) next() {
+	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(s.t, "node")]
+	switch rapid.IntRange(0, 15).Draw(s.t, "kind") {
+	case 0, 1:
+		s.now = s.now.Add(time.Duration(rapid.IntRange(1, 80).Draw(s.t, "ms")) * time.Millisecond)
+	case 2:
+		if n.paused && s.one(10, "resume") || !n.paused && s.one(40, "pause") {
+			n.paused = !n.paused
+		}
+	case 3:
+		if s.one(4, "change") {
+			roles := []tpmessage.Role{tpmessage.RoleMixed, tpmessage.RolePrefill, tpmessage.RoleDecode}
+			s.want(n, rapid.SampledFrom(roles).Draw(s.t, "role"))
+		}
+	case 4, 5:
+		if !n.paused && !n.call {
+			s.leaseStep(n)
+		}
+	case 6:
+		if !n.paused {
+			s.feed(n, tporder.Input{Kind: tporder.InputTick})
+		}
+	default:
+		s.message()
+	}
+}
+
+// message lets one of the steps happen that are due.
+func (s *sim[T]) message() {
+	var due []int
+	for i, st := range s.steps {
+		if (st.node == nil || !*st.node) && !s.now.Before(st.at) {
+			due = append(due, i)
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	i := rapid.SampledFrom(due).Draw(s.t, "step")
+	st := s.steps[i]
+	s.steps = append(s.steps[:i:i], s.steps[i+1:]...)
+	st.run()
+}
+
+// later adds a step, which now and then is late.
+func (s *sim[T]) later(node *bool, run func()) {
+	st := simStep{node: node, at: s.now, run: run}
+	if s.one(40, "late") {
+		st.at = s.now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(s.t, "lateness")) * time.Millisecond)
+	}
+	s.steps = append(s.steps, st)
+}
+
+func (s *sim[T]) one(n int, label string) bool { return rapid.IntRange(0, n-1).Draw(s.t, label) == 0 }
+
+func (s *sim[T]) want(n *simNode[T], role tpmessage.Role) {
+	plan := tporder.Plan{Pool: "language", Lease: simLease, Type: s.kind, Engines: []tporder.Wanted{{
+		Target: tpmessage.Target{Name: simEngine}, State: tpmessage.EngineState{Role: role},
+	}}}
+	s.feed(n, tporder.Input{Kind: tporder.InputPlans, Plans: []tporder.Plan{plan}})
+}
+
+// leaseStep performs the lease's next action.
+func (s *sim[T]) leaseStep(n *simNode[T]) {
+	a := n.lease.Next(s.now)
+	switch a.Kind {
+	case tplease.ActionRead:
+		n.call = true
+		s.later(nil, func() {
+			seen, err := tplease.Read(context.Background(), &s.store, simLease)
+			s.later(&n.paused, func() { n.lease.Read(s.now, seen, err); s.authority(n) })
+		})
+	case tplease.ActionWrite:
+		n.call = true
+		s.write(&n.paused, a.Lease.Name, a.Lease, a.Version, func(version uint64, err error) {
+			n.lease.Wrote(s.now, version, err)
+			s.authority(n)
+		})
+	}
+}
+
+func (s *sim[T]) authority(n *simNode[T]) {
+	n.call = false
+	s.feed(n, tporder.Input{Kind: tporder.InputAuthority, Authority: n.lease.Authority()})
+}
+
+// write performs a conditional update whose answer may be lost before or after
+// the update takes effect.
+func (s *sim[T]) write(node *bool, name string, value any, version uint64, done func(uint64, error)) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	lost := s.one(12, "lost")
+	s.later(nil, func() {
+		now, err := s.store.Put(context.Background(), name, data, version)
+		if !lost {
+			s.later(node, func() { done(now, err) })
+		}
+	})
+	if lost {
+		s.later(node, func() { done(0, tpobject.ErrOutcomeUnknown) })
+	}
+}
+
+// feed passes an input to a node's log and performs what it asks for.
+func (s *sim[T]) feed(n *simNode[T], in tporder.Input) {
+	for _, out := range n.log.Step(s.now, in, nil) {
+		if out.Action != nil {
+			s.perform(n, *out.Action)
+		}
+		if out.Raise != nil {
+			n.lease.RaiseAbove(out.Raise.Above)
+		}
+	}
+}
+
+func (s *sim[T]) perform(n *simNode[T], a tporder.Action) {
+	r := tporder.Result{Action: a}
+	done := func() { s.feed(n, tporder.Input{Kind: tporder.InputResult, Result: r}) }
+	switch a.Kind {
+	case tporder.ActionReadRecord:
+		s.later(nil, func() {
+			o, err := s.store.Get(context.Background(), tporder.ObjectName(simEngine))
+			if err == nil {
+				r.Version = o.Version
+				r.Err = json.Unmarshal(o.Value, &r.Record)
+			} else if !errors.Is(err, tpobject.ErrNotFound) {
+				r.Err = err
+			}
+			s.later(&n.paused, done)
+		})
+	case tporder.ActionWriteRecord:
+		s.write(&n.paused, tporder.ObjectName(simEngine), a.Record, a.Version, func(v uint64, err error) {
+			r.Version, r.Err = v, err
+			done()
+		})
+	case tporder.ActionReadStatus:
+		s.later(nil, func() {
+			r.Status = tporder.Status{State: s.state, Number: s.last.Number, Fencing: s.last.Fencing, Busy: s.busy != 0, Idle: true}
+			s.later(&n.paused, done)
+		})
+	case tporder.ActionSend:
+		s.send(n, a.Record.Order, func(err error) { r.Err = err; done() })
+	}
+}
+
+// send passes an order to the engine as tpdispatch does.
+func (s *sim[T]) send(n *simNode[T], order tpmessage.Order, done func(error)) {
+	if s.kind.ChecksFencing {
+		s.later(&n.paused, func() { s.body(n, order, func() bool { return true }, done) })
+		return
+	}
+	s.later(nil, func() { // the head arrives, and 100 Continue leaves
+		began := s.now
+		s.later(&n.paused, func() { // 100 Continue arrives, and the lease is read again
+			s.later(nil, func() {
+				seen, err := tplease.Read(context.Background(), &s.store, simLease)
+				held := err == nil && n.cfg.Owns(seen.Lease) && seen.Lease.Fencing == order.Fencing
+				s.later(&n.paused, func() {
+					if s.trust.Fenced() && !held {
+						done(tporder.ErrNotSent)
+						return
+					}
+					s.body(n, order, func() bool { return s.now.Sub(began) <= s.kind.OrderReadTimeout }, done)
+				})
+			})
+		})
+	})
+}
+
+// body passes a body to the engine. Its answer may be lost.
+func (s *sim[T]) body(n *simNode[T], order tpmessage.Order, inTime func() bool, done func(error)) {
+	lost := s.one(8, "lost")
+	s.later(nil, func() {
+		err := tporder.ErrSendUnknown
+		if inTime() {
+			err = s.apply(order)
+		}
+		if !lost {
+			s.later(&n.paused, func() { done(err) })
+		}
+	})
+	if lost {
+		s.later(&n.paused, func() { done(tporder.ErrSendUnknown) })
+	}
+}
+
+// apply is the engine's rule for an order, the same as the stand-in's.
+func (s *sim[T]) apply(order tpmessage.Order) error {
+	if s.kind.ChecksFencing && order.Fencing < s.fencing {
+		return tporder.ErrFenced
+	}
+	s.fencing = max(s.fencing, order.Fencing)
+	e := tpenginefake.OrderEvent{Kind: tpenginefake.OrderRepeat, Order: order, Busy: s.busy != 0}
+	if order.Number == s.last.Number && order.Want == s.last.Want {
+		s.history = append(s.history, e)
+		return nil
+	}
+	e.Kind = tpenginefake.OrderApplied
+	s.history = append(s.history, e)
+	s.last = order
+	s.changes++
+	change, crash := s.changes, s.one(10, "crash")
+	s.busy = change
+	s.steps = append(s.steps, simStep{at: s.now.Add(simChange), run: func() {
+		if s.busy == change {
+			s.busy = 0
+		}
+		if crash {
+			s.last, s.state = tpmessage.Order{}, tpmessage.EngineState{Role: tpmessage.RoleMixed}
+			return
+		}
+		s.state = order.Want
+	}})
+	return nil
+}
--- a/internal/proof/orders_test.go
+++ b/internal/proof/orders_test.go
@@ -10,6 +10,7 @@
 
 	"teaselpin.example/teaselpin/internal/edge/tptarget"
 	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
+	"teaselpin.example/teaselpin/internal/proof/tphistory"
 	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/internal/rollout/tprollout"
 	"teaselpin.example/teaselpin/internal/standin/tpenginefake"
@@ -159,37 +160,12 @@
 	return holder
 }
 
-// checkOrders checks one engine's own history. An engine receives conflicting
-// orders if two different orders carry one number, if an order takes effect
-// during another one, or after one that is newer by number or fencing number.
-func checkOrders(log []tpenginefake.OrderEvent) error {
-	wants := make(map[uint64]tpmessage.EngineState)
-	var last tpmessage.Order
-	for i, e := range log {
-		if e.Kind != tpenginefake.OrderApplied && e.Kind != tpenginefake.OrderRepeat {
-			continue
-		}
-		if want, ok := wants[e.Order.Number]; ok && want != e.Order.Want {
-			return fmt.Errorf("event %d: order %d asks for %v and for %v", i, e.Order.Number, want, e.Order.Want)
-		}
-		wants[e.Order.Number] = e.Order.Want
-		if e.Kind == tpenginefake.OrderApplied && e.Busy {
-			return fmt.Errorf("event %d: order %+v came during order %+v", i, e.Order, last)
-		}
-		if e.Order.Number < last.Number || e.Order.Fencing < last.Fencing {
-			return fmt.Errorf("event %d: order %+v took effect after %+v", i, e.Order, last)
-		}
-		last = e.Order
-	}
-	return nil
-}
-
 // verifyOrders fails the test if an engine's history breaks the promise.
 func verifyOrders(t *testing.T, f *tpprocess.Fleet) {
 	t.Helper()
 	for _, engine := range f.Engines {
 		log := engineLog(t, engine)
-		if err := checkOrders(log); err != nil {
+		if err := tphistory.CheckOrders(log); err != nil {
 			t.Errorf("%s: %v\n%+v", engine.Name, err, log)
 		}
 	}
--- a/internal/standin/tpenginefake/orders.go
+++ b/internal/standin/tpenginefake/orders.go
@@ -21,9 +21,8 @@
 // no fencing number, waits without bound for a body and changes at once.
 type OrderSettings struct {
 	State tpmessage.EngineState // after each start
-	// ChecksFencing makes the engine refuse an order that is older by its
-	// fencing number, or by its number under the same fencing number. The
-	// highest fencing number outlives a crash.
+	// ChecksFencing makes the engine refuse an order with an older fencing
+	// number. The highest fencing number outlives a crash.
 	ChecksFencing bool
 	// ReadTimeout bounds the time from 100 Continue to the end of the body.
 	ReadTimeout time.Duration
@@ -192,8 +191,7 @@
 func (o *Orders) apply(order tpmessage.Order) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	older := order.Fencing < o.fencing || order.Fencing == o.fencing && order.Number < o.last.Number
-	if o.cfg.ChecksFencing && older {
+	if o.cfg.ChecksFencing && order.Fencing < o.fencing {
 		o.record(OrderFenced, order, 0)
 		return false
 	}
