--- a/internal/proof/orders_test.go
+++ b/internal/proof/orders_test.go
@@ -45,14 +45,16 @@
 	},
 }
 
-// startOrderFleet starts a fleet whose engines take orders of one kind.
-func startOrderFleet(t *testing.T, kind engineKind, engines, nodes int) *tpprocess.Fleet {
+// startOrderFleet starts a fleet whose engines take orders of one kind. The
+// nodes run command, or the product if that is empty.
+func startOrderFleet(t *testing.T, kind engineKind, engines, nodes int, command ...string) *tpprocess.Fleet {
 	t.Helper()
 	args := []string{"--model", "counsel", "--model-version", "1", "--change-time", "200ms"}
 	return tpprocess.StartFleet(t, tpprocess.FleetSettings{
 		Engines: engines, Nodes: nodes,
 		EngineArgs:   append(args, kind.args...),
 		NodeSettings: orderTimes,
+		NodeCommand:  command,
 		Configure: func(cfg *tpmessage.Config) {
 			cfg.EngineTypes = []tpmessage.EngineType{kind.typ}
 			cfg.Pools[0].EngineType = kind.typ.Name
@@ -109,7 +111,7 @@
 	}
 }
 
-func engineLog(t *testing.T, engine *tpprocess.Process) []tpenginefake.OrderEvent {
+func engineLog(t testing.TB, engine *tpprocess.Process) []tpenginefake.OrderEvent {
 	t.Helper()
 	var log []tpenginefake.OrderEvent
 	if err := getJSON(engine.Addresses[0]+tpenginefake.PathOrderLog, &log); err != nil {
@@ -127,7 +129,7 @@
 }
 
 // waitEvents waits until an engine's log holds n events of a kind.
-func waitEvents(t *testing.T, engine *tpprocess.Process, kind string, n int) {
+func waitEvents(t testing.TB, engine *tpprocess.Process, kind string, n int) {
 	t.Helper()
 	tpprocess.Eventually(t, fmt.Sprintf("%d events %q at %s", n, kind, engine.Name), func() bool {
 		found := 0
@@ -140,9 +142,26 @@
 	})
 }
 
+// waitEnded waits until every order whose head arrived has come to its end.
+func waitEnded(t *testing.T, engine *tpprocess.Process) {
+	t.Helper()
+	tpprocess.Eventually(t, "no order is on its way to "+engine.Name, func() bool {
+		open := 0
+		for _, e := range engineLog(t, engine) {
+			switch e.Kind {
+			case tpenginefake.OrderHead:
+				open++
+			case tpenginefake.OrderApplied, tpenginefake.OrderRepeat, tpenginefake.OrderFenced, tpenginefake.OrderDiscarded:
+				open--
+			}
+		}
+		return open == 0
+	})
+}
+
 // waitHolder waits until the lease has a holder other than former, and
 // returns its process.
-func waitHolder(t *testing.T, f *tpprocess.Fleet, former *tpprocess.Process) *tpprocess.Process {
+func waitHolder(t testing.TB, f *tpprocess.Fleet, former *tpprocess.Process) *tpprocess.Process {
 	t.Helper()
 	var holder *tpprocess.Process
 	tpprocess.Eventually(t, "the lease has a holder", func() bool {
--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
@@ -25,6 +26,7 @@
 	Client   *tpplatform.Client
 
 	nodeSettings string
+	nodeCommand  []string
 }
 
 // FleetSettings gives the sizes of a fleet.
@@ -36,13 +38,23 @@
 	Configure func(*tpmessage.Config)
 	// NodeSettings are further lines of each node's settings.
 	NodeSettings string
+	// NodeCommand is the program of a node and its arguments before the path
+	// of its settings; empty means the product.
+	NodeCommand []string
 }
 
 // StartFleet starts the processes, publishes a configuration with the routes
 // /v1/language and /v1/booking, and waits until every node has it in force.
 func StartFleet(t testing.TB, s FleetSettings) *Fleet {
 	t.Helper()
-	f := &Fleet{Platform: Start(t, "platform", Standin, "platform"), nodeSettings: s.NodeSettings}
+	f := &Fleet{
+		Platform:     Start(t, "platform", Standin, "platform"),
+		nodeSettings: s.NodeSettings,
+		nodeCommand:  s.NodeCommand,
+	}
+	if len(f.nodeCommand) == 0 {
+		f.nodeCommand = []string{Teaselpin, "serve", "--settings"}
+	}
 	client, cleanup := tpplatform.NewClient("http://" + f.Platform.Addresses[0])
 	t.Cleanup(cleanup)
 	f.Client = client
@@ -91,11 +103,12 @@
 // StartNode starts one node of the fleet with settings of its own.
 func (f *Fleet) StartNode(t testing.TB, name string) *Process {
 	t.Helper()
-	return Start(t, name, Teaselpin, "serve", "--settings", f.SettingsFile(t, name))
+	args := append(slices.Clone(f.nodeCommand[1:]), f.settingsFile(t, name))
+	return Start(t, name, f.nodeCommand[0], args...)
 }
 
-// SettingsFile writes the settings of one node of the fleet.
-func (f *Fleet) SettingsFile(t testing.TB, name string) string {
+// settingsFile writes the settings of one node of the fleet.
+func (f *Fleet) settingsFile(t testing.TB, name string) string {
 	t.Helper()
 	settings := fmt.Sprintf(`name: %s
 region: nord-ovest
--- a/internal/proof/tpprocess/process.go
+++ b/internal/proof/tpprocess/process.go
@@ -51,9 +51,13 @@
 	buildErr = cmd.Run()
 }
 
-// Path returns the path of a program, building it on first use.
+// Path returns the path of a program, building it on first use. An absolute
+// path stands for itself.
 func Path(t testing.TB, program string) string {
 	t.Helper()
+	if filepath.IsAbs(program) {
+		return program
+	}
 	buildOnce.Do(build)
 	if buildErr != nil {
 		t.Fatalf("build the programs: %v", buildErr)
