--- /dev/null
+++ b/internal/node/tpnode/usage_test.go
@@ -0,0 +1,32 @@
+package tpnode_test
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// Guards against usage that does not reach the peers, so that shares hold on
+// each node alone.
+func TestUsageReachesPeers(t *testing.T) {
+	node := startNode(t, startEngines(t, 1))
+	peer, stop := startMember(t, "node-1", []string{node.PeerAddress()})
+	defer stop()
+	var mu sync.Mutex
+	var heard []tpmessage.Usage
+	peer.OnUsage(func(u []tpmessage.Usage) { mu.Lock(); heard = u; mu.Unlock() })
+	if _, err := stream(node, uuid.Must(uuid.NewV7()).String(), "question", 40); err != nil {
+		t.Fatal(err)
+	}
+	want := 40.0 / tpmessage.PieceTokens
+	tpprocess.Eventually(t, "usage of node-0", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(heard) == 1 && heard[0].Node == "node-0" && heard[0].Organisation == "bergamo" &&
+			heard[0].DecodePieces == want && heard[0].PrefillPieces > 0
+	})
+}
