--- a/internal/membership/tpmember/table.go
+++ b/internal/membership/tpmember/table.go
@@ -362,7 +362,7 @@
 		m := r.member
 		m.Suspect = false
 		if !full && now.Sub(r.changed) >= fullFor && (t.beat+uint64(i))%fullEvery != 0 {
-			// Without names, the heartbeats of 32 nodes take 40% fewer bytes.
+			// Without names, an idle node of 32 sends 19% fewer bytes.
 			m.Name, m.Address, m.Zone = "", "", ""
 		}
 		hb.Members = append(hb.Members, tpmessage.MemberBeat{Member: m, Beat: r.beat})
--- a/internal/rollout/tprollout/parts.go
+++ b/internal/rollout/tprollout/parts.go
@@ -22,9 +22,9 @@
 
 // OrganisationParts is the number of parts over which the organisations are
 // spread by the hash of their names. A change sends one part and the head to
-// every node. At 5,400 organisations a part of 64 has some 12 KB and the head
-// 5 KB; with 16 parts a change cost a node 46 KB, which at 34,000 changes a day
-// is all of the 18 KB/s that a node may spend on control.
+// every node. With 5,400 organisations and 34,000 changes a day, a node of 8
+// read 23.8 KB/s with 16 parts and 10.1 KB/s with 64, before compression; a
+// node may spend 18 KB/s on control. More parts make the head larger.
 const OrganisationParts = 64
 
 // Error is the class of errors of this package.
