--- a/internal/rollout/tprollout/region_test.go
+++ b/internal/rollout/tprollout/region_test.go
@@ -367,3 +367,37 @@
 		}
 	}
 }
+
+// Guards against part objects that a killed operator leaves for ever, and
+// against a sweep that removes what an operator is about to commit.
+func TestSweep(t *testing.T) {
+	s := newSim[tprollout.ByGeneration](1, 1)
+	for i := range 3 {
+		s.publish(fmt.Sprintf("operator-%d", i))
+	}
+	left := tprollout.PartPrefix + "fleet/2-killed"
+	coming := tprollout.PartPrefix + "fleet/4-writing"
+	for _, object := range []string{left, coming} {
+		if _, err := s.platform.Put(t.Context(), object, []byte("{}"), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	head, _, err := tprollout.ReadHead(t.Context(), &s.platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tprollout.Sweep(t.Context(), &s.platform, head); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.platform.Get(t.Context(), left); !errors.Is(err, tpobject.ErrNotFound) {
+		t.Errorf("part of a killed operator: got %v, want %v", err, tpobject.ErrNotFound)
+	}
+	if _, err := s.platform.Get(t.Context(), coming); err != nil {
+		t.Errorf("part of the next generation: got %v, want it spared", err)
+	}
+	for _, h := range []tpmessage.Head{head, tprollout.Previous(head)} {
+		if _, err := tprollout.ReadParts(t.Context(), &s.platform, h, tprollout.Held{}); err != nil {
+			t.Errorf("parts of generation %d: %v", h.Generation, err)
+		}
+	}
+}
