Probe the platform beside the watch of the head

A watch whose connection is cut waits for its timeout of 40 s and looks like one without news. If this meets both watchers of a region, their heartbeats keep the others from reading the head. A watching node now also reads the head every 3 s and tells when that fails.

--- a/internal/rollout/tprollout/follower.go
+++ b/internal/rollout/tprollout/follower.go
@@ -15,6 +15,10 @@
 	Watchers = 2
 	// ReadAfter is the time without news after which a node reads the head.
 	ReadAfter = 5 * time.Second
+	// ProbeInterval is the time between two reads of the head by a node that
+	// watches it. A watch whose connection is cut waits for the timeout of the
+	// watch, 40 s, and looks like one without news.
+	ProbeInterval = 3 * time.Second
 	// GatherTime is how long a starting node listens to its peers before it
 	// takes a configuration from one of them. Two rounds of heartbeats bring
 	// the generations of all members, and the highest one counts.
@@ -130,7 +134,7 @@
 	news     time.Time // when it was last sure that somebody watches the head
 	nextRead time.Time // no own read before
 	watching bool      // this node is asked to watch
-	answered bool      // the platform answers the watch
+	answered bool      // the platform answers the watch, or the probe of it
 }
 
 // NewFollower returns a follower that holds no configuration.
@@ -167,6 +171,7 @@
 		f.read(in.Head)
 	case InputHead:
 		f.busy, f.failures = false, 0
+		f.answered = f.watching
 		f.read(in.Head)
 	case InputFetched:
 		f.busy, f.failures = false, 0
@@ -186,8 +191,11 @@
 	f.busy = false
 	f.failures++
 	f.retryAt = now.Add(RetryDelay)
-	if f.running == ActionFetchParts {
+	switch f.running {
+	case ActionFetchParts:
 		f.nextRead = f.retryAt
+	case ActionReadHead:
+		f.answered = false
 	}
 }
 
@@ -264,14 +272,14 @@
 }
 
 // readDue reports whether this node reads the head itself: while it holds no
-// configuration, after failed fetches, and when nobody is known to watch the
-// head. A watching member that turned silent is a suspect after SuspectAfter,
+// configuration, after failed fetches, as a probe of its own watch, and when
+// nobody is known to watch the head. A watching member that turned silent is a suspect after SuspectAfter,
 // which is part of ReadAfter.
 func (f *Follower[P]) readDue(now time.Time) bool {
 	if !f.cfg.Platform || now.Before(f.nextRead) {
 		return false
 	}
-	return f.held.Head.Generation == 0 || f.failures > 0 || now.Sub(f.news) >= f.cfg.ReadAfter-tpmember.SuspectAfter
+	return f.held.Head.Generation == 0 || f.failures > 0 || f.watching || now.Sub(f.news) >= f.cfg.ReadAfter-tpmember.SuspectAfter
 }
 
 // scheduleRead sets the earliest time of the next own read, varied by a tenth
@@ -279,8 +287,11 @@
 // a configuration is of no use to callers and reads more often.
 func (f *Follower[P]) scheduleRead(now time.Time) {
 	d := f.cfg.ReadAfter
-	if f.held.Head.Generation == 0 {
+	switch {
+	case f.held.Head.Generation == 0:
 		d /= 5
+	case f.watching:
+		d = ProbeInterval
 	}
 	f.nextRead = now.Add(d*9/10 + time.Duration(f.cfg.Random.Int64N(int64(d/5)+1)))
 }
