--- a/internal/edge/tppeer/journal.go
+++ b/internal/edge/tppeer/journal.go
@@ -29,7 +29,7 @@
 
 // Claim implements tpwire.Journal.
 func (s *JournalServer) Claim(ctx context.Context, req *tpwire.ClaimRequest) (*tpwire.ClaimResponse, error) {
-	s.Events.Observe(TimeFromWire(req.GetTime()))
+	s.Events.Observe(timeFromWire(req.GetTime()))
 	a := s.do(ctx, tpjournal.Op{
 		Kind:         tpjournal.OpClaim,
 		Key:          req.GetKey(),
@@ -39,13 +39,13 @@
 		Pool:         req.GetTargetPool(),
 	})
 	return &tpwire.ClaimResponse{
-		Time: TimeToWire(s.Events.Now()), State: string(a.State), Status: int32(a.Status), Result: a.Result,
+		Time: timeToWire(s.Events.Now()), State: string(a.State), Status: int32(a.Status), Result: a.Result,
 	}, nil
 }
 
 // Settle implements tpwire.Journal.
 func (s *JournalServer) Settle(ctx context.Context, req *tpwire.SettleRequest) (*tpwire.SettleResponse, error) {
-	s.Events.Observe(TimeFromWire(req.GetTime()))
+	s.Events.Observe(timeFromWire(req.GetTime()))
 	a := s.do(ctx, tpjournal.Op{
 		Kind:    tpjournal.OpSettle,
 		Key:     req.GetKey(),
@@ -55,7 +55,7 @@
 		Result:  req.GetResult(),
 		Omitted: req.GetOmitted(),
 	})
-	return &tpwire.SettleResponse{Time: TimeToWire(s.Events.Now()), State: string(a.State)}, nil
+	return &tpwire.SettleResponse{Time: timeToWire(s.Events.Now()), State: string(a.State)}, nil
 }
 
 func (s *JournalServer) do(ctx context.Context, op tpjournal.Op) tpjournal.Answer {
@@ -87,7 +87,7 @@
 		return c.settle(ctx, client, &op)
 	}
 	resp, err := client.Claim(ctx, &tpwire.ClaimRequest{
-		Time:         TimeToWire(c.events.Now()),
+		Time:         timeToWire(c.events.Now()),
 		Key:          op.Key,
 		Attempt:      op.Attempt,
 		Fingerprint:  op.Fingerprint,
@@ -97,7 +97,7 @@
 	if err != nil {
 		return tpjournal.Answer{}, Error.New("claim at %s: %w", address, err)
 	}
-	c.events.Observe(TimeFromWire(resp.GetTime()))
+	c.events.Observe(timeFromWire(resp.GetTime()))
 	return tpjournal.Answer{
 		State: tpjournal.AnswerState(resp.GetState()), Status: int(resp.GetStatus()), Result: resp.GetResult(),
 	}, nil
@@ -105,7 +105,7 @@
 
 func (c *JournalClient) settle(ctx context.Context, client tpwire.Journal, op *tpjournal.Op) (tpjournal.Answer, error) {
 	resp, err := client.Settle(ctx, &tpwire.SettleRequest{
-		Time:    TimeToWire(c.events.Now()),
+		Time:    timeToWire(c.events.Now()),
 		Key:     op.Key,
 		Attempt: op.Attempt,
 		NotRun:  op.NotRun,
@@ -116,6 +116,6 @@
 	if err != nil {
 		return tpjournal.Answer{}, Error.New("settle %s: %w", op.Key, err)
 	}
-	c.events.Observe(TimeFromWire(resp.GetTime()))
+	c.events.Observe(timeFromWire(resp.GetTime()))
 	return tpjournal.Answer{State: tpjournal.AnswerState(resp.GetState())}, nil
 }
--- a/internal/node/tpnode/journal_test.go
+++ b/internal/node/tpnode/journal_test.go
@@ -36,10 +36,11 @@
 	platform := httptest.NewServer(b.platform.Handler())
 	t.Cleanup(platform.Close)
 	targets := []tpmessage.Target{{Name: "service-0", Address: service.Listener.Addr().String()}}
+	var seeds []string
 	for i := range nodes {
 		n, stop, err := tpnode.New(tpnode.Settings{
 			Name: fmt.Sprintf("node-%d", i), Region: "nord-ovest", Platform: platform.URL,
-			CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StopGrace: time.Millisecond,
+			CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", Seeds: seeds, StopGrace: time.Millisecond,
 		}, tpnode.Deps{})
 		if err != nil {
 			t.Fatal(err)
@@ -47,6 +48,7 @@
 		stop = sync.OnceFunc(stop)
 		t.Cleanup(stop)
 		b.nodes = append(b.nodes, n)
+		seeds = append(seeds, n.PeerAddress())
 		b.stops = append(b.stops, stop)
 		n.Apply(&tpmessage.Snapshot{Generation: 1, Config: tpmessage.Config{
 			Pools:         []tpmessage.Pool{{Name: "booking", Kind: tpmessage.PoolService, Targets: targets, CanAskKey: canAsk}},
@@ -54,6 +56,9 @@
 			Organisations: []tpmessage.Organisation{{Name: "bergamo", Share: 1, TokenHash: tpintake.TokenHash("secret")}},
 		}})
 	}
+	for _, n := range b.nodes {
+		eventually(t, "all nodes are members", func() bool { return len(n.Members()) == nodes })
+	}
 	return b
 }
 
@@ -64,8 +69,8 @@
 	return tphistory.NewCaller(0, "secret").Call(t.Context(), b.nodes[node].CallerAddress(), "/v1/booking", key, body)
 }
 
-// Guards against a repeat that runs again, and against a result that is lost
-// between nodes that both believe to hold the shard.
+// Guards against a repeat through another node that runs again, and against a
+// result that does not reach the shard's holder.
 func TestBookingThroughSeveralNodes(t *testing.T) {
 	b := startBookings(t, 3, false)
 	key := newKey()
@@ -89,14 +94,14 @@
 }
 
 // Guards against a group commit that loses, crosses or repeats calls when many
-// of them share it.
+// of them share it, at the entry node's own shards and at those of its peers.
 func TestManyBookings(t *testing.T) {
-	b := startBookings(t, 1, false)
+	b := startBookings(t, 3, false)
 	const calls = 200
 	var wg sync.WaitGroup
 	for i := range calls {
 		wg.Go(func() {
-			if op := b.call(t, 0, newKey(), fmt.Sprint(i)); op.Outcome != tphistory.OK {
+			if op := b.call(t, i%3, newKey(), fmt.Sprint(i)); op.Outcome != tphistory.OK {
 				t.Errorf("call %d: got %+v, want ok", i, op)
 			}
 		})
@@ -105,6 +110,9 @@
 	if got := len(b.service.Runs()); got != calls {
 		t.Errorf("runs: got %d, want %d", got, calls)
 	}
+	if got := b.platform.Counts().Put; got > calls {
+		t.Errorf("platform writes for %d concurrent calls: got %d, want fewer than one for each", calls, got)
+	}
 }
 
 // Guards against a call that is sent although its claim could not be recorded,
@@ -162,14 +170,3 @@
 		}
 	}
 }
-
-func eventually(t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(time.Minute)
-	for !condition() {
-		if time.Now().After(deadline) {
-			t.Fatalf("not within a minute: %s", what)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -89,6 +89,12 @@
 peerAddress: 127.0.0.1:0
 platform: http://%s
 `, name, f.Platform.Addresses[0])
+	for i, n := range f.Nodes {
+		if i == 0 {
+			settings += "seeds:\n"
+		}
+		settings += "- " + n.Addresses[1] + "\n"
+	}
 	path := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
