--- a/internal/proof/journal_calls_test.go
+++ b/internal/proof/journal_calls_test.go
@@ -25,8 +25,10 @@
 	l := newBookingLoad(f, 1)
 	l.run(t, 8, 60,
 		func() { f.Nodes[0].Kill() },
+		func() { l.runsEverywhere(t, f.Nodes[1]) },
 		func() { setFaults(t, f.Services[0], tpservicefake.Faults{LoseAnswers: 5}) },
 		func() { f.Nodes[1].Kill() },
+		func() { l.runsEverywhere(t, f.Nodes[2]) },
 	)
 	l.check(t)
 }
@@ -40,8 +42,11 @@
 	l.patient = time.Second
 	l.run(t, 8, 60,
 		func() { f.Nodes[0].Pause(t) },
+		func() { l.runsEverywhere(t, f.Nodes[1]) },
 		func() { f.Nodes[0].Resume(t); f.Nodes[1].Pause(t) },
+		func() { l.runsEverywhere(t, f.Nodes[2]) },
 		func() { f.Nodes[1].Resume(t) },
+		func() { l.runsEverywhere(t, f.Nodes[1]) },
 	)
 	l.check(t)
 }
@@ -64,11 +69,8 @@
 		journal(tpplatformfake.Faults{DownCalls: 10, LoseWrites: 10}),
 	)
 	setFaults(t, f.Platform, tpplatformfake.Faults{})
-	c := tphistory.NewCaller(100, tpprocess.Token)
 	for _, n := range f.Nodes {
-		tpprocess.Eventually(t, "a new call through "+n.Name+" runs after the faults", func() bool {
-			return l.call(t.Context(), c, n, uuid.Must(uuid.NewV7()).String()).Outcome == tphistory.OK
-		})
+		l.runsEverywhere(t, n)
 	}
 	l.check(t)
 }
--- a/internal/proof/journal_load_test.go
+++ b/internal/proof/journal_load_test.go
@@ -16,6 +16,7 @@
 
 	"teaselpin.example/teaselpin/internal/proof/tphistory"
 	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+	"teaselpin.example/teaselpin/internal/request/stage4/tpjournal"
 	"teaselpin.example/teaselpin/internal/standin/tpservicefake"
 )
 
@@ -94,6 +95,26 @@
 	wg.Wait()
 }
 
+// runsEverywhere waits until a new call of each shard runs through the node,
+// so that every shard of a lost holder was taken over.
+func (l *bookingLoad) runsEverywhere(t *testing.T, node *tpprocess.Process) {
+	t.Helper()
+	c := tphistory.NewCaller(100, tpprocess.Token)
+	seen := make(map[int]bool)
+	tpprocess.Eventually(t, "a new call of each shard runs through "+node.Name, func() bool {
+		key := uuid.Must(uuid.NewV7()).String()
+		if shard := tpjournal.ShardOf(key); !seen[shard] {
+			seen[shard] = l.call(t.Context(), c, node, key).Outcome == tphistory.OK
+		}
+		for shard := range tpjournal.Shards {
+			if !seen[shard] {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // check stops the nodes that run and checks the recorded history against what
 // the service ran.
 func (l *bookingLoad) check(t *testing.T) {
--- a/internal/request/stage4/tpjournal/claimer.go
+++ b/internal/request/stage4/tpjournal/claimer.go
@@ -137,7 +137,8 @@
 			Code: tpmessage.RefusalBadRequest, Reason: "the idempotency key was used for another call", NotRun: true,
 		}
 	}
-	return notRun("the claim of the call could not be recorded; this request was not sent")
+	return notRun("the claim of the call could not be recorded; this request was not sent," +
+		" an earlier one with the same key may have run")
 }
 
 // ClaimOf returns the claim of a call.
