--- a/internal/node/tpnode/journal.go
+++ b/internal/node/tpnode/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 
 	"github.com/google/uuid"
@@ -104,6 +105,7 @@
 func (n *Node) handleJournal(in tpjournal.ClaimerInput) {
 	j := n.journal
 	out := j.claimer.Step(n.clock.Now(), in)
+	n.recordClaim(in, out)
 	if out.Claim != nil {
 		j.client.Claim(out.Claim.Work)
 	}
@@ -121,6 +123,20 @@
 	}
 }
 
+// recordClaim puts the answer to a claim on the timeline.
+func (n *Node) recordClaim(in tpjournal.ClaimerInput, out tpjournal.ClaimerOutput) {
+	w := out.Ended
+	if out.Send != nil {
+		w = &out.Send.Work
+	}
+	if w == nil {
+		return
+	}
+	n.events.Record(tpmessage.Event{
+		Kind: "claim", Request: w.Request.ID, Organisation: w.Request.Organisation, Detail: string(in.Answer.State),
+	})
+}
+
 // settled records the end of a call that was sent.
 func (n *Node) settled(w tpmessage.Work, _ tpmessage.Outcome, handed bool, last *tpmessage.Chunk) {
 	if op, ok := tpjournal.SettlementOf(&w, handed, last); ok {
@@ -168,6 +184,16 @@
 	return s.Config.PoolNamed(name)
 }
 
+// vars returns the counters of the journal.
+func (j *journalPipeline) vars() expvar.Var {
+	return expvar.Func(func() any {
+		if j == nil {
+			return nil
+		}
+		return map[string]uint64{"unsettled": j.client.Unsettled.Load()}
+	})
+}
+
 // handleJournalPeers serves the peers' claims and settlements.
 func (n *Node) handleJournalPeers(mux *http.ServeMux) {
 	if n.journal == nil {
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -188,6 +188,7 @@
 		vars.Set("rings", n.rings.Var())
 		vars.Set("duties", n.duties.Var())
 		vars.Set("request", n.request.vars())
+		vars.Set("journal", n.journal.vars())
 		_, _ = w.Write([]byte(vars.String()))
 	})
 	n.handleJournalPeers(mux)
