Run the simulation of orders from drawn seeds, twenty to a check

Drawing every step through rapid limited the runs to too few to catch a missing wait for late bodies or a missing rise of the fencing number.

--- a/internal/order/stage3/tporder/log_test.go
+++ b/internal/order/stage3/tporder/log_test.go
@@ -23,6 +23,9 @@
 	os.Exit(m.Run())
 }
 
+// runsPerCheck is the number of seeds that follow a drawn one.
+const runsPerCheck = 20
+
 var kinds = map[string]tpmessage.EngineType{
 	"checksFencing":  {Name: "kind", ChecksFencing: true},
 	"ignoresFencing": {Name: "kind", OrderReadTimeout: 3 * time.Second},
@@ -34,9 +37,13 @@
 func TestOrdersNeverConflict(t *testing.T) {
 	for name, kind := range kinds {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
-				if _, err := simulate(t, tplease.Strict{}, kind); err != nil {
-					t.Fatal(err)
+				seed := rapid.Uint64().Draw(t, "seed")
+				for i := range uint64(runsPerCheck) {
+					if _, err := simulate(seed+i, tplease.Strict{}, kind); err != nil {
+						t.Fatalf("seed %d: %v", seed+i, err)
+					}
 				}
 			})
 		})
@@ -49,14 +56,14 @@
 	const runs = 200
 	for name, kind := range kinds {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			caught, applied := 0, 0
 			for seed := range runs {
-				naive := rapid.Custom(func(t *rapid.T) error { _, err := simulate(t, tplease.Naive{}, kind); return err })
-				if naive.Example(seed) != nil {
+				if _, err := simulate(uint64(seed), tplease.Naive{}, kind); err != nil {
 					caught++
 				}
-				strict := rapid.Custom(func(t *rapid.T) int { n, _ := simulate(t, tplease.Strict{}, kind); return n })
-				applied += strict.Example(seed)
+				n, _ := simulate(uint64(seed), tplease.Strict{}, kind)
+				applied += n
 			}
 			t.Logf("caught %d of %d naive runs; %d orders applied by strict runs", caught, runs, applied)
 			if caught == 0 || applied < runs {
--- a/internal/order/stage3/tporder/sim_test.go
+++ b/internal/order/stage3/tporder/sim_test.go
@@ -4,10 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
 	"teaselpin.example/teaselpin/internal/order/stage3/tporder"
 	"teaselpin.example/teaselpin/internal/proof/tphistory"
@@ -42,7 +41,7 @@
 // sim is a simulation of nodes, one engine and the platform. Every message may
 // overtake others, and be late for many seconds.
 type sim[T tplease.Trust] struct {
-	t     *rapid.T
+	rng   *rand.Rand
 	trust T
 	kind  tpmessage.EngineType
 	now   time.Time
@@ -58,10 +57,10 @@
 	history []tpenginefake.OrderEvent
 }
 
-// simulate draws one run, and returns the number of orders that took effect
+// simulate runs the interleaving of one seed, and returns the number of orders that took effect
 // and the first breach.
-func simulate[T tplease.Trust](t *rapid.T, trust T, kind tpmessage.EngineType) (int, error) {
-	s := &sim[T]{t: t, trust: trust, kind: kind, now: time.Unix(1000, 0)}
+func simulate[T tplease.Trust](seed uint64, trust T, kind tpmessage.EngineType) (int, error) {
+	s := &sim[T]{rng: rand.New(rand.NewPCG(seed, 0)), trust: trust, kind: kind, now: time.Unix(1000, 0)}
 	s.state.Role = tpmessage.RoleMixed
 	for i := range 2 {
 		cfg := tplease.Settings{
@@ -91,18 +90,18 @@
 
 // next draws what happens next.
 func (s *sim[T]) next() {
-	n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(s.t, "node")]
-	switch rapid.IntRange(0, 15).Draw(s.t, "kind") {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	switch s.rng.IntN(16) {
 	case 0, 1:
-		s.now = s.now.Add(time.Duration(rapid.IntRange(1, 80).Draw(s.t, "ms")) * time.Millisecond)
+		s.now = s.now.Add(time.Duration(s.rng.IntN(80)+1) * time.Millisecond)
 	case 2:
-		if n.paused && s.one(10, "resume") || !n.paused && s.one(40, "pause") {
+		if n.paused && s.one(10) || !n.paused && s.one(40) {
 			n.paused = !n.paused
 		}
 	case 3:
-		if s.one(4, "change") {
+		if s.one(4) {
 			roles := []tpmessage.Role{tpmessage.RoleMixed, tpmessage.RolePrefill, tpmessage.RoleDecode}
-			s.want(n, rapid.SampledFrom(roles).Draw(s.t, "role"))
+			s.want(n, roles[s.rng.IntN(len(roles))])
 		}
 	case 4, 5:
 		if !n.paused && !n.call {
@@ -128,7 +127,7 @@
 	if len(due) == 0 {
 		return
 	}
-	i := rapid.SampledFrom(due).Draw(s.t, "step")
+	i := due[s.rng.IntN(len(due))]
 	st := s.steps[i]
 	s.steps = append(s.steps[:i:i], s.steps[i+1:]...)
 	st.run()
@@ -137,13 +136,13 @@
 // later adds a step, which now and then is late.
 func (s *sim[T]) later(node *bool, run func()) {
 	st := simStep{node: node, at: s.now, run: run}
-	if s.one(40, "late") {
-		st.at = s.now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(s.t, "lateness")) * time.Millisecond)
+	if s.one(40) {
+		st.at = s.now.Add(time.Duration(s.rng.IntN(6000)+1) * time.Millisecond)
 	}
 	s.steps = append(s.steps, st)
 }
 
-func (s *sim[T]) one(n int, label string) bool { return rapid.IntRange(0, n-1).Draw(s.t, label) == 0 }
+func (s *sim[T]) one(n int) bool { return s.rng.IntN(n) == 0 }
 
 func (s *sim[T]) want(n *simNode[T], role tpmessage.Role) {
 	plan := tporder.Plan{Pool: "language", Lease: simLease, Type: s.kind, Engines: []tporder.Wanted{{
@@ -181,9 +180,9 @@
 func (s *sim[T]) write(node *bool, name string, value any, version uint64, done func(uint64, error)) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		s.t.Fatal(err)
+		panic(err)
 	}
-	lost := s.one(12, "lost")
+	lost := s.one(12)
 	s.later(nil, func() {
 		now, err := s.store.Put(context.Background(), name, data, version)
 		if !lost {
@@ -263,7 +262,7 @@
 
 // body passes a body to the engine. Its answer may be lost.
 func (s *sim[T]) body(n *simNode[T], order tpmessage.Order, inTime func() bool, done func(error)) {
-	lost := s.one(8, "lost")
+	lost := s.one(8)
 	s.later(nil, func() {
 		err := tporder.ErrSendUnknown
 		if inTime() {
@@ -293,7 +292,7 @@
 	s.history = append(s.history, e)
 	s.last = order
 	s.changes++
-	change, crash := s.changes, s.one(10, "crash")
+	change, crash := s.changes, s.one(10)
 	s.busy = change
 	s.steps = append(s.steps, simStep{at: s.now.Add(simChange), run: func() {
 		if s.busy == change {
