--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,7 @@
 	"teaselpin.example/teaselpin/internal/edge/tppeer"
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/frame/tpevent"
+	"teaselpin.example/teaselpin/internal/rollout/tprollout"
 	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
@@ -32,8 +34,10 @@
 	rings   tpring.Group
 	events  *tpevent.Recorder
 	members *membership
+	rollout atomic.Pointer[tprollout.Rollout]
 	request *requestPipeline
 	orders  *orderPipeline
+	journal *journalPipeline // nil without a platform
 	inForce atomic.Pointer[tpmessage.Snapshot]
 	leaving atomic.Bool
 	// naiveLease is Deps.NaiveLease.
@@ -42,6 +46,9 @@
 	callers *server
 	peers   *server
 	cleanup []func()
+
+	statusMu    sync.Mutex
+	statusParts map[string]func() any
 }
 
 // New starts a node. The clean-up function is its planned stop: it lets every
@@ -184,6 +191,8 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(tppeer.MembersPath, n.membersServer().Handler())
+	mux.Handle(tppeer.RolloutPath, n.rolloutServer().Handler())
+	mux.Handle(tppeer.OperationsPath, n.operationsServer().Handler())
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if n.leaving.Load() || n.InForce() == nil {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -198,5 +207,6 @@
 		vars.Set("orders", n.orders.vars())
 		_, _ = w.Write([]byte(vars.String()))
 	})
+	n.handleJournalPeers(mux)
 	return mux
 }
--- /dev/null
+++ b/internal/proof/tpprocess/faults.go
@@ -0,0 +1,35 @@
+package tpprocess
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+)
+
+// SetFaults replaces the faults on command of a stand-in.
+func (p *Process) SetFaults(t testing.TB, faults any) {
+	t.Helper()
+	p.Put(t, "/faults", faults)
+}
+
+// Put sends a value as JSON to a path of a stand-in.
+func (p *Process) Put(t testing.TB, path string, v any) {
+	t.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+p.Addresses[0]+path, bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("PUT %s to %s: got %s", path, p.Name, resp.Status)
+	}
+}
