--- a/internal/proof/orders_pause_test.go
+++ b/internal/proof/orders_pause_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
 	"teaselpin.example/teaselpin/internal/order/stage3/tporder"
 	"teaselpin.example/teaselpin/internal/order/stage4/tpdispatch"
 	"teaselpin.example/teaselpin/internal/proof/tphistory"
@@ -54,16 +55,49 @@
 	}
 }
 
+// callDelay is the time for which the platform holds a call. It is longer than
+// a takeover, so that the call is executed under the next holder.
+const callDelay = 2 * time.Second
+
+// recordHeld lets the platform hold the record that the order is sent.
+func recordHeld(t *testing.T, f *tpprocess.Fleet) {
+	phaseReached(tporder.PhaseDraining)(t, f)
+	setPlatform(tpplatformfake.Faults{Prefix: tporder.ObjectName(f.Engines[0].Name), Delay: callDelay})(t, f)
+	time.Sleep(callDelay / 4) // the call is on its way, or was before
+}
+
+// leaseHeld lets the platform hold the look at the lease that comes between
+// 100 Continue and the body.
+func leaseHeld(t *testing.T, f *tpprocess.Fleet) {
+	eventReached(tpenginefake.OrderHead)(t, f)
+	setPlatform(tpplatformfake.Faults{Prefix: tplease.Prefix, Delay: callDelay})(t, f)
+	time.Sleep(callDelay / 2) // 100 Continue has come, and the call is on its way
+}
+
 func nothing(*testing.T, *tpprocess.Fleet) {}
 
+// headSent is the step at which the order itself is held at the engine.
+var headSent = orderStep{
+	"head sent",
+	setEngine(tpenginefake.OrderFaults{ContinueDelay: heldFor}),
+	eventReached(tpenginefake.OrderHead),
+	setEngine(tpenginefake.OrderFaults{}),
+	true,
+}
+
 var orderSteps = []orderStep{
 	{"drain recorded", nothing, phaseReached(tporder.PhaseDraining), nothing, false},
+	headSent,
+	{"sending recorded late", nothing, recordHeld, setPlatform(tpplatformfake.Faults{}), false},
 	{
-		"head sent",
-		setEngine(tpenginefake.OrderFaults{ContinueDelay: heldFor}),
-		eventReached(tpenginefake.OrderHead),
-		setEngine(tpenginefake.OrderFaults{}),
-		true,
+		"lease read again late",
+		setEngine(tpenginefake.OrderFaults{ContinueDelay: callDelay / 4}),
+		leaseHeld,
+		func(t *testing.T, f *tpprocess.Fleet) {
+			setPlatform(tpplatformfake.Faults{})(t, f)
+			setEngine(tpenginefake.OrderFaults{})(t, f)
+		},
+		false,
 	},
 	{"change begun", nothing, eventReached(tpenginefake.OrderApplied), nothing, false},
 	{
@@ -164,7 +198,7 @@
 		t.Run(kind.name, func(t *testing.T) {
 			t.Parallel()
 			f := startOrderFleet(t, kind, 1, 2, naiveCommand(t)...)
-			former := stopAt(t, f, orderSteps[1], func(p *tpprocess.Process) { p.Pause(t) })
+			former := stopAt(t, f, headSent, func(p *tpprocess.Process) { p.Pause(t) })
 			takeOver(t, f, former)
 			former.Resume(t)
 			waitEnded(t, f.Engines[0])
