--- a/internal/proof/orders_faults_test.go
+++ b/internal/proof/orders_faults_test.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// platformCalls returns the number of platform calls so far.
-func platformCalls(b *testing.B, f *tpprocess.Fleet) float64 {
+// orderPlatformCalls returns the number of platform calls so far.
+func orderPlatformCalls(b *testing.B, f *tpprocess.Fleet) float64 {
 	b.Helper()
 	var c tpplatformfake.Counts
 	if err := getJSON(f.Platform.Addresses[0]+"/counts", &c); err != nil {
@@ -142,9 +142,9 @@
 		})
 		const held = 10 * time.Second
 		holder := waitHolder(b, f, nil)
-		before := platformCalls(b, f)
+		before := orderPlatformCalls(b, f)
 		time.Sleep(held)
-		perSecond += (platformCalls(b, f) - before) / held.Seconds()
+		perSecond += (orderPlatformCalls(b, f) - before) / held.Seconds()
 
 		name := tplease.ObjectName("nord-ovest", "language")
 		seen, err := tplease.Read(b.Context(), f.Client, name)
@@ -153,7 +153,7 @@
 		}
 		holder.Kill()
 		killed := time.Now()
-		before = platformCalls(b, f)
+		before = orderPlatformCalls(b, f)
 		reads := 0.0
 		tpprocess.Eventually(b, "another node holds the lease", func() bool {
 			reads++
@@ -161,7 +161,7 @@
 			return err == nil && now.Lease.Fencing > seen.Lease.Fencing
 		})
 		takeover += time.Since(killed).Seconds()
-		perTakeover += platformCalls(b, f) - before - reads
+		perTakeover += orderPlatformCalls(b, f) - before - reads
 	}
 	b.ReportMetric(perSecond/float64(b.N), "calls/s-held")
 	b.ReportMetric(takeover/float64(b.N), "s/takeover")
--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -104,13 +104,6 @@
 // StartNode starts one node of the fleet with settings of its own. Its seeds
 // are the nodes that were started before, or the given ones.
 func (f *Fleet) StartNode(t testing.TB, name string, seeds ...string) *Process {
-	t.Helper()
-	args := append(slices.Clone(f.nodeCommand[1:]), f.settingsFile(t, name, seeds))
-	return Start(t, name, f.nodeCommand[0], args...)
-}
-
-// settingsFile writes the settings of one node of the fleet.
-func (f *Fleet) settingsFile(t testing.TB, name string, seeds []string) string {
 	t.Helper()
 	if len(seeds) == 0 {
 		for _, n := range f.Nodes {
@@ -129,5 +122,5 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return path
+	return Start(t, name, f.nodeCommand[0], append(slices.Clone(f.nodeCommand[1:]), path)...)
 }
