Add faults on command to the stand-in engine

The stand-in could only answer well, so no failure of an engine could be tested. It now cuts, delays, reorders, doubles and crosses chunks, stops reading, crashes on a poison prompt, reports leaving, lags its load reports, and tells cache events late and with gaps.

--- a/internal/command/tpcommand/standin.go
+++ b/internal/command/tpcommand/standin.go
@@ -46,6 +46,15 @@
 	Model string        `long:"model" description:"model that is loaded"`
 	Step  time.Duration `long:"step" description:"time of one batch step" default:"5ms"`
 
+	MaxBatch int           `long:"max-batch" description:"streams that decode at the same time"`
+	Cuts     int           `long:"cuts" description:"number of next streams to cut, -1 for all"`
+	CutAfter int           `long:"cut-after" description:"chunks sent before a cut"`
+	Delay    time.Duration `long:"delay" description:"time added before each chunk"`
+	Poison   string        `long:"poison" description:"a prompt with this text crashes the process"`
+	LoadLag  time.Duration `long:"load-lag" description:"age that load reports reach"`
+	CacheLag time.Duration `long:"cache-lag" description:"age from which cache events are told"`
+	CacheGap int           `long:"cache-gap" description:"each n-th cache event is never told"`
+
 	env Env
 }
 
@@ -53,7 +62,13 @@
 func (c *Engine) Execute([]string) error {
 	duties, stop := tpduty.NewRunner(tpduty.Settings{})
 	defer stop()
-	e, cleanup, err := tpenginefake.New(tpenginefake.Settings{Name: c.Name, Model: c.Model, Step: c.Step}, duties)
+	e, cleanup, err := tpenginefake.New(tpenginefake.Settings{
+		Name: c.Name, Model: c.Model, Step: c.Step, MaxBatch: c.MaxBatch,
+		Faults: tpenginefake.Faults{
+			Cuts: c.Cuts, CutAfter: c.CutAfter, Delay: c.Delay, Poison: c.Poison,
+			LoadLag: c.LoadLag, CacheLag: c.CacheLag, CacheGap: c.CacheGap,
+		},
+	}, duties)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/tptarget/wire.go
+++ b/internal/edge/tptarget/wire.go
@@ -6,6 +6,7 @@
 const (
 	PathGenerate = "/generate" // POST GenerateRequest, answered by lines of JSON
 	PathLoad     = "/load"     // GET, answered by a tpmessage.LoadReport
+	PathCache    = "/cache"    // GET with the query after=N, answered by a list of tpmessage.CacheEvent
 	PathState    = "/state"    // GET, answered by an EngineStatus
 	PathOrders   = "/orders"   // POST tpmessage.Order
 	PathCalls    = "/calls"    // POST to a plain service; GET /calls/KEY asks about a key
@@ -17,7 +18,7 @@
 	HeaderRequestID = "Request-Id"
 	// HeaderRefused is set by a target on an answer that says that nothing ran.
 	HeaderRefused = "Not-Run"
-	// HeaderLeaving is set by a plain service that is about to stop.
+	// HeaderLeaving is set by a target that is about to stop.
 	HeaderLeaving = "Leaving"
 )
 
--- a/internal/standin/tpenginefake/engine.go
+++ b/internal/standin/tpenginefake/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -19,8 +21,16 @@
 	DefaultPrefillTokens = 2048 // per step
 	DefaultChunkTokens   = 4
 	DefaultMaxBatch      = 64
+	DefaultCachePrefixes = 256
 )
 
+// streamLines is the number of lines that wait for a slow reader; its stream
+// is then passed over in the batch until there is room.
+const streamLines = 256
+
+// crashStatus is the exit status of a process that a poison prompt ended.
+const crashStatus = 3
+
 // Settings configures an engine. The zero value is the default.
 type Settings struct {
 	Name          string
@@ -29,16 +39,46 @@
 	PrefillTokens int           // prompt tokens that one step processes
 	ChunkTokens   int           // tokens in a chunk; one chunk a step and stream
 	MaxBatch      int           // streams that decode at the same time
+	CachePrefixes int           // prompt prefixes that the cache holds
 	Clock         tpclock.Clock
+	Faults        Faults
+	// Crash ends the process on a poison prompt; nil means os.Exit.
+	Crash func()
+}
+
+func (s *Settings) setDefaults() {
+	if s.Step <= 0 {
+		s.Step = DefaultStep
+	}
+	if s.PrefillTokens <= 0 {
+		s.PrefillTokens = DefaultPrefillTokens
+	}
+	if s.ChunkTokens <= 0 {
+		s.ChunkTokens = DefaultChunkTokens
+	}
+	if s.MaxBatch <= 0 {
+		s.MaxBatch = DefaultMaxBatch
+	}
+	if s.CachePrefixes <= 0 {
+		s.CachePrefixes = DefaultCachePrefixes
+	}
+	if s.Clock == nil {
+		s.Clock = tpclock.System{}
+	}
+	if s.Crash == nil {
+		s.Crash = func() { os.Exit(crashStatus) }
+	}
 }
 
 // stream is one request at the engine.
 type stream struct {
-	req    tptarget.GenerateRequest
-	left   int // prompt tokens still to process
-	next   int // number of the next chunk
-	chunks int // number of chunks of the whole answer
-	lines  *tpring.Ring[tptarget.GenerateLine]
+	req     tptarget.GenerateRequest
+	arrived uint64 // rises with each arrival
+	left    int    // prompt tokens still to process
+	next    int    // number of the next chunk
+	chunks  int    // number of chunks of the whole answer
+	lines   *tpring.Ring[tptarget.GenerateLine]
+	gone    atomic.Bool // the reader has cancelled the stream
 }
 
 // input is one message to the engine's duty.
@@ -46,34 +86,29 @@
 	arrive *stream
 	tick   bool
 	load   *tpring.Ring[tpmessage.LoadReport]
+	cache  *cacheQuery
 }
 
-// Engine is the batch loop. It belongs to one duty.
+// Engine is the batch loop. Apart from the faults and the record of runs, its
+// state belongs to one duty.
 type Engine struct {
-	cfg     Settings
-	in      *tpring.Ring[input]
-	waiting []*stream
-	running []*stream
+	cfg      Settings
+	in       *tpring.Ring[input]
+	waiting  []*stream
+	running  []*stream
+	arrivals uint64
+	reported tpmessage.LoadReport
+	cache    prefixCache
+	faults   faultState
+	runs     record
 }
 
 // New starts an engine. The clean-up function ends its streams and duties.
 func New(cfg Settings, r *tpduty.Runner) (*Engine, func(), error) {
-	if cfg.Step <= 0 {
-		cfg.Step = DefaultStep
-	}
-	if cfg.PrefillTokens <= 0 {
-		cfg.PrefillTokens = DefaultPrefillTokens
-	}
-	if cfg.ChunkTokens <= 0 {
-		cfg.ChunkTokens = DefaultChunkTokens
-	}
-	if cfg.MaxBatch <= 0 {
-		cfg.MaxBatch = DefaultMaxBatch
-	}
-	if cfg.Clock == nil {
-		cfg.Clock = tpclock.System{}
-	}
+	cfg.setDefaults()
 	e := &Engine{cfg: cfg, in: tpring.New[input](tpring.Settings{Capacity: 256})}
+	e.cache.max = cfg.CachePrefixes
+	e.SetFaults(cfg.Faults)
 	cleanup, err := tpduty.Filter(r, "engine "+cfg.Name, e.in, e.handle)
 	if err != nil {
 		return nil, nil, err
@@ -105,24 +140,24 @@
 	}
 }
 
-// Generate queues a request and returns the ring of its lines.
-func (e *Engine) Generate(req tptarget.GenerateRequest) (*tpring.Ring[tptarget.GenerateLine], error) {
+// generate queues a request. A request from beyond the end of the answer gets
+// one empty last chunk.
+func (e *Engine) generate(req tptarget.GenerateRequest) (*stream, error) {
 	chunks := max(1, (req.MaxTokens+e.cfg.ChunkTokens-1)/e.cfg.ChunkTokens)
 	s := &stream{
 		req:    req,
 		left:   req.PromptTokens,
 		next:   req.From,
-		chunks: chunks,
-		// The ring holds the whole answer, so that the batch never waits for a reader.
-		lines: tpring.New[tptarget.GenerateLine](tpring.Settings{Capacity: max(1, chunks-req.From)}),
+		chunks: max(chunks, req.From+1),
+		lines:  tpring.New[tptarget.GenerateLine](tpring.Settings{Capacity: min(streamLines, max(1, chunks-req.From))}),
 	}
 	if err := e.in.Put(input{arrive: s}); err != nil {
 		return nil, err
 	}
-	return s.lines, nil
+	return s, nil
 }
 
-// Load returns the engine's load report.
+// Load returns the engine's load report, which may lag by a fault.
 func (e *Engine) Load() (tpmessage.LoadReport, error) {
 	reply := tpring.New[tpmessage.LoadReport](tpring.Settings{Capacity: 1})
 	if err := e.in.Put(input{load: reply}); err != nil {
@@ -134,82 +169,16 @@
 func (e *Engine) handle(in input) {
 	switch {
 	case in.arrive != nil:
-		e.waiting = append(e.waiting, in.arrive)
+		e.arrive(in.arrive)
 	case in.load != nil:
 		_ = in.load.Put(e.report())
+	case in.cache != nil:
+		in.cache.answer(&e.cache, e.cfg.Clock.Now(), e.faults.now())
 	case in.tick:
 		e.step()
 	}
 }
 
-// step processes one batch: prompts up to the budget, then one chunk for each
-// running stream.
-func (e *Engine) step() {
-	budget := e.cfg.PrefillTokens
-	for len(e.waiting) > 0 && budget > 0 && len(e.running) < e.cfg.MaxBatch {
-		s := e.waiting[0]
-		n := min(s.left, budget)
-		s.left -= n
-		budget -= n
-		if s.left > 0 {
-			break
-		}
-		e.waiting = e.waiting[1:]
-		e.running = append(e.running, s)
-	}
-	kept := e.running[:0]
-	for _, s := range e.running {
-		if e.emit(s) {
-			kept = append(kept, s)
-		}
-	}
-	e.running = kept
-}
-
-// emit passes on the next chunk and reports whether more follow.
-func (e *Engine) emit(s *stream) bool {
-	line := tptarget.GenerateLine{
-		RequestID: s.req.RequestID,
-		Number:    s.next,
-		Text:      ChunkText(s.req.RequestID, s.req.Seed, s.next),
-		Tokens:    e.cfg.ChunkTokens,
-	}
-	s.next++
-	if s.next >= s.chunks {
-		report := e.report()
-		line.End = true
-		line.PrefillPieces = float64(s.req.PromptTokens) / tpmessage.PieceTokens
-		line.DecodePieces = float64(s.chunks*e.cfg.ChunkTokens) / tpmessage.PieceTokens
-		line.Load = &report
-	}
-	if err := s.lines.TryPut(line); err != nil {
-		s.lines.Close()
-		return false
-	}
-	if line.End {
-		s.lines.Close()
-	}
-	return !line.End
-}
-
-func (e *Engine) report() tpmessage.LoadReport {
-	rep := tpmessage.LoadReport{
-		Target:  e.cfg.Name,
-		At:      e.cfg.Clock.Now(),
-		Running: len(e.running),
-		Role:    tpmessage.RoleMixed,
-		Model:   e.cfg.Model,
-	}
-	for _, s := range e.waiting {
-		rep.WaitingPrefill += float64(s.left) / tpmessage.PieceTokens
-		rep.WaitingDecode += float64((s.chunks-s.next)*e.cfg.ChunkTokens) / tpmessage.PieceTokens
-	}
-	for _, s := range e.running {
-		rep.WaitingDecode += float64((s.chunks-s.next)*e.cfg.ChunkTokens) / tpmessage.PieceTokens
-	}
-	return rep
-}
-
 func (e *Engine) closeStreams() {
 	for _, s := range append(e.waiting, e.running...) {
 		s.lines.Close()
--- a/internal/standin/tpenginefake/handler.go
+++ b/internal/standin/tpenginefake/handler.go
@@ -1,43 +1,66 @@
 package tpenginefake
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"time"
 
 	"teaselpin.example/teaselpin/internal/edge/tptarget"
 )
 
-// Handler returns the engine's HTTP interface.
+// maxRequestBytes bounds the body of a request to the engine.
+const maxRequestBytes = 16 << 20
+
+// Handler returns the engine's HTTP interface. PUT /faults sets the faults,
+// and GET /runs returns the record of runs.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+tptarget.PathGenerate, e.serveGenerate)
 	mux.HandleFunc("GET "+tptarget.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+tptarget.PathCache, e.serveCache)
+	mux.HandleFunc("PUT /faults", e.serveFaults)
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) })
 	return mux
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	e.faults.waitReading(r.Context().Done())
 	var req tptarget.GenerateRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		w.Header().Set(tptarget.HeaderRefused, "true")
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	lines, err := e.Generate(req)
+	if e.faults.now().Leaving {
+		w.Header().Set(tptarget.HeaderLeaving, "true")
+		refuse(w, http.StatusServiceUnavailable, e.cfg.Name+" is leaving")
+		return
+	}
+	s, err := e.generate(req)
 	if err != nil {
-		w.Header().Set(tptarget.HeaderRefused, "true")
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	// Closing the ring cancels the stream when the reader is gone.
-	defer lines.Close()
-	enc := json.NewEncoder(w)
-	rc := http.NewResponseController(w)
+	defer s.gone.Store(true)
+	out := &lineWriter{
+		engine: e,
+		w:      w,
+		run:    e.runs.begin(req.RequestID, req.Prompt, req.From, e.cfg.Clock.Now()),
+		left:   -1,
+	}
+	if e.faults.takeCut() {
+		out.left = e.faults.now().CutAfter
+	}
+	// Closing the ring when the caller is gone ends a wait for the next line.
+	stop := context.AfterFunc(r.Context(), s.lines.Close)
+	defer stop()
 	for {
-		line, err := lines.Take()
+		line, err := s.lines.Take()
 		if err != nil {
 			return
 		}
-		if enc.Encode(line) != nil || rc.Flush() != nil || line.End {
+		if !out.write(line) || line.End {
 			return
 		}
 	}
@@ -49,6 +72,84 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	writeJSON(w, rep)
+}
+
+func (e *Engine) serveCache(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	events, err := e.CacheEvents(after)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, events)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+// lineWriter writes the lines of one answer with the faults applied.
+type lineWriter struct {
+	engine *Engine
+	w      http.ResponseWriter
+	run    *Run
+	left   int                    // chunks until the cut, -1 for none
+	held   *tptarget.GenerateLine // a late chunk, sent after the next one
+}
+
+// write reports whether the stream goes on.
+func (l *lineWriter) write(line tptarget.GenerateLine) bool {
+	f := l.engine.faults.now()
+	if f.Delay > 0 {
+		time.Sleep(f.Delay)
+	}
+	if l.left == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	l.left--
+	if every(f.LateEvery, line.Number) && !line.End && l.held == nil {
+		l.held = &line
+		return true
+	}
+	if every(f.CrossEvery, line.Number) {
+		other := line
+		other.RequestID = "00000000-0000-7000-8000-000000000000"
+		other.Text = "of another request"
+		if !l.send(other) {
+			return false
+		}
+	}
+	if !l.send(line) || every(f.DoubleEvery, line.Number) && !l.send(line) {
+		return false
+	}
+	l.engine.runs.sent(l.run, line.End)
+	if held := l.held; held != nil {
+		l.held = nil
+		l.engine.runs.sent(l.run, false)
+		return l.send(*held)
+	}
+	return true
+}
+
+func (l *lineWriter) send(line tptarget.GenerateLine) bool {
+	return json.NewEncoder(l.w).Encode(line) == nil && http.NewResponseController(l.w).Flush() == nil
+}
+
+func refuse(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(tptarget.HeaderRefused, "true")
+	http.Error(w, reason, status)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(rep)
+	_ = json.NewEncoder(w).Encode(v)
 }
