Stop a node without cutting a request, and spread leaving targets

A stopping node closed its listeners at once, so that the balancer's requests failed and peers went on sending. It now fails /ready, refuses with draining after the grace period, finishes its streams and ends. Targets that are leaving by a report, the configuration or the platform's list are kept by one filter, which tells the router and gives the names for heartbeats.

--- /dev/null
+++ b/internal/membership/tpmember/leaving_test.go
@@ -0,0 +1,48 @@
+package tpmember_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/membership/tpmember"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// Guards against word of a leaving target that does not reach a node two hops
+// away, and against word that nodes keep alive among themselves after the
+// target has come back.
+func TestLeavingSpreadsAndDiesOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a, b, c tpmember.Leaving
+	a.Report(tpmessage.LoadReport{Target: "engine-1", At: now, Leaving: true})
+	b.Merge(now, a.Tell(now))
+	c.Merge(now.Add(time.Second), b.Tell(now.Add(time.Second)))
+	if got, want := c.Names(now.Add(time.Second)), []string{"engine-1"}; !slices.Equal(got, want) {
+		t.Fatalf("two hops away: got %v, want %v", got, want)
+	}
+	a.Report(tpmessage.LoadReport{Target: "engine-1", At: now.Add(time.Second)})
+	for range 30 {
+		now = now.Add(time.Second)
+		for _, pair := range [][2]*tpmember.Leaving{{&a, &b}, {&b, &c}, {&c, &a}} {
+			pair[1].Merge(now, pair[0].Tell(now))
+			pair[0].Merge(now, pair[1].Tell(now))
+		}
+	}
+	for i, l := range []*tpmember.Leaving{&a, &b, &c} {
+		if got := l.Names(now); len(got) != 0 {
+			t.Errorf("node %d after the target has come back: got %v, want none", i, got)
+		}
+	}
+}
+
+// Guards against a late report that brings new work to a leaving target.
+func TestLeavingIgnoresOlderReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var l tpmember.Leaving
+	l.Report(tpmessage.LoadReport{Target: "engine-1", At: now, Leaving: true})
+	l.Report(tpmessage.LoadReport{Target: "engine-1", At: now.Add(-time.Second)})
+	if got := l.Names(now); len(got) != 1 {
+		t.Errorf("after an older report: got %v, want engine-1", got)
+	}
+}
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -32,7 +32,9 @@
 	events  *tpevent.Recorder
 	request *requestPipeline
 	inForce atomic.Pointer[tpmessage.Snapshot]
-	leaving atomic.Bool
+	leaving atomic.Bool // this node is stopping
+	gate    gate
+	targets *leavingTargets
 	callers *server
 	peers   *server
 	cleanup []func()
@@ -74,22 +76,15 @@
 	if err := n.startRequestPipeline(); err != nil {
 		return err
 	}
+	if err := n.startLeaving(); err != nil {
+		return err
+	}
 	if err := n.startServers(); err != nil {
 		return err
 	}
 	return n.startRollout()
 }
 
-func (n *Node) stop() {
-	n.leaving.Store(true)
-	n.events.Record(tpmessage.Event{Kind: "stopping"})
-	for i := len(n.cleanup) - 1; i >= 0; i-- {
-		n.cleanup[i]()
-	}
-	n.cleanup = nil
-	n.log.Info().Str("node", n.cfg.Name).Msg("node stopped")
-}
-
 // Apply puts a configuration in force. It ignores a generation that is not
 // above the one in force. It is called by the rollout duty alone.
 func (n *Node) Apply(s *tpmessage.Snapshot) {
@@ -98,6 +93,7 @@
 	}
 	n.inForce.Store(s)
 	n.request.apply(s)
+	_ = n.targets.in.Put(leavingInput{config: &s.Config})
 	n.events.Record(tpmessage.Event{Kind: "configurationInForce", Generation: s.Generation})
 	n.log.Info().Uint64("generation", s.Generation).Msg("configuration in force")
 }
@@ -131,7 +127,7 @@
 	}
 	n.peers = peers
 	front := &tpfront.Handler{Clock: n.clock, InForce: n.InForce, Submit: n.submit}
-	callers, err := n.serve("callers", n.cfg.CallerAddress, front)
+	callers, err := n.serve("callers", n.cfg.CallerAddress, n.counted(front))
 	if err != nil {
 		return err
 	}
@@ -149,6 +145,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    DefaultMaxHeader,
+		IdleTimeout:       idleTimeout,
 	}}
 	wait, err := n.duties.Go(name, func() {
 		if err := s.srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/tpnode/path_test.go
+++ b/internal/node/tpnode/path_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/goleak"
@@ -71,7 +72,7 @@
 func startNode(t *testing.T, engines []tpmessage.Target) *tpnode.Node {
 	t.Helper()
 	n, cleanup, err := tpnode.New(tpnode.Settings{
-		Name: "node-0", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		Name: "node-0", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", StopGrace: time.Millisecond,
 	}, tpnode.Deps{})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -56,7 +56,7 @@
 		Events:    n.events,
 		Budgets:   &tpsender.Budgets{},
 		Counters:  &tpsender.Counters{},
-		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported},
+		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported, Usable: n.takesNewWork},
 	}
 	// The clean-up functions run in the reverse order: the duties drain from
 	// the front of the pipeline to its end, while completions still find the
@@ -109,6 +109,10 @@
 
 // submit passes work from the front end to admission.
 func (n *Node) submit(w tpmessage.Work) *tpmessage.Refusal {
+	if ref := n.draining(); ref != nil {
+		n.request.refused.Add(string(ref.Code), 1)
+		return ref
+	}
 	n.events.Record(tpmessage.Event{Kind: "arrive", Request: w.Request.ID, Organisation: w.Request.Organisation})
 	err := n.request.admissionIn.TryPutBelow(
 		tpadmission.Input{Kind: tpadmission.InputArrival, Work: w}, DefaultArrivals)
@@ -172,6 +176,7 @@
 // reported passes a load report to the router; a full ring loses it.
 func (n *Node) reported(rep tpmessage.LoadReport) {
 	_ = n.request.routerIn.TryPutBelow(tprouter.Input{Kind: tprouter.InputReport, Report: rep}, DefaultReports)
+	n.noteLeaving(rep)
 }
 
 // apply passes a configuration to the filters.
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -17,6 +17,7 @@
 	DefaultStopGrace  = 2 * time.Second
 	DefaultMaxHeader  = 16 << 10
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
 )
 
 // Settings configures a node. The addresses and names have no default; the
@@ -33,6 +34,8 @@
 	// StopGrace is the time from the announcement of a planned stop to the
 	// refusal of new requests, in which the balancer stops sending.
 	StopGrace time.Duration `yaml:"stopGrace"`
+	// VMPoll is the time between two reads of the platform's list of VMs.
+	VMPoll time.Duration `yaml:"vmPoll"`
 }
 
 // Deps are the parts that tests and the embedded run replace. The zero value
@@ -49,4 +52,7 @@
 	if s.StopGrace <= 0 {
 		s.StopGrace = DefaultStopGrace
 	}
+	if s.VMPoll <= 0 {
+		s.VMPoll = DefaultVMPoll
+	}
 }
--- /dev/null
+++ b/internal/node/tpnode/stop.go
@@ -0,0 +1,92 @@
+package tpnode
+
+import (
+	"net/http"
+	"sync"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// gate counts the requests of callers that are in progress. The zero value is
+// open.
+type gate struct {
+	mu     sync.Mutex
+	idle   sync.Cond
+	inside int
+	closed bool
+}
+
+func (g *gate) enter() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inside++
+}
+
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inside--
+	if g.inside == 0 && g.idle.L != nil {
+		g.idle.Broadcast()
+	}
+}
+
+func (g *gate) isClosed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closed
+}
+
+// close refuses new requests and waits for those in progress.
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.idle.L = &g.mu
+	for g.inside > 0 {
+		g.idle.Wait()
+	}
+}
+
+// stop is the planned stop. It announces that the node is leaving and fails
+// /ready, so that the balancer stops sending; refuses new requests after the
+// grace period; waits for the requests in progress, which their deadlines
+// bound; and then runs the clean-up functions, the last one added first.
+func (n *Node) stop() {
+	n.leaving.Store(true)
+	n.events.Record(tpmessage.Event{Kind: "leaving"})
+	if n.callers != nil {
+		<-n.clock.After(n.cfg.StopGrace)
+		n.events.Record(tpmessage.Event{Kind: "draining"})
+		n.log.Info().Str("node", n.cfg.Name).Msg("node refuses new requests and finishes its streams")
+		n.gate.close()
+	}
+	for i := len(n.cleanup) - 1; i >= 0; i-- {
+		n.cleanup[i]()
+	}
+	n.cleanup = nil
+	n.log.Info().Str("node", n.cfg.Name).Msg("node stopped")
+}
+
+// counted counts the requests of callers. From the announcement on, it asks
+// callers to open their next connection elsewhere.
+func (n *Node) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.gate.enter()
+		defer n.gate.leave()
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// draining returns the refusal of a node that takes no new requests, or nil.
+func (n *Node) draining() *tpmessage.Refusal {
+	if !n.gate.isClosed() {
+		return nil
+	}
+	return &tpmessage.Refusal{
+		Code: tpmessage.RefusalDraining, Reason: "this node is stopping", RetryAfter: n.cfg.StopGrace, NotRun: true,
+	}
+}
--- a/internal/request/stage3/tprouter/router.go
+++ b/internal/request/stage3/tprouter/router.go
@@ -61,7 +61,8 @@
 	policy  P
 	pools   map[string][]*Candidate
 	byName  map[string]*Candidate
-	leaving map[string]bool // from the platform's list and the configuration
+	leaving map[string]bool // from the latest InputLeaving
+	drains  map[string]bool // from the configuration
 	usable  []*Candidate    // scratch
 }
 
@@ -130,7 +131,7 @@
 	}
 	c.Report = rep
 	c.SentPrefill, c.SentDecode = 0, 0
-	c.Leaving = rep.Leaving || r.leaving[rep.Target]
+	c.Leaving = rep.Leaving || r.leaving[rep.Target] || r.drains[rep.Target]
 }
 
 func (r *Router[P]) complete(done tpmessage.Completion) {
@@ -155,15 +156,25 @@
 			r.pools[p.Name] = append(r.pools[p.Name], c)
 		}
 	}
-	r.setLeaving(cfg.Drains)
+	r.drains = setOf(cfg.Drains)
+	r.markLeaving()
 }
 
 func (r *Router[P]) setLeaving(names []string) {
-	r.leaving = make(map[string]bool, len(names))
-	for _, name := range names {
-		r.leaving[name] = true
-	}
+	r.leaving = setOf(names)
+	r.markLeaving()
+}
+
+func (r *Router[P]) markLeaving() {
 	for name, c := range r.byName {
-		c.Leaving = r.leaving[name] || c.Report.Leaving
+		c.Leaving = r.leaving[name] || r.drains[name] || c.Report.Leaving
+	}
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
 	}
+	return set
 }
--- a/internal/request/stage5/tpsender/plan.go
+++ b/internal/request/stage5/tpsender/plan.go
@@ -50,7 +50,8 @@
 // Next returns the attempt after one that has ended, or false if the request
 // has to end. A cut stream is resumed once at the same target unless that is
 // lost or silent, then at the next one. After the last target comes the first.
-func (p *Plan) Next(now time.Time, end End) (Step, bool) {
+// A target that is not usable, because it is leaving, is passed over.
+func (p *Plan) Next(now time.Time, end End, usable func(target string) bool) (Step, bool) {
 	if end.Outcome != tpmessage.OutcomeNotSent {
 		p.handed = true
 	}
@@ -67,15 +68,21 @@
 	}
 	p.attempts++
 	step := Step{Charged: end.Outcome != tpmessage.OutcomeNotSent}
-	if end.Outcome == tpmessage.OutcomeCut && !p.resumed && !end.Lost && !end.Stalled {
+	resumable := end.Outcome == tpmessage.OutcomeCut && !p.resumed && !end.Lost && !end.Stalled
+	if current := p.assignment.Targets[p.target]; resumable && usable(current.Name) {
 		p.resumed = true
 		step.Again = true
-	} else {
-		p.resumed = false
+		step.Target = current
+		return step, true
+	}
+	p.resumed = false
+	for range p.assignment.Targets {
 		p.target = (p.target + 1) % len(p.assignment.Targets)
+		if step.Target = p.assignment.Targets[p.target]; usable(step.Target.Name) {
+			return step, true
+		}
 	}
-	step.Target = p.assignment.Targets[p.target]
-	return step, true
+	return Step{}, false
 }
 
 // Handed reports whether a byte of the request was handed to a target.
--- a/internal/request/stage5/tpsender/sender.go
+++ b/internal/request/stage5/tpsender/sender.go
@@ -55,6 +55,8 @@
 	Report     func(tpmessage.LoadReport)
 	// Settled is called with the end of a non-idempotent request.
 	Settled func(w tpmessage.Work, o tpmessage.Outcome, handed bool, last *tpmessage.Chunk)
+	// Usable reports whether a target takes new work. Nil allows all.
+	Usable func(target string) bool
 	// Admit is called before each attempt, after the completions of the
 	// earlier ones, with the names of targets that could not be reached. It
 	// may wait until the attempt is allowed. Nil allows all.
--- a/internal/request/stage5/tpsender/task.go
+++ b/internal/request/stage5/tpsender/task.go
@@ -63,7 +63,8 @@
 			step.Target = *verdict.Target
 		}
 		res = t.attempt(step)
-		next, again := t.plan.Next(t.s.Clock.Now(), End{Outcome: res.Outcome, Lost: res.Lost, Stalled: res.Stalled})
+		end := End{Outcome: res.Outcome, Lost: res.Lost, Stalled: res.Stalled}
+		next, again := t.plan.Next(t.s.Clock.Now(), end, t.usable)
 		wait, again := t.charge(next, again)
 		t.complete(step.Target, &res, !again)
 		if !again {
@@ -84,6 +85,10 @@
 	return t.s.Sinks.Admit(t.ctx, &t.work.Request, t.unreachable)
 }
 
+func (t *task) usable(target string) bool {
+	return t.s.Sinks.Usable == nil || t.s.Sinks.Usable(target)
+}
+
 // attempt runs the request at one target and delivers its chunks.
 func (t *task) attempt(step Step) Result {
 	t.event("send", step.Target.Name, "")
--- a/pkg/tpmessage/target.go
+++ b/pkg/tpmessage/target.go
@@ -40,3 +40,10 @@
 	PrefixHash uint64 `json:"prefixHash"`
 	Evicted    bool   `json:"evicted"`
 }
+
+// LeavingTarget is a target that was found to be leaving, as nodes tell it to
+// each other.
+type LeavingTarget struct {
+	Name string        `json:"name"`
+	Age  time.Duration `json:"age"` // since a node last saw a signal of its own
+}
