Quarantine requests that crash targets

One poisonous prompt could take down each target that its retries and its caller reached. A cut whose target takes no connections now makes the request a suspect: it runs again as one copy for each node, at a target that its fingerprint ranks first and that no other suspect of the crash uses. A second crash quarantines it and clears the requests that only ran beside it. The region's object keeps quarantined fingerprints; Suspects and MergeSuspects carry them in heartbeats.

--- /dev/null
+++ b/internal/guard/tpquarantine/quarantine.go
@@ -0,0 +1,163 @@
+package tpquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// entry is what the quarantine knows of one fingerprint.
+type entry struct {
+	Suspect
+	changed time.Time
+	running string // target on which this node runs the one allowed copy
+}
+
+// Quarantine holds the suspects of one node. It belongs to one filter. The
+// zero value has none.
+type Quarantine struct {
+	entries map[uint64]*entry
+}
+
+// Complete takes the end of an attempt. A crash makes the request a suspect, a
+// second one quarantines it, and a whole answer clears it.
+func (q *Quarantine) Complete(now time.Time, c *tpmessage.Completion) {
+	if c.Outcome == tpmessage.OutcomeCut && c.Lost {
+		q.crash(now, c.Fingerprint, c.Target)
+		return
+	}
+	e, ok := q.entries[c.Fingerprint]
+	if !ok {
+		return
+	}
+	if c.Target == e.running {
+		e.running = ""
+	}
+	if c.Outcome == tpmessage.OutcomeDone && !e.Cleared && !e.Quarantined() {
+		e.Cleared = true
+		e.changed = now
+	}
+}
+
+func (q *Quarantine) crash(now time.Time, fingerprint uint64, target string) {
+	e, ok := q.entries[fingerprint]
+	if !ok {
+		e = &entry{Suspect: Suspect{Fingerprint: fingerprint}}
+		q.add(e)
+	}
+	if e.Cleared {
+		e.Cleared = false
+		e.Targets = nil
+	}
+	// A target that was started again and crashed under the allowed copy
+	// counts once more; several streams cut by one crash count once.
+	if e.running == target || !slices.Contains(e.Targets, target) {
+		e.Targets = append(e.Targets, target)
+	}
+	if e.running == target {
+		e.running = ""
+	}
+	e.changed = now
+	q.explain(now)
+}
+
+// explain clears the fingerprints whose crashes are all among those of one
+// quarantined fingerprint that has more: they only ran beside it.
+func (q *Quarantine) explain(now time.Time) {
+	for _, culprit := range q.entries {
+		if !culprit.Quarantined() {
+			continue
+		}
+		for _, e := range q.entries {
+			if !e.Cleared && len(e.Targets) < len(culprit.Targets) && within(e.Targets, culprit.Targets) {
+				e.Cleared = true
+				e.changed = now
+			}
+		}
+	}
+}
+
+// Merge takes what a peer or the region's object tells.
+func (q *Quarantine) Merge(now time.Time, told []Suspect) {
+	for _, s := range told {
+		if len(s.Targets) == 0 {
+			continue
+		}
+		e, ok := q.entries[s.Fingerprint]
+		switch {
+		case !ok && s.Cleared:
+		case !ok:
+			q.add(&entry{Suspect: Suspect{Fingerprint: s.Fingerprint, Targets: slices.Clone(s.Targets)}, changed: now})
+		case s.Cleared:
+			if !e.Cleared && !e.Quarantined() && within(e.Targets, s.Targets) {
+				e.Cleared = true
+				e.changed = now
+			}
+		case e.Cleared:
+			if !within(s.Targets, e.Targets) {
+				e.Cleared = false
+				e.Targets = slices.Clone(s.Targets)
+				e.changed = now
+			}
+		case !within(s.Targets, e.Targets):
+			e.Targets = union(e.Targets, s.Targets)
+			e.changed = now
+		}
+	}
+	q.explain(now)
+}
+
+// Tell returns the fingerprints that changed lately, for heartbeats.
+func (q *Quarantine) Tell(now time.Time) []Suspect {
+	return q.list(func(e *entry) bool { return now.Sub(e.changed) < ToldFor })
+}
+
+// Quarantined returns the fingerprints that must not run again.
+func (q *Quarantine) Quarantined() []Suspect { return q.list((*entry).Quarantined) }
+
+// All returns all fingerprints, cleared ones too.
+func (q *Quarantine) All() []Suspect { return q.list(func(*entry) bool { return true }) }
+
+// Expire forgets what has been kept for long enough.
+func (q *Quarantine) Expire(now time.Time) {
+	for fingerprint, e := range q.entries {
+		age := now.Sub(e.changed)
+		if e.Cleared && age >= ClearedKept || !e.Quarantined() && age >= SuspectKept {
+			delete(q.entries, fingerprint)
+		}
+	}
+}
+
+// add stores an entry, in place of the one that has not changed for longest if
+// there is no room.
+func (q *Quarantine) add(e *entry) {
+	if q.entries == nil {
+		q.entries = make(map[uint64]*entry)
+	}
+	if len(q.entries) >= MaxKept {
+		var oldest *entry
+		for _, other := range q.entries {
+			if oldest == nil || other.changed.Before(oldest.changed) {
+				oldest = other
+			}
+		}
+		delete(q.entries, oldest.Fingerprint)
+	}
+	q.entries[e.Fingerprint] = e
+}
+
+// list returns the chosen suspects, sorted by fingerprint.
+func (q *Quarantine) list(chosen func(*entry) bool) []Suspect {
+	suspects := []Suspect{}
+	for _, e := range q.entries {
+		if chosen(e) {
+			s := e.Suspect
+			s.Targets = slices.Clone(e.Targets)
+			suspects = append(suspects, s)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return suspects
+}
--- /dev/null
+++ b/internal/guard/tpquarantine/suspect.go
@@ -0,0 +1,73 @@
+package tpquarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MaxCrashes is the number of crashes that quarantines a fingerprint, and
+	// so the number of targets that one request can take down.
+	MaxCrashes = 2
+	// ClearedKept is the time for which a cleared fingerprint is remembered, so
+	// that word of its suspicion which is still under way has no effect.
+	ClearedKept = time.Minute
+	// SuspectKept is the time after which a suspect that never ran again is
+	// forgotten.
+	SuspectKept = 24 * time.Hour
+	// ToldFor is the time for which a change is told to peers. Heartbeats reach
+	// a region in seconds; a node that starts later reads the region's object.
+	ToldFor = 30 * time.Second
+	// MaxKept bounds the remembered fingerprints. At about 40 bytes each, they
+	// fit into one object of the platform.
+	MaxKept = 16384
+)
+
+// Suspect is a request, by the fingerprint of its content, that was running on
+// targets when they crashed.
+type Suspect struct {
+	Fingerprint uint64   `json:"fingerprint"`
+	Targets     []string `json:"targets"` // one entry for each crash
+	// Cleared is true if the request completed after the crash, or if another
+	// request explains it.
+	Cleared bool `json:"cleared,omitempty"`
+}
+
+// Quarantined reports whether the request must not run again.
+func (s *Suspect) Quarantined() bool { return !s.Cleared && len(s.Targets) >= MaxCrashes }
+
+// within reports whether each crash of a is also one of b.
+func within(a, b []string) bool {
+	for _, name := range a {
+		if count(a, name) > count(b, name) {
+			return false
+		}
+	}
+	return true
+}
+
+// union returns the crashes of a and b, each once.
+func union(a, b []string) []string {
+	all := slices.Clone(a)
+	for _, name := range b {
+		if count(all, name) < count(b, name) {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+// share reports whether a and b have a crash in common.
+func share(a, b []string) bool {
+	return slices.ContainsFunc(a, func(name string) bool { return slices.Contains(b, name) })
+}
+
+func count(names []string, name string) int {
+	n := 0
+	for _, other := range names {
+		if other == name {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -35,9 +35,11 @@
 	leaving atomic.Bool // this node is stopping
 	gate    gate
 	targets *leavingTargets
-	callers *server
-	peers   *server
-	cleanup []func()
+
+	quarantine *quarantine
+	callers    *server
+	peers      *server
+	cleanup    []func()
 }
 
 // New starts a node. The clean-up function is its planned stop: it lets every
@@ -73,9 +75,15 @@
 	}
 	n.events = events
 	n.onStop(stopEvents)
+	if err := n.startQuarantine(); err != nil {
+		return err
+	}
 	if err := n.startRequestPipeline(); err != nil {
 		return err
 	}
+	if err := n.startQuarantineObject(); err != nil {
+		return err
+	}
 	if err := n.startLeaving(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/node/tpnode/quarantine.go
@@ -0,0 +1,221 @@
+package tpnode
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+
+	"teaselpin.example/teaselpin/internal/guard/tpquarantine"
+	"teaselpin.example/teaselpin/internal/request/stage5/tpsender"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// quarantineCapacity is the number of inputs that wait for the quarantine
+// filter. It gets only what concerns suspects; a producer waits for room.
+const quarantineCapacity = 1024
+
+// quarantineInput is one message to the quarantine filter. Of its fields one
+// is set.
+type quarantineInput struct {
+	completion *tpmessage.Completion
+	ask        *placement
+	told       []tpquarantine.Suspect
+	tell       *tpring.Ring[[]tpquarantine.Suspect]
+	tick       bool
+}
+
+// placement asks where a copy of a request may run. The answer may wait.
+type placement struct {
+	ctx         context.Context
+	fingerprint uint64
+	pool        string
+	unreachable []string
+	reply       *tpring.Ring[tpsender.Verdict]
+}
+
+// quarantine is the filter that holds the suspects.
+type quarantine struct {
+	in       *tpring.Ring[quarantineInput]
+	decision tpquarantine.Quarantine
+	pending  []*placement
+	view     atomic.Pointer[map[uint64]tpquarantine.Suspect]
+	// written holds the latest quarantined fingerprints for the duty that
+	// writes the region's object.
+	written *tpring.Ring[[]tpquarantine.Suspect]
+}
+
+func (n *Node) startQuarantine() error {
+	q := &quarantine{
+		in:      tpring.New[quarantineInput](tpring.Settings{Capacity: quarantineCapacity}),
+		written: tpring.New[[]tpquarantine.Suspect](tpring.Settings{Capacity: 1}),
+	}
+	q.view.Store(&map[uint64]tpquarantine.Suspect{})
+	n.quarantine = q
+	n.rings.Add("quarantine", q.in)
+	n.rings.Add("quarantineObject", q.written)
+	return startFilter(n, "quarantine", q.in, n.handleQuarantine)
+}
+
+func (n *Node) handleQuarantine(in quarantineInput) {
+	q := n.quarantine
+	now := n.clock.Now()
+	switch {
+	case in.completion != nil:
+		q.decision.Complete(now, in.completion)
+	case in.ask != nil:
+		q.pending = append(q.pending, in.ask)
+	case in.tell != nil:
+		_ = in.tell.Put(q.decision.Tell(now))
+		return
+	case in.tick:
+		q.decision.Expire(now)
+	default:
+		q.decision.Merge(now, in.told)
+	}
+	if in.ask == nil {
+		n.publishQuarantine()
+	}
+	q.pending = slices.DeleteFunc(q.pending, n.place)
+}
+
+// publishQuarantine updates the view that the other filters read, and passes
+// new quarantined fingerprints to the region's object.
+func (n *Node) publishQuarantine() {
+	q := n.quarantine
+	before := *q.view.Load()
+	view := make(map[uint64]tpquarantine.Suspect)
+	added := false
+	for _, s := range q.decision.All() {
+		view[s.Fingerprint] = s
+		old, known := before[s.Fingerprint]
+		if s.Quarantined() && (!known || !old.Quarantined()) {
+			added = true
+			n.events.Record(tpmessage.Event{Kind: "quarantined", Detail: tpquarantine.Name(s.Fingerprint)})
+			n.log.Warn().Str("fingerprint", tpquarantine.Name(s.Fingerprint)).Strs("targets", s.Targets).
+				Msg("request is quarantined")
+		}
+		if !known && !s.Cleared && !s.Quarantined() {
+			n.events.Record(tpmessage.Event{Kind: "suspect", Target: s.Targets[0], Detail: tpquarantine.Name(s.Fingerprint)})
+		}
+	}
+	q.view.Store(&view)
+	if added {
+		_ = q.written.PutDropOldest(q.decision.Quarantined())
+	}
+}
+
+// place answers a placement if it is decided, and reports whether it was.
+func (n *Node) place(p *placement) bool {
+	if p.ctx.Err() != nil {
+		return true
+	}
+	decision, target := n.quarantine.decision.Place(p.fingerprint, n.usableTargets(p))
+	var verdict tpsender.Verdict
+	switch decision {
+	case tpquarantine.Wait:
+		return false
+	case tpquarantine.Only:
+		verdict.Target = &target
+	case tpquarantine.Refuse:
+		verdict.Refusal = quarantinedRefusal()
+	}
+	if err := p.reply.TryPut(verdict); err != nil && decision == tpquarantine.Only {
+		n.quarantine.decision.Release(p.fingerprint)
+	}
+	return true
+}
+
+// usableTargets returns the targets of the pool that take new work. Those that
+// could not be reached come back once none else is left.
+func (n *Node) usableTargets(p *placement) []tpmessage.Target {
+	snapshot := n.InForce()
+	if snapshot == nil {
+		return nil
+	}
+	pool, _ := snapshot.Config.PoolNamed(p.pool)
+	usable := make([]tpmessage.Target, 0, len(pool.Targets))
+	var rest []tpmessage.Target
+	for _, t := range pool.Targets {
+		switch {
+		case !n.takesNewWork(t.Name):
+		case slices.Contains(p.unreachable, t.Name):
+			rest = append(rest, t)
+		default:
+			usable = append(usable, t)
+		}
+	}
+	if len(usable) == 0 {
+		return rest
+	}
+	return usable
+}
+
+// admitAttempt decides on one attempt of a request. Requests that are no
+// suspects pass without a wait. It is called from stream tasks.
+func (n *Node) admitAttempt(ctx context.Context, req *tpmessage.Request, unreachable []string) tpsender.Verdict {
+	q := n.quarantine
+	if s, ok := (*q.view.Load())[req.Fingerprint]; !ok || s.Cleared {
+		return tpsender.Verdict{}
+	}
+	p := &placement{
+		ctx: ctx, fingerprint: req.Fingerprint, pool: req.Pool, unreachable: unreachable,
+		reply: tpring.New[tpsender.Verdict](tpring.Settings{Capacity: 1}),
+	}
+	stop := context.AfterFunc(ctx, p.reply.Close)
+	defer stop()
+	if err := q.in.Put(quarantineInput{ask: p}); err != nil {
+		return tpsender.Verdict{}
+	}
+	verdict, err := p.reply.Take()
+	if err != nil {
+		return tpsender.Verdict{}
+	}
+	return verdict
+}
+
+// noteCompletion passes on a completion that concerns a suspect.
+func (n *Node) noteCompletion(c tpmessage.Completion) {
+	_, known := (*n.quarantine.view.Load())[c.Fingerprint]
+	if known || c.Lost {
+		_ = n.quarantine.in.Put(quarantineInput{completion: &c})
+	}
+}
+
+// quarantined returns the refusal of a request that crashed targets, or nil.
+func (n *Node) quarantined(req *tpmessage.Request) *tpmessage.Refusal {
+	s, ok := (*n.quarantine.view.Load())[req.Fingerprint]
+	if !ok || !s.Quarantined() {
+		return nil
+	}
+	return quarantinedRefusal()
+}
+
+func quarantinedRefusal() *tpmessage.Refusal {
+	return &tpmessage.Refusal{
+		Code: tpmessage.RefusalQuarantined, Reason: "targets crashed while they ran this request", NotRun: true,
+	}
+}
+
+// Suspects returns the suspects that a heartbeat carries.
+func (n *Node) Suspects() []tpquarantine.Suspect {
+	reply := tpring.New[[]tpquarantine.Suspect](tpring.Settings{Capacity: 1})
+	if err := n.quarantine.in.Put(quarantineInput{tell: reply}); err != nil {
+		return nil
+	}
+	told, err := reply.Take()
+	if err != nil {
+		return nil
+	}
+	return told
+}
+
+// MergeSuspects takes the suspects of a peer's heartbeat.
+func (n *Node) MergeSuspects(told []tpquarantine.Suspect) {
+	if len(told) > 0 {
+		_ = n.quarantine.in.Put(quarantineInput{told: told})
+	}
+}
+
+// tickQuarantine lets the quarantine forget what is old.
+func (n *Node) tickQuarantine() { _ = n.quarantine.in.TryPut(quarantineInput{tick: true}) }
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -56,7 +56,7 @@
 		Events:    n.events,
 		Budgets:   &tpsender.Budgets{},
 		Counters:  &tpsender.Counters{},
-		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported, Usable: n.takesNewWork},
+		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported, Usable: n.takesNewWork, Admit: n.admitAttempt},
 	}
 	// The clean-up functions run in the reverse order: the duties drain from
 	// the front of the pipeline to its end, while completions still find the
@@ -109,7 +109,11 @@
 
 // submit passes work from the front end to admission.
 func (n *Node) submit(w tpmessage.Work) *tpmessage.Refusal {
-	if ref := n.draining(); ref != nil {
+	ref := n.draining()
+	if ref == nil {
+		ref = n.quarantined(&w.Request)
+	}
+	if ref != nil {
 		n.request.refused.Add(string(ref.Code), 1)
 		return ref
 	}
@@ -119,7 +123,7 @@
 	if err == nil {
 		return nil
 	}
-	ref := &tpmessage.Refusal{
+	ref = &tpmessage.Refusal{
 		Code: tpmessage.RefusalNotRun, Reason: err.Error(), RetryAfter: time.Second, NotRun: true,
 	}
 	n.request.refused.Add(string(ref.Code), 1)
@@ -169,6 +173,7 @@
 
 // completed feeds the end of an attempt back to admission and to the router.
 func (n *Node) completed(c tpmessage.Completion) {
+	n.noteCompletion(c)
 	_ = n.request.admissionIn.Put(tpadmission.Input{Kind: tpadmission.InputCompletion, Completion: c})
 	_ = n.request.routerIn.Put(tprouter.Input{Kind: tprouter.InputCompletion, Completion: c})
 }
--- a/internal/request/stage5/tpsender/task.go
+++ b/internal/request/stage5/tpsender/task.go
@@ -55,7 +55,7 @@
 	for {
 		verdict := t.admit()
 		if verdict.Refusal != nil || t.ctx.Err() != nil {
-			t.abandon(verdict.Refusal, res)
+			t.abandon(verdict, res)
 			return
 		}
 		if verdict.Target != nil {
@@ -142,12 +142,13 @@
 	case res.Outcome == tpmessage.OutcomeDone:
 		res.Outcome = tpmessage.OutcomeCut
 	}
-	switch {
-	case res.Outcome == tpmessage.OutcomeNotSent:
+	switch res.Outcome {
+	case tpmessage.OutcomeNotSent:
 		t.unreachable = append(t.unreachable, target.Name)
-	case res.Stalled:
-		t.s.Counters.Stalls.Add(1)
-	case res.Outcome == tpmessage.OutcomeCut:
+	case tpmessage.OutcomeCut:
+		if res.Stalled {
+			t.s.Counters.Stalls.Add(1)
+		}
 		res.Lost = !t.s.Transport.Reachable(t.ctx, target) && t.ctx.Err() == nil
 		if res.Lost {
 			t.s.Counters.Lost.Add(1)
@@ -189,12 +190,18 @@
 }
 
 // abandon ends a request between two attempts. Its final completion names no
-// target, since that of the last attempt was reported before.
-func (t *task) abandon(ref *tpmessage.Refusal, res Result) {
+// target, since that of the last attempt was reported before, or the target of
+// a verdict that is not used.
+func (t *task) abandon(verdict Verdict, res Result) {
 	if t.ctx.Err() != nil {
 		res.Outcome = tpmessage.OutcomeCancelled
 	}
-	t.complete(tpmessage.Target{}, &Result{Outcome: res.Outcome}, true)
+	var target tpmessage.Target
+	if verdict.Target != nil {
+		target = *verdict.Target
+	}
+	t.complete(target, &Result{Outcome: res.Outcome}, true)
+	ref := verdict.Refusal
 	if ref == nil {
 		ref = refusalOf(t.plan, t.asm, t.work.Request.Resume, &res)
 	}
