Place suspects apart from running copies, and test the guards by property

A copy of a poisonous request that had started before its quarantine could crash a target under an innocent suspect, which was then blamed; a property test found it. Suspects now avoid targets with such copies, and in a region of several nodes wait 1.5 s so that the nodes agree on their places.

--- a/internal/guard/tpquarantine/quarantine.go
+++ b/internal/guard/tpquarantine/quarantine.go
@@ -12,18 +12,29 @@
 type entry struct {
 	Suspect
 	changed time.Time
-	running string // target on which this node runs the one allowed copy
+	crashed time.Time // when this node learned of the latest crash
+	allowed string    // target of the one copy that runs under suspicion
 }
 
 // Quarantine holds the suspects of one node. It belongs to one filter. The
 // zero value has none.
 type Quarantine struct {
 	entries map[uint64]*entry
+	copies  map[uint64][]string // targets on which this node runs a fingerprint
+}
+
+// Start takes the begin of an attempt that Place has left free.
+func (q *Quarantine) Start(fingerprint uint64, target string) {
+	if q.copies == nil {
+		q.copies = make(map[uint64][]string)
+	}
+	q.copies[fingerprint] = append(q.copies[fingerprint], target)
 }
 
 // Complete takes the end of an attempt. A crash makes the request a suspect, a
 // second one quarantines it, and a whole answer clears it.
 func (q *Quarantine) Complete(now time.Time, c *tpmessage.Completion) {
+	q.end(c.Fingerprint, c.Target)
 	if c.Outcome == tpmessage.OutcomeCut && c.Lost {
 		q.crash(now, c.Fingerprint, c.Target)
 		return
@@ -32,8 +43,8 @@
 	if !ok {
 		return
 	}
-	if c.Target == e.running {
-		e.running = ""
+	if c.Target == e.allowed {
+		e.allowed = ""
 	}
 	if c.Outcome == tpmessage.OutcomeDone && !e.Cleared && !e.Quarantined() {
 		e.Cleared = true
@@ -41,6 +52,20 @@
 	}
 }
 
+// end takes one copy off the record.
+func (q *Quarantine) end(fingerprint uint64, target string) {
+	targets := q.copies[fingerprint]
+	i := slices.Index(targets, target)
+	if i < 0 {
+		return
+	}
+	if len(targets) == 1 {
+		delete(q.copies, fingerprint)
+		return
+	}
+	q.copies[fingerprint] = slices.Delete(targets, i, i+1)
+}
+
 func (q *Quarantine) crash(now time.Time, fingerprint uint64, target string) {
 	e, ok := q.entries[fingerprint]
 	if !ok {
@@ -53,30 +78,14 @@
 	}
 	// A target that was started again and crashed under the allowed copy
 	// counts once more; several streams cut by one crash count once.
-	if e.running == target || !slices.Contains(e.Targets, target) {
+	if e.allowed == target || !slices.Contains(e.Targets, target) {
 		e.Targets = append(e.Targets, target)
 	}
-	if e.running == target {
-		e.running = ""
+	if e.allowed == target {
+		e.allowed = ""
 	}
 	e.changed = now
-	q.explain(now)
-}
-
-// explain clears the fingerprints whose crashes are all among those of one
-// quarantined fingerprint that has more: they only ran beside it.
-func (q *Quarantine) explain(now time.Time) {
-	for _, culprit := range q.entries {
-		if !culprit.Quarantined() {
-			continue
-		}
-		for _, e := range q.entries {
-			if !e.Cleared && len(e.Targets) < len(culprit.Targets) && within(e.Targets, culprit.Targets) {
-				e.Cleared = true
-				e.changed = now
-			}
-		}
-	}
+	e.crashed = now
 }
 
 // Merge takes what a peer or the region's object tells.
@@ -89,7 +98,7 @@
 		switch {
 		case !ok && s.Cleared:
 		case !ok:
-			q.add(&entry{Suspect: Suspect{Fingerprint: s.Fingerprint, Targets: slices.Clone(s.Targets)}, changed: now})
+			q.add(&entry{Suspect: Suspect{Fingerprint: s.Fingerprint, Targets: slices.Clone(s.Targets)}, changed: now, crashed: now})
 		case s.Cleared:
 			if !e.Cleared && !e.Quarantined() && within(e.Targets, s.Targets) {
 				e.Cleared = true
@@ -100,13 +109,14 @@
 				e.Cleared = false
 				e.Targets = slices.Clone(s.Targets)
 				e.changed = now
+				e.crashed = now
 			}
 		case !within(s.Targets, e.Targets):
 			e.Targets = union(e.Targets, s.Targets)
 			e.changed = now
+			e.crashed = now
 		}
 	}
-	q.explain(now)
 }
 
 // Tell returns the fingerprints that changed lately, for heartbeats.
@@ -120,14 +130,17 @@
 // All returns all fingerprints, cleared ones too.
 func (q *Quarantine) All() []Suspect { return q.list(func(*entry) bool { return true }) }
 
-// Expire forgets what has been kept for long enough.
-func (q *Quarantine) Expire(now time.Time) {
+// Expire forgets what has been kept for long enough, and reports whether it
+// forgot anything.
+func (q *Quarantine) Expire(now time.Time) bool {
+	before := len(q.entries)
 	for fingerprint, e := range q.entries {
 		age := now.Sub(e.changed)
 		if e.Cleared && age >= ClearedKept || !e.Quarantined() && age >= SuspectKept {
 			delete(q.entries, fingerprint)
 		}
 	}
+	return len(q.entries) < before
 }
 
 // add stores an entry, in place of the one that has not changed for longest if
--- /dev/null
+++ b/internal/guard/tpquarantine/quarantine_test.go
@@ -0,0 +1,296 @@
+package tpquarantine_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselpin.example/teaselpin/internal/guard/tpquarantine"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// guard is what the naive version and the real one have in common.
+type guard interface {
+	Start(fingerprint uint64, target string)
+	Place(now time.Time, fingerprint uint64, usable []tpmessage.Target, settle time.Duration) (tpquarantine.Decision, tpmessage.Target)
+	Complete(now time.Time, c *tpmessage.Completion)
+}
+
+// naive has no quarantine.
+type naive struct{}
+
+func (naive) Start(uint64, string)                      {}
+func (naive) Complete(time.Time, *tpmessage.Completion) {}
+func (naive) Place(time.Time, uint64, []tpmessage.Target, time.Duration) (tpquarantine.Decision, tpmessage.Target) {
+	return tpquarantine.Free, tpmessage.Target{}
+}
+
+const (
+	poison    = 0 // fingerprint of the request that crashes targets
+	requests  = 8 // fingerprints 1 to 7 are innocent
+	targets   = 5
+	maxSteps  = 200
+	maxFinish = 400
+)
+
+// act is one step: start a copy of a request, or let a running copy end.
+type act struct{ start, request, target, pick int }
+
+func acts() *rapid.Generator[[]act] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) act {
+		return act{
+			start:   rapid.IntRange(0, 1).Draw(t, "start"),
+			request: rapid.IntRange(0, requests-1).Draw(t, "request"),
+			target:  rapid.IntRange(0, targets-1).Draw(t, "target"),
+			pick:    rapid.IntRange(0, maxSteps).Draw(t, "pick"),
+		}
+	}), 20, maxSteps)
+}
+
+type copyOf struct {
+	request int
+	target  string
+}
+
+// region is the model: what runs where. A crashed target starts again at once.
+type region struct {
+	g       guard
+	now     time.Time
+	running []copyOf
+	retries []int // requests to run again after a crash
+	crashes int
+	extra   int // copies of the poison that ran elsewhere at the first crash
+}
+
+func usable() []tpmessage.Target {
+	list := make([]tpmessage.Target, targets)
+	for i := range list {
+		list[i].Name = fmt.Sprintf("engine-%d", i)
+	}
+	return list
+}
+
+func (r *region) start(request, target int) tpquarantine.Decision {
+	decision, t := r.g.Place(r.now, uint64(request), usable(), 0)
+	if decision == tpquarantine.Free {
+		t = usable()[target]
+		r.g.Start(uint64(request), t.Name)
+	}
+	if decision == tpquarantine.Free || decision == tpquarantine.Only {
+		r.running = append(r.running, copyOf{request, t.Name})
+	}
+	return decision
+}
+
+// has reports whether a request runs or is to run again.
+func (r *region) has(request int) bool {
+	return slices.Contains(r.retries, request) ||
+		slices.ContainsFunc(r.running, func(c copyOf) bool { return c.request == request })
+}
+
+// end lets one running copy end: the poison crashes its target, which cuts all
+// copies there; any other request completes.
+func (r *region) end(pick int) {
+	r.now = r.now.Add(time.Second)
+	ended := r.running[pick%len(r.running)]
+	if ended.request != poison {
+		r.remove(func(c copyOf) bool { return c == ended }, 1, tpmessage.OutcomeDone)
+		return
+	}
+	r.crashes++
+	cut := r.remove(func(c copyOf) bool { return c.target == ended.target }, len(r.running), tpmessage.OutcomeCut)
+	for _, c := range cut {
+		r.retries = append(r.retries, c.request)
+	}
+	if r.crashes == 1 {
+		for _, c := range r.running {
+			if c.request == poison {
+				r.extra++
+			}
+		}
+	}
+}
+
+func (r *region) remove(match func(copyOf) bool, n int, o tpmessage.Outcome) []copyOf {
+	var removed, kept []copyOf
+	for _, c := range r.running {
+		if len(removed) < n && match(c) {
+			removed = append(removed, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	r.running = kept
+	for _, c := range removed {
+		r.g.Complete(r.now, &tpmessage.Completion{
+			Fingerprint: uint64(c.request), Target: c.target, Outcome: o, Lost: o == tpmessage.OutcomeCut,
+		})
+	}
+	return removed
+}
+
+// run applies the acts, lets everything end, and returns what is wrong.
+func run(g guard, list []act) string {
+	r := &region{g: g, now: time.Unix(1000, 0)}
+	for _, a := range list {
+		switch {
+		case a.start == 0 && len(r.retries) > 0:
+			request := r.retries[0]
+			r.retries = r.retries[1:]
+			if r.start(request, a.target) == tpquarantine.Wait {
+				r.retries = append(r.retries, request)
+			}
+		case a.start == 0 && (a.request == poison || !r.has(a.request)):
+			// The caller of an innocent request waits for its answer; that of
+			// the poison sends it again and again.
+			r.start(a.request, a.target)
+		case len(r.running) > 0:
+			r.end(a.pick)
+		}
+	}
+	for range maxFinish {
+		if len(r.retries) > 0 {
+			request := r.retries[0]
+			r.retries = r.retries[1:]
+			if r.start(request, 0) == tpquarantine.Wait {
+				r.retries = append(r.retries, request)
+			}
+		}
+		if len(r.running) > 0 {
+			r.end(0)
+		}
+	}
+	if r.crashes > tpquarantine.MaxCrashes+r.extra {
+		return fmt.Sprintf("%d crashes with %d other copies at the first", r.crashes, r.extra)
+	}
+	if len(r.running) > 0 {
+		return "copies are left that never ended"
+	}
+	for request := 1; request < requests; request++ {
+		if d := r.start(request, 0); d != tpquarantine.Free && d != tpquarantine.Only {
+			return fmt.Sprintf("innocent request %d may not run: decision %d", request, d)
+		}
+		r.end(len(r.running) - 1)
+	}
+	if slices.ContainsFunc(r.retries, func(request int) bool { return request != poison }) {
+		return "requests are left that never ran again"
+	}
+	return ""
+}
+
+// Guards against a request that takes down more targets than the bound, an
+// innocent request that is blamed for good, and a retry that waits for ever.
+func TestPoisonIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := acts().Draw(t, "acts")
+		if wrong := run(&tpquarantine.Quarantine{}, list); wrong != "" {
+			t.Fatal(wrong)
+		}
+	})
+}
+
+// Guards against a check that would not notice a missing quarantine.
+func TestCheckCatchesNaiveGuard(t *testing.T) {
+	caught := 0
+	for seed := range 100 {
+		if run(naive{}, acts().Example(seed)) != "" {
+			caught++
+		}
+	}
+	if caught < 50 {
+		t.Errorf("no quarantine: caught in %d of 100 cases, want at least 50", caught)
+	}
+}
+
+// Guards against two suspects of one crash that meet at a target.
+func TestSuspectsOfOneCrashRunApart(t *testing.T) {
+	var q tpquarantine.Quarantine
+	now := time.Unix(1000, 0)
+	for fingerprint := range uint64(8) {
+		q.Start(fingerprint, "engine-9")
+	}
+	for fingerprint := range uint64(8) {
+		q.Complete(now, &tpmessage.Completion{
+			Fingerprint: fingerprint, Target: "engine-9", Outcome: tpmessage.OutcomeCut, Lost: true,
+		})
+	}
+	used := make(map[string]bool)
+	waiting := 0
+	for fingerprint := range uint64(8) {
+		decision, target := q.Place(now, fingerprint, usable(), 0)
+		if decision == tpquarantine.Wait {
+			waiting++
+			continue
+		}
+		if decision != tpquarantine.Only || used[target.Name] {
+			t.Errorf("suspect %d: got decision %d at %s, want a target of its own", fingerprint, decision, target.Name)
+		}
+		used[target.Name] = true
+	}
+	if len(used) != targets || waiting != 8-targets {
+		t.Errorf("got %d placed and %d waiting, want %d and %d", len(used), waiting, targets, 8-targets)
+	}
+}
+
+// Guards against nodes that run copies of one suspect at different targets,
+// and against a second crash that a peer does not learn of.
+func TestNodesAgree(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a, b tpquarantine.Quarantine
+	crash := func(q *tpquarantine.Quarantine, target string) {
+		q.Complete(now, &tpmessage.Completion{Fingerprint: 7, Target: target, Outcome: tpmessage.OutcomeCut, Lost: true})
+	}
+	crash(&a, "engine-1")
+	b.Merge(now, a.Tell(now))
+	_, atA := a.Place(now.Add(tpquarantine.Settle), 7, usable(), tpquarantine.Settle)
+	_, atB := b.Place(now.Add(tpquarantine.Settle), 7, usable(), tpquarantine.Settle)
+	if atA != atB || atA.Name == "" {
+		t.Fatalf("suspect on two nodes: got %q and %q, want one target", atA.Name, atB.Name)
+	}
+	crash(&a, atA.Name)
+	b.Merge(now, a.Tell(now))
+	if decision, _ := b.Place(now.Add(tpquarantine.Settle), 7, usable(), tpquarantine.Settle); decision != tpquarantine.Refuse {
+		t.Errorf("after the second crash: got decision %d, want %d", decision, tpquarantine.Refuse)
+	}
+	// Late word of the first crash has no effect.
+	b.Merge(now, []tpquarantine.Suspect{{Fingerprint: 7, Targets: []string{"engine-1"}, Cleared: true}})
+	if got := len(b.Quarantined()); got != 1 {
+		t.Errorf("after late word: got %d quarantined, want 1", got)
+	}
+}
+
+// Guards against a race between two nodes in which the object loses one's entry.
+func TestObjectKeepsBoth(t *testing.T) {
+	var store tpobject.Memory
+	for _, fingerprint := range []uint64{1, 2} {
+		s := tpquarantine.Suspect{Fingerprint: fingerprint, Targets: []string{"a", "b"}}
+		if _, err := tpquarantine.Add(context.Background(), &store, "r", []tpquarantine.Suspect{s}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	all, version, err := tpquarantine.Read(context.Background(), &store, "r")
+	if err != nil || len(all) != 2 {
+		t.Fatalf("got %v %v, want 2 entries", all, err)
+	}
+	if _, err := tpquarantine.Add(context.Background(), &store, "r", all); err != nil {
+		t.Fatal(err)
+	}
+	if _, again, _ := tpquarantine.Read(context.Background(), &store, "r"); again != version {
+		t.Errorf("a repeat wrote the object: got version %d, want %d", again, version)
+	}
+}
--- a/internal/guard/tpquarantine/suspect.go
+++ b/internal/guard/tpquarantine/suspect.go
@@ -18,6 +18,10 @@
 	// ToldFor is the time for which a change is told to peers. Heartbeats reach
 	// a region in seconds; a node that starts later reads the region's object.
 	ToldFor = 30 * time.Second
+	// Settle is the time from a crash to the next run of its suspects in a
+	// region of several nodes. Heartbeats tell all nodes of all suspects in
+	// that time, so that their placements agree.
+	Settle = 1500 * time.Millisecond
 	// MaxKept bounds the remembered fingerprints. At about 40 bytes each, they
 	// fit into one object of the platform.
 	MaxKept = 16384
@@ -28,8 +32,7 @@
 type Suspect struct {
 	Fingerprint uint64   `json:"fingerprint"`
 	Targets     []string `json:"targets"` // one entry for each crash
-	// Cleared is true if the request completed after the crash, or if another
-	// request explains it.
+	// Cleared is true if the request completed after the crash.
 	Cleared bool `json:"cleared,omitempty"`
 }
 
--- a/internal/node/tpnode/quarantine.go
+++ b/internal/node/tpnode/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"teaselpin.example/teaselpin/internal/guard/tpquarantine"
 	"teaselpin.example/teaselpin/internal/request/stage5/tpsender"
@@ -12,12 +13,13 @@
 )
 
 // quarantineCapacity is the number of inputs that wait for the quarantine
-// filter. It gets only what concerns suspects; a producer waits for room.
+// filter. It gets the begin and the end of each attempt; a producer waits for room.
 const quarantineCapacity = 1024
 
 // quarantineInput is one message to the quarantine filter. Of its fields one
 // is set.
 type quarantineInput struct {
+	start      *attemptStart
 	completion *tpmessage.Completion
 	ask        *placement
 	told       []tpquarantine.Suspect
@@ -25,11 +27,18 @@
 	tick       bool
 }
 
+// attemptStart tells of an attempt that needed no decision.
+type attemptStart struct {
+	fingerprint uint64
+	target      string
+}
+
 // placement asks where a copy of a request may run. The answer may wait.
 type placement struct {
 	ctx         context.Context
 	fingerprint uint64
 	pool        string
+	target      string // where it runs if it is no suspect
 	unreachable []string
 	reply       *tpring.Ring[tpsender.Verdict]
 }
@@ -60,20 +69,26 @@
 func (n *Node) handleQuarantine(in quarantineInput) {
 	q := n.quarantine
 	now := n.clock.Now()
+	changed := true
 	switch {
+	case in.start != nil:
+		q.decision.Start(in.start.fingerprint, in.start.target)
+		return
 	case in.completion != nil:
 		q.decision.Complete(now, in.completion)
+		changed = in.completion.Lost || n.known(in.completion.Fingerprint)
 	case in.ask != nil:
 		q.pending = append(q.pending, in.ask)
+		changed = false
 	case in.tell != nil:
 		_ = in.tell.Put(q.decision.Tell(now))
 		return
 	case in.tick:
-		q.decision.Expire(now)
+		changed = q.decision.Expire(now)
 	default:
 		q.decision.Merge(now, in.told)
 	}
-	if in.ask == nil {
+	if changed {
 		n.publishQuarantine()
 	}
 	q.pending = slices.DeleteFunc(q.pending, n.place)
@@ -110,18 +125,25 @@
 	if p.ctx.Err() != nil {
 		return true
 	}
-	decision, target := n.quarantine.decision.Place(p.fingerprint, n.usableTargets(p))
+	var settle time.Duration
+	if len(n.Members()) > 1 {
+		settle = tpquarantine.Settle
+	}
+	decision, target := n.quarantine.decision.Place(n.clock.Now(), p.fingerprint, n.usableTargets(p), settle)
 	var verdict tpsender.Verdict
 	switch decision {
 	case tpquarantine.Wait:
 		return false
+	case tpquarantine.Free:
+		n.quarantine.decision.Start(p.fingerprint, p.target)
+		target.Name = p.target
 	case tpquarantine.Only:
 		verdict.Target = &target
 	case tpquarantine.Refuse:
 		verdict.Refusal = quarantinedRefusal()
 	}
-	if err := p.reply.TryPut(verdict); err != nil && decision == tpquarantine.Only {
-		n.quarantine.decision.Release(p.fingerprint)
+	if err := p.reply.TryPut(verdict); err != nil && decision != tpquarantine.Refuse {
+		n.quarantine.decision.Release(p.fingerprint, target.Name)
 	}
 	return true
 }
@@ -151,15 +173,22 @@
 	return usable
 }
 
-// admitAttempt decides on one attempt of a request. Requests that are no
-// suspects pass without a wait. It is called from stream tasks.
-func (n *Node) admitAttempt(ctx context.Context, req *tpmessage.Request, unreachable []string) tpsender.Verdict {
+// known reports whether a fingerprint is remembered.
+func (n *Node) known(fingerprint uint64) bool {
+	_, ok := (*n.quarantine.view.Load())[fingerprint]
+	return ok
+}
+
+// admitAttempt decides on one attempt of a request at a target. Requests that
+// are no suspects pass without a wait. It is called from stream tasks.
+func (n *Node) admitAttempt(ctx context.Context, req *tpmessage.Request, target string, unreachable []string) tpsender.Verdict {
 	q := n.quarantine
-	if s, ok := (*q.view.Load())[req.Fingerprint]; !ok || s.Cleared {
+	if !n.known(req.Fingerprint) {
+		_ = q.in.Put(quarantineInput{start: &attemptStart{fingerprint: req.Fingerprint, target: target}})
 		return tpsender.Verdict{}
 	}
 	p := &placement{
-		ctx: ctx, fingerprint: req.Fingerprint, pool: req.Pool, unreachable: unreachable,
+		ctx: ctx, fingerprint: req.Fingerprint, pool: req.Pool, target: target, unreachable: unreachable,
 		reply: tpring.New[tpsender.Verdict](tpring.Settings{Capacity: 1}),
 	}
 	stop := context.AfterFunc(ctx, p.reply.Close)
@@ -169,15 +198,14 @@
 	}
 	verdict, err := p.reply.Take()
 	if err != nil {
-		return tpsender.Verdict{}
+		return tpsender.Verdict{Ended: true}
 	}
 	return verdict
 }
 
-// noteCompletion passes on a completion that concerns a suspect.
+// noteCompletion passes on the end of an attempt.
 func (n *Node) noteCompletion(c tpmessage.Completion) {
-	_, known := (*n.quarantine.view.Load())[c.Fingerprint]
-	if known || c.Lost {
+	if c.Target != "" {
 		_ = n.quarantine.in.Put(quarantineInput{completion: &c})
 	}
 }
@@ -217,5 +245,6 @@
 	}
 }
 
-// tickQuarantine lets the quarantine forget what is old.
+// tickQuarantine lets the quarantine forget what is old, and place the suspects
+// whose time has come.
 func (n *Node) tickQuarantine() { _ = n.quarantine.in.TryPut(quarantineInput{tick: true}) }
--- a/internal/node/tpnode/quarantine_object.go
+++ b/internal/node/tpnode/quarantine_object.go
@@ -79,7 +79,6 @@
 		if all, _, err := tpquarantine.Read(ctx, store, n.cfg.Region); err == nil {
 			n.MergeSuspects(all)
 		}
-		n.tickQuarantine()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -84,7 +84,8 @@
 	return nil
 }
 
-// startTicks starts the duty that lets admission expire waiting work.
+// startTicks starts the duty that lets admission expire waiting work and the
+// quarantine place waiting suspects.
 func (n *Node) startTicks() error {
 	stop := make(chan struct{})
 	wait, err := n.duties.Go("ticks", func() {
@@ -94,6 +95,7 @@
 				return
 			case <-n.clock.After(DefaultTick):
 				_ = n.request.admissionIn.TryPutBelow(tpadmission.Input{Kind: tpadmission.InputTick}, DefaultArrivals)
+				n.tickQuarantine()
 			}
 		}
 	})
--- /dev/null
+++ b/internal/request/stage5/tpsender/plan_test.go
@@ -0,0 +1,179 @@
+package tpsender_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselpin.example/teaselpin/internal/request/stage5/tpsender"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// planner is what the naive plan and the real one have in common.
+type planner interface {
+	First() tpmessage.Target
+	Next(now time.Time, end tpsender.End, usable func(string) bool) (tpsender.Step, bool)
+}
+
+// naivePlan sends again after any failure, whatever the request.
+type naivePlan struct {
+	targets []tpmessage.Target
+	n       int
+}
+
+func (p *naivePlan) First() tpmessage.Target { return p.targets[0] }
+func (p *naivePlan) Next(_ time.Time, end tpsender.End, _ func(string) bool) (tpsender.Step, bool) {
+	p.n++
+	if end.Outcome == tpmessage.OutcomeDone || p.n > tpsender.MaxAttempts {
+		return tpsender.Step{}, false
+	}
+	return tpsender.Step{Target: p.targets[p.n%len(p.targets)]}, true
+}
+
+type planCase struct {
+	idempotent bool
+	leaving    string
+	ends       []tpsender.End
+}
+
+func planCases() *rapid.Generator[planCase] {
+	return rapid.Custom(func(t *rapid.T) planCase {
+		c := planCase{
+			idempotent: rapid.Bool().Draw(t, "idempotent"),
+			leaving:    rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "leaving"),
+		}
+		for range 20 {
+			c.ends = append(c.ends, tpsender.End{
+				Outcome: tpmessage.Outcome(rapid.IntRange(0, 5).Draw(t, "outcome")),
+				Lost:    rapid.Bool().Draw(t, "lost"),
+				Stalled: rapid.Bool().Draw(t, "stalled"),
+			})
+		}
+		return c
+	})
+}
+
+func assignment(idempotent bool) *tpmessage.Assignment {
+	a := &tpmessage.Assignment{Targets: []tpmessage.Target{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+	a.Work.Request.Idempotent = idempotent
+	a.Work.Request.Deadline = time.Unix(100, 0)
+	return a
+}
+
+// checkPlan runs a plan and returns what is wrong with its sends, or "".
+func checkPlan(p planner, c planCase) string {
+	target := p.First()
+	handed := false
+	for sends, end := range c.ends {
+		if sends >= tpsender.MaxAttempts {
+			return "more sends than MaxAttempts"
+		}
+		handed = handed || end.Outcome != tpmessage.OutcomeNotSent
+		step, again := p.Next(time.Unix(1, 0), end, func(name string) bool { return name != c.leaving })
+		if !again {
+			return ""
+		}
+		switch {
+		case handed && !c.idempotent:
+			return "second send of a non-idempotent request after a byte was handed over"
+		case end.Outcome == tpmessage.OutcomeDone || end.Outcome == tpmessage.OutcomeCancelled:
+			return "send after the end"
+		case step.Target.Name == c.leaving:
+			return "retry at a leaving target"
+		case step.Target == target && (end.Lost || end.Stalled):
+			return "retry at the target that was lost"
+		}
+		target = step.Target
+	}
+	return "no end"
+}
+
+// Guards against a second run of a non-idempotent request, retries without
+// bound, and retries at targets that are lost or leaving.
+func TestPlanKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := planCases().Draw(t, "case")
+		if wrong := checkPlan(tpsender.NewPlan(assignment(c.idempotent)), c); wrong != "" {
+			t.Fatalf("%+v: %s", c, wrong)
+		}
+	})
+}
+
+// Guards against a check that would not notice a plan that always sends again.
+func TestCheckCatchesNaivePlan(t *testing.T) {
+	caught := 0
+	for seed := range 100 {
+		c := planCases().Example(seed)
+		if checkPlan(&naivePlan{targets: assignment(c.idempotent).Targets}, c) != "" {
+			caught++
+		}
+	}
+	if caught < 50 {
+		t.Errorf("naive plan: caught in %d of 100 cases, want at least 50", caught)
+	}
+}
+
+// Guards against retries that multiply an overload: within any time, they stay
+// within the burst, the floor and the fraction of sends.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now := start
+		deadline := now.Add(time.Hour)
+		var b tpsender.Budget
+		sends := 0
+		var due []time.Time
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "send") {
+				b.Sent(now)
+				sends++
+				continue
+			}
+			wait, ok := b.Take(now, deadline)
+			if !ok {
+				t.Fatalf("retry was not allowed before the deadline")
+			}
+			due = append(due, now.Add(wait))
+		}
+		made := 0
+		for _, at := range due {
+			if !at.After(now) {
+				made++
+			}
+		}
+		bound := tpsender.BudgetBurst + tpsender.DefaultBudgetRatio*float64(sends) +
+			tpsender.BudgetFloor*now.Sub(start).Seconds() + 1
+		if float64(made) > bound {
+			t.Fatalf("retries: got %d, want at most %.1f", made, bound)
+		}
+	})
+}
+
+// Guards against a wait that outlasts the deadline and still takes a retry.
+func TestBudgetGivesUpAtDeadline(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var b tpsender.Budget
+	for range tpsender.BudgetBurst {
+		if wait, ok := b.Take(now, now.Add(time.Second)); wait != 0 || !ok {
+			t.Fatalf("within the burst: got %v %v, want 0 true", wait, ok)
+		}
+	}
+	if _, ok := b.Take(now, now.Add(time.Millisecond)); ok {
+		t.Error("beyond the burst and the deadline: got true, want false")
+	}
+	if got := b.Used(); got != tpsender.BudgetBurst {
+		t.Errorf("used: got %d, want %d", got, tpsender.BudgetBurst)
+	}
+}
--- a/internal/request/stage5/tpsender/sender.go
+++ b/internal/request/stage5/tpsender/sender.go
@@ -47,6 +47,7 @@
 type Verdict struct {
 	Target  *tpmessage.Target // the only target that a suspect may use
 	Refusal *tpmessage.Refusal
+	Ended   bool // the context ended before there was a decision
 }
 
 // Sinks are the feedback of the stage. Each is called from stream tasks.
@@ -58,9 +59,11 @@
 	// Usable reports whether a target takes new work. Nil allows all.
 	Usable func(target string) bool
 	// Admit is called before each attempt, after the completions of the
-	// earlier ones, with the names of targets that could not be reached. It
-	// may wait until the attempt is allowed. Nil allows all.
-	Admit func(ctx context.Context, req *tpmessage.Request, unreachable []string) Verdict
+	// earlier ones, with the target that the plan chose and the names of those
+	// that could not be reached. It may wait until the attempt is allowed. An
+	// attempt that it allows ends with a completion that names its target. Nil
+	// allows all.
+	Admit func(ctx context.Context, req *tpmessage.Request, target string, unreachable []string) Verdict
 }
 
 // Counters count the stage's events. The zero value is ready to use.
--- a/internal/request/stage5/tpsender/task.go
+++ b/internal/request/stage5/tpsender/task.go
@@ -53,9 +53,13 @@
 	step := Step{Target: t.plan.First()}
 	res := Result{Outcome: tpmessage.OutcomeNotSent}
 	for {
-		verdict := t.admit()
-		if verdict.Refusal != nil || t.ctx.Err() != nil {
-			t.abandon(verdict, res)
+		if t.ctx.Err() != nil {
+			t.abandon(nil, res)
+			return
+		}
+		verdict := t.admit(step.Target.Name)
+		if verdict.Refusal != nil || verdict.Ended {
+			t.abandon(verdict.Refusal, res)
 			return
 		}
 		if verdict.Target != nil {
@@ -78,11 +82,11 @@
 	}
 }
 
-func (t *task) admit() Verdict {
+func (t *task) admit(target string) Verdict {
 	if t.s.Sinks.Admit == nil {
 		return Verdict{}
 	}
-	return t.s.Sinks.Admit(t.ctx, &t.work.Request, t.unreachable)
+	return t.s.Sinks.Admit(t.ctx, &t.work.Request, target, t.unreachable)
 }
 
 func (t *task) usable(target string) bool {
@@ -190,18 +194,12 @@
 }
 
 // abandon ends a request between two attempts. Its final completion names no
-// target, since that of the last attempt was reported before, or the target of
-// a verdict that is not used.
-func (t *task) abandon(verdict Verdict, res Result) {
+// target, since that of the last attempt was reported before.
+func (t *task) abandon(ref *tpmessage.Refusal, res Result) {
 	if t.ctx.Err() != nil {
 		res.Outcome = tpmessage.OutcomeCancelled
 	}
-	var target tpmessage.Target
-	if verdict.Target != nil {
-		target = *verdict.Target
-	}
-	t.complete(target, &Result{Outcome: res.Outcome}, true)
-	ref := verdict.Refusal
+	t.complete(tpmessage.Target{}, &Result{Outcome: res.Outcome}, true)
 	if ref == nil {
 		ref = refusalOf(t.plan, t.asm, t.work.Request.Resume, &res)
 	}
--- /dev/null
+++ b/internal/request/stage6/tpanswer/assembler_test.go
@@ -0,0 +1,193 @@
+package tpanswer_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"teaselpin.example/teaselpin/internal/request/stage6/tpanswer"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// assembler is what the naive version and the real one have in common.
+type assembler interface {
+	Begin(overlap int) int
+	Accept(c *tpmessage.Chunk, dst []tpmessage.Chunk) ([]tpmessage.Chunk, error)
+	Ended() bool
+}
+
+// naive retries without numbering: it asks for the whole answer again and
+// passes on whatever comes.
+type naive struct{ ended bool }
+
+func (n *naive) Begin(int) int { return 0 }
+func (n *naive) Ended() bool   { return n.ended }
+func (n *naive) Accept(c *tpmessage.Chunk, dst []tpmessage.Chunk) ([]tpmessage.Chunk, error) {
+	n.ended = n.ended || c.End
+	return append(dst, *c), nil
+}
+
+// Faults of one sent chunk.
+const (
+	faultNone = iota
+	faultDouble
+	faultCross
+	faultLate
+	faultCut
+	faults
+)
+
+// scenario is an answer and the fault of each chunk in each attempt.
+type scenario struct {
+	chunks   int
+	attempts [][]int
+}
+
+func scenarios() *rapid.Generator[scenario] {
+	return rapid.Custom(func(t *rapid.T) scenario {
+		s := scenario{chunks: rapid.IntRange(1, 30).Draw(t, "chunks")}
+		fault := rapid.IntRange(0, faults-1)
+		s.attempts = rapid.SliceOfN(rapid.SliceOfN(fault, s.chunks, s.chunks), 1, 6).Draw(t, "attempts")
+		return s
+	})
+}
+
+func chunk(id string, number, chunks int) tpmessage.Chunk {
+	return tpmessage.Chunk{
+		RequestID: id, Number: number, Text: fmt.Sprintf("%s/%d ", id, number), End: number == chunks-1,
+	}
+}
+
+// sent returns the chunks of one attempt that begins at a number.
+func sent(s scenario, attempt []int, from int) []tpmessage.Chunk {
+	var list []tpmessage.Chunk
+	var held *tpmessage.Chunk
+	for number := from; number < s.chunks; number++ {
+		c := chunk("mine", number, s.chunks)
+		switch attempt[number] {
+		case faultCut:
+			return list
+		case faultCross:
+			list = append(list, chunk("other", number, s.chunks))
+		case faultDouble:
+			list = append(list, c)
+		case faultLate:
+			if held == nil {
+				held = &c
+				continue
+			}
+		}
+		list = append(list, c)
+		if held != nil {
+			list = append(list, *held)
+			held = nil
+		}
+	}
+	if held != nil {
+		list = append(list, *held)
+	}
+	return list
+}
+
+// deliver runs the scenario, with a last attempt without faults, and returns
+// what the caller got.
+func deliver(a assembler, s scenario) ([]tpmessage.Chunk, error) {
+	var got []tpmessage.Chunk
+	for _, attempt := range append(s.attempts, make([]int, s.chunks)) {
+		for _, c := range sent(s, attempt, a.Begin(2)) {
+			var err error
+			if got, err = a.Accept(&c, got); err != nil {
+				return got, err
+			}
+		}
+		if a.Ended() {
+			return got, nil
+		}
+	}
+	return got, errors.New("the answer has no end")
+}
+
+// check is the caller's view: each chunk of its own answer once, in order.
+func check(s scenario, got []tpmessage.Chunk) error {
+	if len(got) != s.chunks {
+		return fmt.Errorf("got %d chunks, want %d", len(got), s.chunks)
+	}
+	for i, c := range got {
+		if want := chunk("mine", i, s.chunks); c != want {
+			return fmt.Errorf("chunk %d: got %+v, want %+v", i, c, want)
+		}
+	}
+	return nil
+}
+
+// Guards against an answer with a missing, doubled, crossed or swapped chunk
+// after any number of cuts.
+func TestAnswerIsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := scenarios().Draw(t, "scenario")
+		got, err := deliver(tpanswer.New("mine", 0), s)
+		if err == nil {
+			err = check(s, got)
+		}
+		if err != nil {
+			t.Fatalf("%+v: %v", s, err)
+		}
+	})
+}
+
+// Guards against a check that would not notice a retry without numbering.
+func TestCheckCatchesNaiveRetry(t *testing.T) {
+	caught := 0
+	for seed := range 100 {
+		s := scenarios().Example(seed)
+		got, err := deliver(&naive{}, s)
+		if err != nil || check(s, got) != nil {
+			caught++
+		}
+	}
+	if caught < 50 {
+		t.Errorf("naive retry: caught in %d of 100 scenarios, want at least 50", caught)
+	}
+}
+
+// Guards against an answer that two targets make up from different texts.
+func TestDifferentRepeatDiverges(t *testing.T) {
+	a := tpanswer.New("mine", 0)
+	var got []tpmessage.Chunk
+	for number := range 10 {
+		c := chunk("mine", number, 20)
+		got, _ = a.Accept(&c, got)
+	}
+	c := chunk("mine", a.Begin(tpanswer.OverlapOther), 20)
+	c.Text = "different"
+	if _, err := a.Accept(&c, got); !errors.Is(err, tpanswer.ErrDiverged) {
+		t.Errorf("different repeat: got %v, want %v", err, tpanswer.ErrDiverged)
+	}
+}
+
+// Guards against chunks that are held without bound while one is missing.
+func TestHeldChunksAreBounded(t *testing.T) {
+	a := tpanswer.New("mine", 0)
+	var err error
+	held := 0
+	for number := 1; err == nil && number < 1000; number++ {
+		c := chunk("mine", number, 2000)
+		_, err = a.Accept(&c, nil)
+		held++
+	}
+	if !errors.Is(err, tpanswer.ErrGap) || held != tpanswer.MaxEarly+1 {
+		t.Errorf("missing chunk: got %v after %d, want %v after %d", err, held, tpanswer.ErrGap, tpanswer.MaxEarly+1)
+	}
+}
