--- a/internal/guard/tpquarantine/object.go
+++ b/internal/guard/tpquarantine/object.go
@@ -9,6 +9,7 @@
 
 	"github.com/zeebo/errs"
 
+	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpobject"
 )
 
@@ -24,7 +25,7 @@
 
 // Read returns the quarantined fingerprints of a region and the version of
 // their object, or none and 0 if there is no object yet.
-func Read(ctx context.Context, store tpobject.Store, region string) ([]Suspect, uint64, error) {
+func Read(ctx context.Context, store tpobject.Store, region string) ([]tpmessage.Suspect, uint64, error) {
 	o, err := store.Get(ctx, ObjectPrefix+region)
 	if errors.Is(err, tpobject.ErrNotFound) {
 		return nil, 0, nil
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	var held []Suspect
+	var held []tpmessage.Suspect
 	if err := json.Unmarshal(o.Value, &held); err != nil {
 		return nil, o.Version, Error.New("object of region %q: %w", region, err)
 	}
@@ -43,7 +44,7 @@
 // and returns all that it then holds. It writes nothing if they are there. The
 // caller tries again after an error; a write whose answer was lost is then
 // found in the object.
-func Add(ctx context.Context, store tpobject.Store, region string, add []Suspect) ([]Suspect, error) {
+func Add(ctx context.Context, store tpobject.Store, region string, add []tpmessage.Suspect) ([]tpmessage.Suspect, error) {
 	held, version, err := Read(ctx, store, region)
 	if err != nil {
 		return nil, err
--- a/internal/guard/tpquarantine/quarantine.go
+++ b/internal/guard/tpquarantine/quarantine.go
@@ -10,12 +10,15 @@
 
 // entry is what the quarantine knows of one fingerprint.
 type entry struct {
-	Suspect
+	tpmessage.Suspect
 	changed time.Time
 	crashed time.Time // when this node learned of the latest crash
 	allowed string    // target of the one copy that runs under suspicion
 }
 
+// Quarantined reports whether the request must not run again.
+func (e *entry) Quarantined() bool { return Quarantined(&e.Suspect) }
+
 // Quarantine holds the suspects of one node. It belongs to one filter. The
 // zero value has none.
 type Quarantine struct {
@@ -69,7 +72,7 @@
 func (q *Quarantine) crash(now time.Time, fingerprint uint64, target string) {
 	e, ok := q.entries[fingerprint]
 	if !ok {
-		e = &entry{Suspect: Suspect{Fingerprint: fingerprint}}
+		e = &entry{Suspect: tpmessage.Suspect{Fingerprint: fingerprint}}
 		q.add(e)
 	}
 	if e.Cleared {
@@ -89,7 +92,7 @@
 }
 
 // Merge takes what a peer or the region's object tells.
-func (q *Quarantine) Merge(now time.Time, told []Suspect) {
+func (q *Quarantine) Merge(now time.Time, told []tpmessage.Suspect) {
 	for _, s := range told {
 		if len(s.Targets) == 0 {
 			continue
@@ -98,7 +101,7 @@
 		switch {
 		case !ok && s.Cleared:
 		case !ok:
-			q.add(&entry{Suspect: Suspect{Fingerprint: s.Fingerprint, Targets: slices.Clone(s.Targets)}, changed: now, crashed: now})
+			q.add(&entry{Suspect: tpmessage.Suspect{Fingerprint: s.Fingerprint, Targets: slices.Clone(s.Targets)}, changed: now, crashed: now})
 		case s.Cleared:
 			if !e.Cleared && !e.Quarantined() && within(e.Targets, s.Targets) {
 				e.Cleared = true
@@ -120,15 +123,15 @@
 }
 
 // Tell returns the fingerprints that changed lately, for heartbeats.
-func (q *Quarantine) Tell(now time.Time) []Suspect {
+func (q *Quarantine) Tell(now time.Time) []tpmessage.Suspect {
 	return q.list(func(e *entry) bool { return now.Sub(e.changed) < ToldFor })
 }
 
 // Quarantined returns the fingerprints that must not run again.
-func (q *Quarantine) Quarantined() []Suspect { return q.list((*entry).Quarantined) }
+func (q *Quarantine) Quarantined() []tpmessage.Suspect { return q.list((*entry).Quarantined) }
 
 // All returns all fingerprints, cleared ones too.
-func (q *Quarantine) All() []Suspect { return q.list(func(*entry) bool { return true }) }
+func (q *Quarantine) All() []tpmessage.Suspect { return q.list(func(*entry) bool { return true }) }
 
 // Expire forgets what has been kept for long enough, and reports whether it
 // forgot anything.
@@ -162,8 +165,8 @@
 }
 
 // list returns the chosen suspects, sorted by fingerprint.
-func (q *Quarantine) list(chosen func(*entry) bool) []Suspect {
-	suspects := []Suspect{}
+func (q *Quarantine) list(chosen func(*entry) bool) []tpmessage.Suspect {
+	suspects := []tpmessage.Suspect{}
 	for _, e := range q.entries {
 		if chosen(e) {
 			s := e.Suspect
@@ -171,6 +174,6 @@
 			suspects = append(suspects, s)
 		}
 	}
-	slices.SortFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(suspects, func(a, b tpmessage.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return suspects
 }
--- a/internal/guard/tpquarantine/quarantine_test.go
+++ b/internal/guard/tpquarantine/quarantine_test.go
@@ -268,7 +268,7 @@
 		t.Errorf("after the second crash: got decision %d, want %d", decision, tpquarantine.Refuse)
 	}
 	// Late word of the first crash has no effect.
-	b.Merge(now, []tpquarantine.Suspect{{Fingerprint: 7, Targets: []string{"engine-1"}, Cleared: true}})
+	b.Merge(now, []tpmessage.Suspect{{Fingerprint: 7, Targets: []string{"engine-1"}, Cleared: true}})
 	if got := len(b.Quarantined()); got != 1 {
 		t.Errorf("after late word: got %d quarantined, want 1", got)
 	}
@@ -278,8 +278,8 @@
 func TestObjectKeepsBoth(t *testing.T) {
 	var store tpobject.Memory
 	for _, fingerprint := range []uint64{1, 2} {
-		s := tpquarantine.Suspect{Fingerprint: fingerprint, Targets: []string{"a", "b"}}
-		if _, err := tpquarantine.Add(context.Background(), &store, "r", []tpquarantine.Suspect{s}); err != nil {
+		s := tpmessage.Suspect{Fingerprint: fingerprint, Targets: []string{"a", "b"}}
+		if _, err := tpquarantine.Add(context.Background(), &store, "r", []tpmessage.Suspect{s}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/guard/tpquarantine/suspect.go
+++ b/internal/guard/tpquarantine/suspect.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
 const (
@@ -27,17 +29,8 @@
 	MaxKept = 16384
 )
 
-// Suspect is a request, by the fingerprint of its content, that was running on
-// targets when they crashed.
-type Suspect struct {
-	Fingerprint uint64   `json:"fingerprint"`
-	Targets     []string `json:"targets"` // one entry for each crash
-	// Cleared is true if the request completed after the crash.
-	Cleared bool `json:"cleared,omitempty"`
-}
-
-// Quarantined reports whether the request must not run again.
-func (s *Suspect) Quarantined() bool { return !s.Cleared && len(s.Targets) >= MaxCrashes }
+// Quarantined reports whether a request must not run again.
+func Quarantined(s *tpmessage.Suspect) bool { return !s.Cleared && len(s.Targets) >= MaxCrashes }
 
 // within reports whether each crash of a is also one of b.
 func within(a, b []string) bool {
--- a/internal/membership/tpmember/leaving.go
+++ b/internal/membership/tpmember/leaving.go
@@ -12,10 +12,10 @@
 // lost one does not bring new work to the target.
 const LeavingKept = 10 * time.Second
 
-// Leaving decides which targets take no new work, from this node's own signals
+// LeavingTargets decides which targets take no new work, from this node's own signals
 // and from those of its peers. It belongs to one filter. The zero value knows
 // no leaving target.
-type Leaving struct {
+type LeavingTargets struct {
 	drains  map[string]bool
 	vms     map[string]bool
 	reports map[string]time.Time // to the time of the report
@@ -23,13 +23,13 @@
 }
 
 // Drain replaces the targets that the configuration drains.
-func (l *Leaving) Drain(names []string) { l.drains = set(names) }
+func (l *LeavingTargets) Drain(names []string) { l.drains = set(names) }
 
 // VMs replaces the targets that the platform's list shows as leaving.
-func (l *Leaving) VMs(names []string) { l.vms = set(names) }
+func (l *LeavingTargets) VMs(names []string) { l.vms = set(names) }
 
 // Report takes a target's own word. The latest report counts.
-func (l *Leaving) Report(rep tpmessage.LoadReport) {
+func (l *LeavingTargets) Report(rep tpmessage.LoadReport) {
 	if l.reports == nil {
 		l.reports = make(map[string]time.Time)
 	}
@@ -43,7 +43,7 @@
 }
 
 // Merge takes the word of a peer.
-func (l *Leaving) Merge(now time.Time, told []tpmessage.LeavingTarget) {
+func (l *LeavingTargets) Merge(now time.Time, told []tpmessage.LeavingTarget) {
 	if l.peers == nil {
 		l.peers = make(map[string]time.Time)
 	}
@@ -58,7 +58,7 @@
 // Tell returns what peers are to be told, sorted by name. A signal of this
 // node's own has age zero; what peers told keeps its age, so that word of a
 // target that stays dies out.
-func (l *Leaving) Tell(now time.Time) []tpmessage.LeavingTarget {
+func (l *LeavingTargets) Tell(now time.Time) []tpmessage.LeavingTarget {
 	ages := make(map[string]time.Duration)
 	for name, seen := range l.peers {
 		if age := now.Sub(seen); age < LeavingKept {
@@ -89,9 +89,8 @@
 	return told
 }
 
-// Names returns the names of all leaving targets, sorted.
-func (l *Leaving) Names(now time.Time) []string {
-	told := l.Tell(now)
+// Names returns the names of leaving targets.
+func Names(told []tpmessage.LeavingTarget) []string {
 	names := make([]string, len(told))
 	for i, t := range told {
 		names[i] = t.Name
@@ -100,7 +99,7 @@
 }
 
 // Keep forgets the reports of targets that are not in the configuration.
-func (l *Leaving) Keep(configured map[string]bool) {
+func (l *LeavingTargets) Keep(configured map[string]bool) {
 	for name := range l.reports {
 		if !configured[name] {
 			delete(l.reports, name)
--- a/internal/node/tpnode/leaving.go
+++ b/internal/node/tpnode/leaving.go
@@ -1,10 +1,8 @@
 package tpnode
 
 import (
-	"context"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
@@ -13,55 +11,29 @@
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
-const (
-	// DefaultVMPoll is the time between two reads of the platform's list by
-	// one node. With 1,333 targets in a region the list has about 100 KB, so
-	// that only vmPollers nodes of the region read it.
-	DefaultVMPoll = 5 * time.Second
-	vmPollers     = 2
-	vmPollKey     = "vms"
-)
-
 // leavingInput is one message to the leaving filter. Of its fields one is set.
 type leavingInput struct {
 	report *tpmessage.LoadReport
 	vms    *[]string
 	told   []tpmessage.LeavingTarget
 	config *tpmessage.Config
-	ask    *tpring.Ring[[]tpmessage.LeavingTarget]
 }
 
 // leavingTargets is the filter that decides which targets take no new work.
 type leavingTargets struct {
 	in       *tpring.Ring[leavingInput]
-	decision tpmember.Leaving
+	decision tpmember.LeavingTargets
 	names    []string
 	current  atomic.Pointer[map[string]bool]
+	told     atomic.Pointer[[]tpmessage.LeavingTarget] // that heartbeats carry
 }
 
 func (n *Node) startLeaving() error {
 	n.targets = &leavingTargets{in: tpring.New[leavingInput](tpring.Settings{Capacity: 256})}
 	n.targets.current.Store(&map[string]bool{})
+	n.targets.told.Store(&[]tpmessage.LeavingTarget{})
 	n.rings.Add("leaving", n.targets.in)
-	if err := startFilter(n, "leaving", n.targets.in, n.handleLeaving); err != nil {
-		return err
-	}
-	if n.cfg.Platform == "" {
-		return nil
-	}
-	client, closeClient := tpplatform.NewClient(n.cfg.Platform)
-	n.onStop(closeClient)
-	ctx, cancel := context.WithCancel(context.Background())
-	wait, err := n.duties.Go("vm list", func() { n.followVMs(ctx, client) })
-	if err != nil {
-		cancel()
-		return err
-	}
-	n.onStop(func() {
-		cancel()
-		wait()
-	})
-	return nil
+	return startFilter(n, "leaving", n.targets.in, n.handleLeaving)
 }
 
 func (n *Node) handleLeaving(in leavingInput) {
@@ -75,12 +47,12 @@
 	case in.config != nil:
 		l.decision.Drain(in.config.Drains)
 		l.decision.Keep(targetNames(in.config))
-	case in.ask != nil:
-		_ = in.ask.Put(l.decision.Tell(now))
 	default:
 		l.decision.Merge(now, in.told)
 	}
-	names := l.decision.Names(now)
+	told := l.decision.Tell(now)
+	l.told.Store(&told)
+	names := tpmember.Names(told)
 	if slices.Equal(names, l.names) {
 		return
 	}
@@ -106,47 +78,21 @@
 }
 
 // LeavingTargets returns the leaving targets that a heartbeat carries.
-func (n *Node) LeavingTargets() []tpmessage.LeavingTarget {
-	reply := tpring.New[[]tpmessage.LeavingTarget](tpring.Settings{Capacity: 1})
-	if err := n.targets.in.Put(leavingInput{ask: reply}); err != nil {
-		return nil
-	}
-	told, err := reply.Take()
-	if err != nil {
-		return nil
-	}
-	return told
-}
+func (n *Node) LeavingTargets() []tpmessage.LeavingTarget { return *n.targets.told.Load() }
 
-// MergeLeavingTargets takes the leaving targets of a peer's heartbeat. An
-// empty list is passed on as well, since it lets what has expired end.
+// MergeLeavingTargets takes the leaving targets of a peer's heartbeat. It does
+// not wait; the next heartbeat brings again what finds no room.
 func (n *Node) MergeLeavingTargets(told []tpmessage.LeavingTarget) {
-	_ = n.targets.in.Put(leavingInput{told: told})
-}
-
-// followVMs reads the platform's list while this node is one of its readers.
-func (n *Node) followVMs(ctx context.Context, client *tpplatform.Client) {
-	for {
-		if n.readsVMs() {
-			if list, err := client.VMs(ctx); err == nil {
-				n.leavingVMs(list)
-			}
-		} else {
-			n.leavingVMs(nil)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.clock.After(n.cfg.VMPoll):
-		}
+	if len(told) > 0 {
+		_ = n.targets.in.TryPut(leavingInput{told: told})
 	}
 }
 
-func (n *Node) readsVMs() bool {
-	ranked := tpmember.Rank(vmPollKey, n.Members())
-	return slices.ContainsFunc(ranked[:min(len(ranked), vmPollers)], func(m tpmessage.Member) bool {
-		return m.Name == n.cfg.Name
-	})
+// tickLeaving lets the word of peers age while there is any.
+func (n *Node) tickLeaving() {
+	if len(n.LeavingTargets()) > 0 {
+		_ = n.targets.in.TryPut(leavingInput{})
+	}
 }
 
 // leavingVMs passes on the targets that a list of VMs shows as leaving.
--- a/internal/node/tpnode/quarantine.go
+++ b/internal/node/tpnode/quarantine.go
@@ -22,8 +22,7 @@
 	start      *attemptStart
 	completion *tpmessage.Completion
 	ask        *placement
-	told       []tpquarantine.Suspect
-	tell       *tpring.Ring[[]tpquarantine.Suspect]
+	told       []tpmessage.Suspect
 	tick       bool
 }
 
@@ -48,21 +47,23 @@
 	in       *tpring.Ring[quarantineInput]
 	decision tpquarantine.Quarantine
 	pending  []*placement
-	view     atomic.Pointer[map[uint64]tpquarantine.Suspect]
+	told     bool // heartbeats carry suspects
+	view     atomic.Pointer[map[uint64]tpmessage.Suspect]
 	// written holds the latest quarantined fingerprints for the duty that
 	// writes the region's object.
-	written *tpring.Ring[[]tpquarantine.Suspect]
+	written *tpring.Ring[[]tpmessage.Suspect]
 }
 
 func (n *Node) startQuarantine() error {
 	q := &quarantine{
 		in:      tpring.New[quarantineInput](tpring.Settings{Capacity: quarantineCapacity}),
-		written: tpring.New[[]tpquarantine.Suspect](tpring.Settings{Capacity: 1}),
+		written: tpring.New[[]tpmessage.Suspect](tpring.Settings{Capacity: 1}),
 	}
-	q.view.Store(&map[uint64]tpquarantine.Suspect{})
+	q.view.Store(&map[uint64]tpmessage.Suspect{})
 	n.quarantine = q
 	n.rings.Add("quarantine", q.in)
 	n.rings.Add("quarantineObject", q.written)
+	n.OnSuspects(n.MergeSuspects)
 	return startFilter(n, "quarantine", q.in, n.handleQuarantine)
 }
 
@@ -80,9 +81,6 @@
 	case in.ask != nil:
 		q.pending = append(q.pending, in.ask)
 		changed = false
-	case in.tell != nil:
-		_ = in.tell.Put(q.decision.Tell(now))
-		return
 	case in.tick:
 		changed = q.decision.Expire(now)
 	default:
@@ -91,6 +89,10 @@
 	if changed {
 		n.publishQuarantine()
 	}
+	if told := q.decision.Tell(now); len(told) > 0 || q.told {
+		n.SetSuspects(told)
+		q.told = len(told) > 0
+	}
 	q.pending = slices.DeleteFunc(q.pending, n.place)
 }
 
@@ -99,18 +101,18 @@
 func (n *Node) publishQuarantine() {
 	q := n.quarantine
 	before := *q.view.Load()
-	view := make(map[uint64]tpquarantine.Suspect)
+	view := make(map[uint64]tpmessage.Suspect)
 	added := false
 	for _, s := range q.decision.All() {
 		view[s.Fingerprint] = s
 		old, known := before[s.Fingerprint]
-		if s.Quarantined() && (!known || !old.Quarantined()) {
+		if tpquarantine.Quarantined(&s) && (!known || !tpquarantine.Quarantined(&old)) {
 			added = true
 			n.events.Record(tpmessage.Event{Kind: "quarantined", Detail: tpquarantine.Name(s.Fingerprint)})
 			n.log.Warn().Str("fingerprint", tpquarantine.Name(s.Fingerprint)).Strs("targets", s.Targets).
 				Msg("request is quarantined")
 		}
-		if !known && !s.Cleared && !s.Quarantined() {
+		if !known && !s.Cleared && !tpquarantine.Quarantined(&s) {
 			n.events.Record(tpmessage.Event{Kind: "suspect", Target: s.Targets[0], Detail: tpquarantine.Name(s.Fingerprint)})
 		}
 	}
@@ -213,7 +215,7 @@
 // quarantined returns the refusal of a request that crashed targets, or nil.
 func (n *Node) quarantined(req *tpmessage.Request) *tpmessage.Refusal {
 	s, ok := (*n.quarantine.view.Load())[req.Fingerprint]
-	if !ok || !s.Quarantined() {
+	if !ok || !tpquarantine.Quarantined(&s) {
 		return nil
 	}
 	return quarantinedRefusal()
@@ -225,23 +227,11 @@
 	}
 }
 
-// Suspects returns the suspects that a heartbeat carries.
-func (n *Node) Suspects() []tpquarantine.Suspect {
-	reply := tpring.New[[]tpquarantine.Suspect](tpring.Settings{Capacity: 1})
-	if err := n.quarantine.in.Put(quarantineInput{tell: reply}); err != nil {
-		return nil
-	}
-	told, err := reply.Take()
-	if err != nil {
-		return nil
-	}
-	return told
-}
-
-// MergeSuspects takes the suspects of a peer's heartbeat.
-func (n *Node) MergeSuspects(told []tpquarantine.Suspect) {
+// MergeSuspects takes the suspects of a peer's heartbeat. It does not wait; the
+// next heartbeat brings again what finds no room.
+func (n *Node) MergeSuspects(told []tpmessage.Suspect) {
 	if len(told) > 0 {
-		_ = n.quarantine.in.Put(quarantineInput{told: told})
+		_ = n.quarantine.in.TryPut(quarantineInput{told: told})
 	}
 }
 
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -84,8 +84,8 @@
 	return nil
 }
 
-// startTicks starts the duty that lets admission expire waiting work and the
-// quarantine place waiting suspects.
+// startTicks starts the duty that lets admission expire waiting work the
+// quarantine place waiting suspects, and word of leaving targets age.
 func (n *Node) startTicks() error {
 	stop := make(chan struct{})
 	wait, err := n.duties.Go("ticks", func() {
@@ -96,6 +96,7 @@
 			case <-n.clock.After(DefaultTick):
 				_ = n.request.admissionIn.TryPutBelow(tpadmission.Input{Kind: tpadmission.InputTick}, DefaultArrivals)
 				n.tickQuarantine()
+				n.tickLeaving()
 			}
 		}
 	})
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -29,13 +29,14 @@
 	CallerAddress string `yaml:"callerAddress"` // host:port for callers
 	PeerAddress   string `yaml:"peerAddress"`   // host:port for peers and operators
 	Platform      string `yaml:"platform"`      // URL of the platform
+	// Seeds are addresses (host:port) of peers that are tried besides the
+	// platform's list of VMs.
+	Seeds []string `yaml:"seeds"`
 	// Window is the number of requests in flight on this node.
 	Window int `yaml:"window"`
 	// StopGrace is the time from the announcement of a planned stop to the
 	// refusal of new requests, in which the balancer stops sending.
 	StopGrace time.Duration `yaml:"stopGrace"`
-	// VMPoll is the time between two reads of the platform's list of VMs.
-	VMPoll time.Duration `yaml:"vmPoll"`
 }
 
 // Deps are the parts that tests and the embedded run replace. The zero value
@@ -52,7 +53,4 @@
 	if s.StopGrace <= 0 {
 		s.StopGrace = DefaultStopGrace
 	}
-	if s.VMPoll <= 0 {
-		s.VMPoll = DefaultVMPoll
-	}
 }
--- a/internal/node/tpnode/stop.go
+++ b/internal/node/tpnode/stop.go
@@ -54,6 +54,7 @@
 // bound; and then runs the clean-up functions, the last one added first.
 func (n *Node) stop() {
 	n.leaving.Store(true)
+	n.announceLeaving()
 	n.events.Record(tpmessage.Event{Kind: "leaving"})
 	if n.callers != nil {
 		<-n.clock.After(n.cfg.StopGrace)
