Test complete answers, planned stops and the quarantine with real processes

The tests found that a retry asked the quarantine before the completion that made it a suspect had arrived, that a peer added a cleared crash to a later one, that a dying engine still took connections, and that copies of a poisonous request on two nodes ran at two targets. The question now follows a loss, word of cleared crashes is kept apart, a probe waits for an answer, a suspect's place depends on its fingerprint alone, and news of suspects goes out at once.

--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -56,7 +56,6 @@
 // sends each request once; the only retrying layer is the sender.
 type Transport struct {
 	cfg    Settings
-	dialer net.Dialer
 	client *http.Client
 	// once opens a connection for each request. net/http sends a request with
 	// an Idempotency-Key a second time by itself when a kept connection fails,
@@ -73,9 +72,9 @@
 	if cfg.ChunkTimeout <= 0 {
 		cfg.ChunkTimeout = DefaultChunkTimeout
 	}
-	t := &Transport{cfg: cfg, dialer: net.Dialer{Timeout: DialTimeout}}
+	t := &Transport{cfg: cfg}
 	base := &http.Transport{
-		DialContext:            t.dialer.DialContext,
+		DialContext:            (&net.Dialer{Timeout: DialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    256,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
@@ -91,14 +90,26 @@
 // noRedirect keeps the client from sending a body a second time elsewhere.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Reachable implements tpsender.Transport.
+// Reachable implements tpsender.Transport. A target that takes a connection
+// but is silent is reachable: it may be paused. One that ends the connection
+// is not: a dying process can take connections for a moment longer.
 func (t *Transport) Reachable(ctx context.Context, target tpmessage.Target) bool {
-	conn, err := t.dialer.DialContext(ctx, "tcp", target.Address)
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+PathLoad, nil)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	return true
+	resp, err := t.once.Do(r)
+	if err == nil {
+		_ = resp.Body.Close()
+		return true
+	}
+	return connected.Load() && ctx.Err() != nil
 }
 
 // Run implements tpsender.Transport.
--- a/internal/guard/tpquarantine/place.go
+++ b/internal/guard/tpquarantine/place.go
@@ -1,7 +1,6 @@
 package tpquarantine
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -26,33 +25,33 @@
 // that take new work, without those that could not be reached; settle is the
 // time that suspects wait after a crash. With Only, the copy counts as started.
 //
-// All nodes rank the targets for a fingerprint in the same way, so that copies
-// on several nodes meet at one target, and each suspect of a crash leaves the
-// first choices of the ones before it free.
+// The place of a fingerprint is the same on all nodes that know the same
+// targets, so that copies on several nodes meet at one target and take down
+// one. A suspect waits while its place is taken by another suspect of the
+// crash, here or, for a time, by one that another node may run there.
 func (q *Quarantine) Place(now time.Time, fingerprint uint64, usable []tpmessage.Target,
 	settle time.Duration,
 ) (Decision, tpmessage.Target) {
 	var none tpmessage.Target
 	e, ok := q.entries[fingerprint]
 	switch {
-	case !ok || e.Cleared:
+	case !ok || !e.suspect():
 		return Free, none
-	case e.Quarantined():
+	case e.quarantined():
 		return Refuse, none
 	case len(q.copies[fingerprint]) > 0 || now.Sub(e.crashed) < settle:
 		return Wait, none
 	}
-	group := q.suspectsWith(e)
-	taken := q.taken(e)
-	for _, withCleared := range []bool{true, false} {
-		reserved := q.reserve(e, group, usable, taken, withCleared)
-		if target, ok := first(e, usable, taken, reserved); ok {
-			e.allowed = target.Name
-			q.Start(fingerprint, target.Name)
-			return Only, target
-		}
+	target, ok := first(e, usable)
+	if !ok || q.taken(e)[target.Name] {
+		return Wait, none
+	}
+	if now.Sub(e.crashed) < 2*settle && q.contested(e, target, usable) {
+		return Wait, none
 	}
-	return Wait, none
+	e.allowed = target.Name
+	q.Start(fingerprint, target.Name)
+	return Only, target
 }
 
 // taken returns the targets on which another suspect of a crash of e still
@@ -60,34 +59,28 @@
 func (q *Quarantine) taken(e *entry) map[string]bool {
 	taken := make(map[string]bool)
 	for _, other := range q.entries {
-		dangerous := other.Quarantined() || !other.Cleared && share(other.Targets, e.Targets)
-		if other == e || !dangerous {
+		if other == e || !other.quarantined() && !share(other.crashes, e.crashes) {
 			continue
 		}
-		for _, target := range q.copies[other.Fingerprint] {
+		for _, target := range q.copies[other.fingerprint] {
 			taken[target] = true
 		}
 	}
 	return taken
 }
 
-// reserve returns the first choices of the suspects before e. Those that were
-// cleared keep theirs while there is room, so that the choices of the others
-// do not move.
-func (q *Quarantine) reserve(e *entry, group []*entry, usable []tpmessage.Target,
-	taken map[string]bool, withCleared bool,
-) map[string]bool {
-	reserved := make(map[string]bool, len(group))
-	for _, other := range group {
-		running := !other.Cleared && len(q.copies[other.Fingerprint]) > 0
-		if other.Fingerprint > e.Fingerprint || running || other.Cleared && !withCleared {
+// contested reports whether the target is also the place of a suspect of the
+// same crash with a lower fingerprint.
+func (q *Quarantine) contested(e *entry, target tpmessage.Target, usable []tpmessage.Target) bool {
+	for _, other := range q.entries {
+		if other.fingerprint >= e.fingerprint || other.quarantined() || !share(other.crashes, e.crashes) {
 			continue
 		}
-		if t, ok := first(other, usable, taken, reserved); ok {
-			reserved[t.Name] = true
+		if t, ok := first(other, usable); ok && t.Name == target.Name {
+			return true
 		}
 	}
-	return reserved
+	return false
 }
 
 // Release takes back a placement that was not used.
@@ -98,33 +91,16 @@
 	}
 }
 
-// suspectsWith returns the other suspects of a crash of e, cleared ones too, by
-// fingerprint.
-func (q *Quarantine) suspectsWith(e *entry) []*entry {
-	var group []*entry
-	for _, other := range q.entries {
-		if other != e && !other.Quarantined() && share(other.Targets, e.Targets) {
-			group = append(group, other)
-		}
-	}
-	slices.SortFunc(group, func(a, b *entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
-	return group
-}
-
-// first returns the best ranked target that is neither taken nor reserved. A
-// target that has crashed under the request is the last choice.
-func first(e *entry, usable []tpmessage.Target, taken, reserved map[string]bool) (tpmessage.Target, bool) {
+// first returns the best ranked target of a fingerprint. A target that has
+// crashed under the request is the last choice.
+func first(e *entry, usable []tpmessage.Target) (tpmessage.Target, bool) {
 	var best tpmessage.Target
 	var bestWeight uint64
 	found, bestLost := false, false
 	for _, t := range usable {
-		if taken[t.Name] || reserved[t.Name] {
-			continue
-		}
-		lost := slices.Contains(e.Targets, t.Name)
-		w := weight(e.Fingerprint, t.Name)
-		better := !found || bestLost && !lost || bestLost == lost && w > bestWeight
-		if better {
+		lost := slices.Contains(e.crashes, t.Name)
+		w := weight(e.fingerprint, t.Name)
+		if !found || bestLost && !lost || bestLost == lost && w > bestWeight {
 			best, bestWeight, bestLost, found = t, w, lost, true
 		}
 	}
--- a/internal/guard/tpquarantine/quarantine.go
+++ b/internal/guard/tpquarantine/quarantine.go
@@ -8,16 +8,19 @@
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
-// entry is what the quarantine knows of one fingerprint.
+// entry is what the quarantine knows of one fingerprint. The request is a
+// suspect while there are crashes.
 type entry struct {
-	tpmessage.Suspect
-	changed time.Time
-	crashed time.Time // when this node learned of the latest crash
-	allowed string    // target of the one copy that runs under suspicion
+	fingerprint uint64
+	crashes     []string // target of each crash since the last whole answer
+	cleared     []string // targets of the crashes before it
+	changed     time.Time
+	crashed     time.Time // when this node learned of the latest crash
+	allowed     string    // target of the one copy that runs under suspicion
 }
 
-// Quarantined reports whether the request must not run again.
-func (e *entry) Quarantined() bool { return Quarantined(&e.Suspect) }
+func (e *entry) suspect() bool     { return len(e.crashes) > 0 }
+func (e *entry) quarantined() bool { return len(e.crashes) >= MaxCrashes }
 
 // Quarantine holds the suspects of one node. It belongs to one filter. The
 // zero value has none.
@@ -48,9 +51,15 @@
 	}
 	if c.Target == e.allowed {
 		e.allowed = ""
+		if c.Outcome == tpmessage.OutcomeNotSent {
+			// A copy on another node may have crashed the target. The time to
+			// settle begins again, so that word of it comes first.
+			e.crashed = now
+		}
 	}
-	if c.Outcome == tpmessage.OutcomeDone && !e.Cleared && !e.Quarantined() {
-		e.Cleared = true
+	if c.Outcome == tpmessage.OutcomeDone && e.suspect() && !e.quarantined() {
+		e.cleared = union(e.cleared, e.crashes)
+		e.crashes = nil
 		e.changed = now
 	}
 }
@@ -72,66 +81,103 @@
 func (q *Quarantine) crash(now time.Time, fingerprint uint64, target string) {
 	e, ok := q.entries[fingerprint]
 	if !ok {
-		e = &entry{Suspect: tpmessage.Suspect{Fingerprint: fingerprint}}
+		e = &entry{fingerprint: fingerprint}
 		q.add(e)
 	}
-	if e.Cleared {
-		e.Cleared = false
-		e.Targets = nil
-	}
 	// A target that was started again and crashed under the allowed copy
 	// counts once more; several streams cut by one crash count once.
-	if e.allowed == target || !slices.Contains(e.Targets, target) {
-		e.Targets = append(e.Targets, target)
+	if e.allowed == target || !slices.Contains(e.crashes, target) {
+		e.crashes = append(e.crashes, target)
+		e.crashed = now
 	}
 	if e.allowed == target {
 		e.allowed = ""
 	}
+	e.cleared = slices.DeleteFunc(e.cleared, func(name string) bool { return name == target })
 	e.changed = now
-	e.crashed = now
 }
 
-// Merge takes what a peer or the region's object tells.
+// Merge takes what a peer or the region's object tells. Word of crashes that
+// are known to be cleared has no effect.
 func (q *Quarantine) Merge(now time.Time, told []tpmessage.Suspect) {
-	for _, s := range told {
-		if len(s.Targets) == 0 {
-			continue
-		}
-		e, ok := q.entries[s.Fingerprint]
+	for i := range told {
+		s := &told[i]
+		e, known := q.entries[s.Fingerprint]
 		switch {
-		case !ok && s.Cleared:
-		case !ok:
-			q.add(&entry{Suspect: tpmessage.Suspect{Fingerprint: s.Fingerprint, Targets: slices.Clone(s.Targets)}, changed: now, crashed: now})
+		case len(s.Targets) == 0 || !known && s.Cleared:
 		case s.Cleared:
-			if !e.Cleared && !e.Quarantined() && within(e.Targets, s.Targets) {
-				e.Cleared = true
-				e.changed = now
-			}
-		case e.Cleared:
-			if !within(s.Targets, e.Targets) {
-				e.Cleared = false
-				e.Targets = slices.Clone(s.Targets)
-				e.changed = now
-				e.crashed = now
-			}
-		case !within(s.Targets, e.Targets):
-			e.Targets = union(e.Targets, s.Targets)
-			e.changed = now
-			e.crashed = now
+			e.mergeCleared(now, s.Targets)
+		case !known:
+			e = &entry{fingerprint: s.Fingerprint}
+			q.add(e)
+			e.mergeCrashes(now, s.Targets)
+		default:
+			e.mergeCrashes(now, s.Targets)
 		}
 	}
 }
 
-// Tell returns the fingerprints that changed lately, for heartbeats.
+func (e *entry) mergeCleared(now time.Time, cleared []string) {
+	if e.quarantined() || within(cleared, e.cleared) {
+		return
+	}
+	e.cleared = union(e.cleared, cleared)
+	e.crashes = without(e.crashes, cleared)
+	e.changed = now
+}
+
+func (e *entry) mergeCrashes(now time.Time, crashes []string) {
+	crashes = without(crashes, e.cleared)
+	if within(crashes, e.crashes) {
+		return
+	}
+	e.crashes = union(e.crashes, crashes)
+	e.changed = now
+	e.crashed = now
+}
+
+// Tell returns what changed lately, for heartbeats. What is cleared comes
+// first, so that it does not count with a later crash.
 func (q *Quarantine) Tell(now time.Time) []tpmessage.Suspect {
-	return q.list(func(e *entry) bool { return now.Sub(e.changed) < ToldFor })
+	told := []tpmessage.Suspect{}
+	for _, e := range q.sorted() {
+		if now.Sub(e.changed) >= ToldFor {
+			continue
+		}
+		if len(e.cleared) > 0 {
+			told = append(told, tpmessage.Suspect{Fingerprint: e.fingerprint, Targets: slices.Clone(e.cleared), Cleared: true})
+		}
+		if e.suspect() {
+			told = append(told, e.told())
+		}
+	}
+	return told
 }
 
 // Quarantined returns the fingerprints that must not run again.
-func (q *Quarantine) Quarantined() []tpmessage.Suspect { return q.list((*entry).Quarantined) }
+func (q *Quarantine) Quarantined() []tpmessage.Suspect {
+	list := []tpmessage.Suspect{}
+	for _, e := range q.sorted() {
+		if e.quarantined() {
+			list = append(list, e.told())
+		}
+	}
+	return list
+}
+
+// All returns all remembered fingerprints. Those that are no suspects have
+// Cleared set.
+func (q *Quarantine) All() []tpmessage.Suspect {
+	list := []tpmessage.Suspect{}
+	for _, e := range q.sorted() {
+		list = append(list, e.told())
+	}
+	return list
+}
 
-// All returns all fingerprints, cleared ones too.
-func (q *Quarantine) All() []tpmessage.Suspect { return q.list(func(*entry) bool { return true }) }
+func (e *entry) told() tpmessage.Suspect {
+	return tpmessage.Suspect{Fingerprint: e.fingerprint, Targets: slices.Clone(e.crashes), Cleared: !e.suspect()}
+}
 
 // Expire forgets what has been kept for long enough, and reports whether it
 // forgot anything.
@@ -139,7 +185,10 @@
 	before := len(q.entries)
 	for fingerprint, e := range q.entries {
 		age := now.Sub(e.changed)
-		if e.Cleared && age >= ClearedKept || !e.Quarantined() && age >= SuspectKept {
+		if age >= ClearedKept {
+			e.cleared = nil
+		}
+		if age >= ClearedKept && !e.suspect() || age >= SuspectKept && !e.quarantined() {
 			delete(q.entries, fingerprint)
 		}
 	}
@@ -159,21 +208,17 @@
 				oldest = other
 			}
 		}
-		delete(q.entries, oldest.Fingerprint)
+		delete(q.entries, oldest.fingerprint)
 	}
-	q.entries[e.Fingerprint] = e
+	q.entries[e.fingerprint] = e
 }
 
-// list returns the chosen suspects, sorted by fingerprint.
-func (q *Quarantine) list(chosen func(*entry) bool) []tpmessage.Suspect {
-	suspects := []tpmessage.Suspect{}
+// sorted returns the entries by fingerprint.
+func (q *Quarantine) sorted() []*entry {
+	list := make([]*entry, 0, len(q.entries))
 	for _, e := range q.entries {
-		if chosen(e) {
-			s := e.Suspect
-			s.Targets = slices.Clone(e.Targets)
-			suspects = append(suspects, s)
-		}
+		list = append(list, e)
 	}
-	slices.SortFunc(suspects, func(a, b tpmessage.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
-	return suspects
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.fingerprint, b.fingerprint) })
+	return list
 }
--- a/internal/guard/tpquarantine/suspect.go
+++ b/internal/guard/tpquarantine/suspect.go
@@ -53,6 +53,17 @@
 	return all
 }
 
+// without returns the crashes of a that are not among those of b.
+func without(a, b []string) []string {
+	var rest []string
+	for _, name := range a {
+		if count(rest, name)+count(b, name) < count(a, name) {
+			rest = append(rest, name)
+		}
+	}
+	return rest
+}
+
 // share reports whether a and b have a crash in common.
 func share(a, b []string) bool {
 	return slices.ContainsFunc(a, func(name string) bool { return slices.Contains(b, name) })
--- a/internal/node/tpnode/leaving.go
+++ b/internal/node/tpnode/leaving.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/zeebo/xxh3"
+
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/internal/request/stage3/tprouter"
@@ -69,6 +71,25 @@
 // takesNewWork reports whether a target is not known to be leaving.
 func (n *Node) takesNewWork(target string) bool { return !(*n.targets.current.Load())[target] }
 
+// alternative returns a target of the request's pool that takes new work and is
+// not among the excluded ones. It serves a request whose chosen targets take no
+// connection. Different requests begin the search at different targets.
+func (n *Node) alternative(req *tpmessage.Request, exclude []tpmessage.Target) (tpmessage.Target, bool) {
+	targets := n.poolInForce(req.Pool).Targets
+	if len(targets) == 0 {
+		return tpmessage.Target{}, false
+	}
+	start := int(xxh3.HashString(req.ID) % uint64(len(targets)))
+	for i := range targets {
+		t := targets[(start+i)%len(targets)]
+		excluded := slices.ContainsFunc(exclude, func(e tpmessage.Target) bool { return e.Name == t.Name })
+		if !excluded && n.takesNewWork(t.Name) {
+			return t, true
+		}
+	}
+	return tpmessage.Target{}, false
+}
+
 // noteLeaving passes a report on if it can change whether its target counts as
 // leaving.
 func (n *Node) noteLeaving(rep tpmessage.LoadReport) {
--- a/internal/node/tpnode/quarantine.go
+++ b/internal/node/tpnode/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -47,7 +48,7 @@
 	in       *tpring.Ring[quarantineInput]
 	decision tpquarantine.Quarantine
 	pending  []*placement
-	told     bool // heartbeats carry suspects
+	told     []tpmessage.Suspect // that heartbeats carry
 	view     atomic.Pointer[map[uint64]tpmessage.Suspect]
 	// written holds the latest quarantined fingerprints for the duty that
 	// writes the region's object.
@@ -89,9 +90,8 @@
 	if changed {
 		n.publishQuarantine()
 	}
-	if told := q.decision.Tell(now); len(told) > 0 || q.told {
-		n.SetSuspects(told)
-		q.told = len(told) > 0
+	if in.tick {
+		n.tellSuspects(q.decision.Tell(now))
 	}
 	q.pending = slices.DeleteFunc(q.pending, n.place)
 }
@@ -122,6 +122,19 @@
 	}
 }
 
+// tellSuspects sets what heartbeats carry. News goes out at once, and each node
+// that learns of it passes it on, so that it reaches a region well within
+// tpquarantine.Settle.
+func (n *Node) tellSuspects(told []tpmessage.Suspect) {
+	q := n.quarantine
+	if len(told) == len(q.told) && (len(told) == 0 || reflect.DeepEqual(told, q.told)) {
+		return
+	}
+	q.told = told
+	n.SetSuspects(told)
+	_ = n.members.in.TryPut(memberInput{kind: memberTick})
+}
+
 // place answers a placement if it is decided, and reports whether it was.
 func (n *Node) place(p *placement) bool {
 	if p.ctx.Err() != nil {
@@ -153,11 +166,7 @@
 // usableTargets returns the targets of the pool that take new work. Those that
 // could not be reached come back once none else is left.
 func (n *Node) usableTargets(p *placement) []tpmessage.Target {
-	snapshot := n.InForce()
-	if snapshot == nil {
-		return nil
-	}
-	pool, _ := snapshot.Config.PoolNamed(p.pool)
+	pool := n.poolInForce(p.pool)
 	usable := make([]tpmessage.Target, 0, len(pool.Targets))
 	var rest []tpmessage.Target
 	for _, t := range pool.Targets {
@@ -175,6 +184,15 @@
 	return usable
 }
 
+func (n *Node) poolInForce(name string) tpmessage.Pool {
+	snapshot := n.InForce()
+	if snapshot == nil {
+		return tpmessage.Pool{}
+	}
+	pool, _ := snapshot.Config.PoolNamed(name)
+	return pool
+}
+
 // known reports whether a fingerprint is remembered.
 func (n *Node) known(fingerprint uint64) bool {
 	_, ok := (*n.quarantine.view.Load())[fingerprint]
@@ -183,14 +201,16 @@
 
 // admitAttempt decides on one attempt of a request at a target. Requests that
 // are no suspects pass without a wait. It is called from stream tasks.
-func (n *Node) admitAttempt(ctx context.Context, req *tpmessage.Request, target string, unreachable []string) tpsender.Verdict {
+func (n *Node) admitAttempt(ctx context.Context, req *tpmessage.Request, a tpsender.Attempt) tpsender.Verdict {
 	q := n.quarantine
-	if !n.known(req.Fingerprint) {
-		_ = q.in.Put(quarantineInput{start: &attemptStart{fingerprint: req.Fingerprint, target: target}})
+	// After a loss, the completion that makes the request a suspect may still
+	// be on its way to the filter, ahead of the question.
+	if !a.AfterLoss && !n.known(req.Fingerprint) {
+		_ = q.in.Put(quarantineInput{start: &attemptStart{fingerprint: req.Fingerprint, target: a.Target}})
 		return tpsender.Verdict{}
 	}
 	p := &placement{
-		ctx: ctx, fingerprint: req.Fingerprint, pool: req.Pool, target: target, unreachable: unreachable,
+		ctx: ctx, fingerprint: req.Fingerprint, pool: req.Pool, target: a.Target, unreachable: a.Unreachable,
 		reply: tpring.New[tpsender.Verdict](tpring.Settings{Capacity: 1}),
 	}
 	stop := context.AfterFunc(ctx, p.reply.Close)
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -56,7 +56,10 @@
 		Events:    n.events,
 		Budgets:   &tpsender.Budgets{},
 		Counters:  &tpsender.Counters{},
-		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported, Usable: n.takesNewWork, Admit: n.admitAttempt},
+		Sinks: tpsender.Sinks{
+			Completion: n.completed, Report: n.reported,
+			Usable: n.takesNewWork, Alternative: n.alternative, Admit: n.admitAttempt,
+		},
 	}
 	// The clean-up functions run in the reverse order: the duties drain from
 	// the front of the pipeline to its end, while completions still find the
--- a/internal/proof/tphistory/caller.go
+++ b/internal/proof/tphistory/caller.go
@@ -37,6 +37,9 @@
 	Chunks    int // received
 	LastChunk int // number of the last chunk, -1 for none
 	Refusal   tpfront.RefusalBody
+	// Violation tells of a chunk that is not the next one of this request's
+	// answer, or is empty.
+	Violation string
 }
 
 // Caller sends requests to a node with connections of its own.
@@ -44,6 +47,8 @@
 	Number int
 	Token  string
 	Client *http.Client
+	// OnChunk, if set, is called with the number of each received chunk.
+	OnChunk func(number int)
 }
 
 // NewCaller returns a caller that opens a connection for each request.
@@ -70,7 +75,7 @@
 	op := Operation{Caller: c.Number, RequestID: id, Invoked: time.Now(), Outcome: Unknown, LastChunk: last}
 	resp, err := c.post(ctx, node, path, header, string(data))
 	if err == nil {
-		op.read(resp)
+		op.read(resp, c.OnChunk)
 	}
 	op.Returned = time.Now()
 	return op
@@ -116,7 +121,7 @@
 }
 
 // read collects the server-sent events of an answer.
-func (op *Operation) read(resp *http.Response) {
+func (op *Operation) read(resp *http.Response, onChunk func(int)) {
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		text, err := io.ReadAll(resp.Body)
@@ -142,8 +147,11 @@
 			break
 		}
 		if err := op.chunk([]byte(data), &answer); err != nil {
-			op.Answer = err.Error()
-			return
+			op.Violation = err.Error()
+			break
+		}
+		if onChunk != nil {
+			onChunk(op.LastChunk)
 		}
 		if kind == "end" {
 			op.Outcome = OK
--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -79,7 +79,8 @@
 	return f
 }
 
-// StartNode starts one node of the fleet with settings of its own.
+// StartNode starts one node of the fleet with settings of its own. It finds
+// its peers by the nodes that were started before.
 func (f *Fleet) StartNode(t testing.TB, name string) *Process {
 	t.Helper()
 	settings := fmt.Sprintf(`name: %s
@@ -89,6 +90,12 @@
 peerAddress: 127.0.0.1:0
 platform: http://%s
 `, name, f.Platform.Addresses[0])
+	if len(f.Nodes) > 0 {
+		settings += "seeds:\n"
+	}
+	for _, n := range f.Nodes {
+		settings += "  - " + n.Addresses[1] + "\n"
+	}
 	path := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/request/stage5/tpsender/plan.go
+++ b/internal/request/stage5/tpsender/plan.go
@@ -85,6 +85,14 @@
 	return Step{}, false
 }
 
+// Targets returns the targets of the plan.
+func (p *Plan) Targets() []tpmessage.Target { return p.assignment.Targets }
+
+// Add appends a target, which comes after the present ones.
+func (p *Plan) Add(t tpmessage.Target) {
+	p.assignment.Targets = append(p.assignment.Targets, t)
+}
+
 // Handed reports whether a byte of the request was handed to a target.
 func (p *Plan) Handed() bool { return p.handed }
 
--- a/internal/request/stage5/tpsender/sender.go
+++ b/internal/request/stage5/tpsender/sender.go
@@ -42,6 +42,14 @@
 	Reachable(ctx context.Context, t tpmessage.Target) bool
 }
 
+// Attempt is what a verdict depends on.
+type Attempt struct {
+	Target      string   // that the plan chose
+	Unreachable []string // targets that took no connection
+	// AfterLoss is true if a target was lost while it ran the request.
+	AfterLoss bool
+}
+
 // Verdict is the decision on an attempt of a request that may be suspected of
 // crashing targets. The zero value lets the attempt go on.
 type Verdict struct {
@@ -58,12 +66,13 @@
 	Settled func(w tpmessage.Work, o tpmessage.Outcome, handed bool, last *tpmessage.Chunk)
 	// Usable reports whether a target takes new work. Nil allows all.
 	Usable func(target string) bool
+	// Alternative returns a target of the request's pool that is not among the
+	// excluded ones, if there is any. Nil means that there is none.
+	Alternative func(req *tpmessage.Request, exclude []tpmessage.Target) (tpmessage.Target, bool)
 	// Admit is called before each attempt, after the completions of the
-	// earlier ones, with the target that the plan chose and the names of those
-	// that could not be reached. It may wait until the attempt is allowed. An
-	// attempt that it allows ends with a completion that names its target. Nil
-	// allows all.
-	Admit func(ctx context.Context, req *tpmessage.Request, target string, unreachable []string) Verdict
+	// earlier ones. It may wait until the attempt is allowed. An attempt that
+	// it allows ends with a completion that names its target. Nil allows all.
+	Admit func(ctx context.Context, req *tpmessage.Request, a Attempt) Verdict
 }
 
 // Counters count the stage's events. The zero value is ready to use.
--- a/internal/request/stage5/tpsender/task.go
+++ b/internal/request/stage5/tpsender/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/request/stage6/tpanswer"
@@ -22,6 +23,7 @@
 	last        *tpmessage.Chunk
 	ready       []tpmessage.Chunk // scratch of deliver
 	unreachable []string
+	lost        bool // a target was lost while it ran the request
 }
 
 func newTask(s *Sender, a tpmessage.Assignment) *task {
@@ -86,11 +88,29 @@
 	if t.s.Sinks.Admit == nil {
 		return Verdict{}
 	}
-	return t.s.Sinks.Admit(t.ctx, &t.work.Request, target, t.unreachable)
+	return t.s.Sinks.Admit(t.ctx, &t.work.Request, Attempt{
+		Target: target, Unreachable: t.unreachable, AfterLoss: t.lost,
+	})
 }
 
+// usable reports whether a target takes new work and connections. Targets that
+// took none are tried again once no other is left.
 func (t *task) usable(target string) bool {
-	return t.s.Sinks.Usable == nil || t.s.Sinks.Usable(target)
+	takes := t.s.Sinks.Usable == nil || t.s.Sinks.Usable(target)
+	others := slices.ContainsFunc(t.plan.Targets(), func(o tpmessage.Target) bool {
+		return !slices.Contains(t.unreachable, o.Name)
+	})
+	return takes && (!others || !slices.Contains(t.unreachable, target))
+}
+
+// replace adds a target to the plan in place of one that took no connection.
+func (t *task) replace() {
+	if t.s.Sinks.Alternative == nil {
+		return
+	}
+	if alt, ok := t.s.Sinks.Alternative(&t.work.Request, t.plan.Targets()); ok {
+		t.plan.Add(alt)
+	}
 }
 
 // attempt runs the request at one target and delivers its chunks.
@@ -149,12 +169,14 @@
 	switch res.Outcome {
 	case tpmessage.OutcomeNotSent:
 		t.unreachable = append(t.unreachable, target.Name)
+		t.replace()
 	case tpmessage.OutcomeCut:
 		if res.Stalled {
 			t.s.Counters.Stalls.Add(1)
 		}
 		res.Lost = !t.s.Transport.Reachable(t.ctx, target) && t.ctx.Err() == nil
 		if res.Lost {
+			t.lost = true
 			t.s.Counters.Lost.Add(1)
 		}
 	}
--- a/internal/standin/tpenginefake/handler.go
+++ b/internal/standin/tpenginefake/handler.go
@@ -32,7 +32,9 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	run := e.runs.begin(req.RequestID, req.Prompt, req.From, e.cfg.Clock.Now())
 	if e.faults.now().Leaving {
+		e.runs.refused(run)
 		w.Header().Set(tptarget.HeaderLeaving, "true")
 		refuse(w, http.StatusServiceUnavailable, e.cfg.Name+" is leaving")
 		return
@@ -46,7 +48,7 @@
 	out := &lineWriter{
 		engine: e,
 		w:      w,
-		run:    e.runs.begin(req.RequestID, req.Prompt, req.From, e.cfg.Clock.Now()),
+		run:    run,
 		left:   -1,
 	}
 	if e.faults.takeCut() {
--- a/internal/standin/tpenginefake/runs.go
+++ b/internal/standin/tpenginefake/runs.go
@@ -5,14 +5,15 @@
 	"time"
 )
 
-// Run is one request that the engine took up.
+// Run is one request that the engine took up or refused.
 type Run struct {
 	RequestID string    `json:"requestId"`
 	Prompt    string    `json:"prompt"` // its first bytes
 	From      int       `json:"from"`   // number of the first chunk that was asked for
 	At        time.Time `json:"at"`
-	Sent      int       `json:"sent"`  // chunks sent
-	Whole     bool      `json:"whole"` // the last chunk was sent
+	Sent      int       `json:"sent"`    // chunks sent
+	Whole     bool      `json:"whole"`   // the last chunk was sent
+	Refused   bool      `json:"refused"` // it was not run, since the engine is leaving
 }
 
 const (
@@ -37,6 +38,12 @@
 	return run
 }
 
+func (r *record) refused(run *Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.Refused = true
+}
+
 func (r *record) sent(run *Run, end bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
