--- a/internal/guard/tpquarantine/place.go
+++ b/internal/guard/tpquarantine/place.go
@@ -46,7 +46,7 @@
 	if !ok || q.taken(e)[target.Name] {
 		return Wait, none
 	}
-	if now.Sub(e.crashed) < 2*settle && q.contested(e, target, usable) {
+	if settle > 0 && now.Sub(e.crashed) < settle+q.contenders(e, target, usable)*ContestFor {
 		return Wait, none
 	}
 	e.allowed = target.Name
@@ -69,18 +69,19 @@
 	return taken
 }
 
-// contested reports whether the target is also the place of a suspect of the
-// same crash with a lower fingerprint.
-func (q *Quarantine) contested(e *entry, target tpmessage.Target, usable []tpmessage.Target) bool {
+// contenders counts the suspects of the same crash with a lower fingerprint
+// whose place is the same target. They go first.
+func (q *Quarantine) contenders(e *entry, target tpmessage.Target, usable []tpmessage.Target) time.Duration {
+	var n time.Duration
 	for _, other := range q.entries {
 		if other.fingerprint >= e.fingerprint || other.quarantined() || !share(other.crashes, e.crashes) {
 			continue
 		}
 		if t, ok := first(other, usable); ok && t.Name == target.Name {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // Release takes back a placement that was not used.
--- a/internal/guard/tpquarantine/suspect.go
+++ b/internal/guard/tpquarantine/suspect.go
@@ -24,6 +24,10 @@
 	// region of several nodes. Heartbeats tell all nodes of all suspects in
 	// that time, so that their placements agree.
 	Settle = 1500 * time.Millisecond
+	// ContestFor is the time for which a suspect leaves its place to another
+	// one that comes first. It usually ends early, when the other one is
+	// cleared or quarantined; it passes if the caller of the other has gone.
+	ContestFor = 15 * time.Second
 	// MaxKept bounds the remembered fingerprints. At about 40 bytes each, they
 	// fit into one object of the platform.
 	MaxKept = 16384
--- a/internal/node/tpnode/leaving.go
+++ b/internal/node/tpnode/leaving.go
@@ -75,7 +75,8 @@
 // not among the excluded ones. It serves a request whose chosen targets take no
 // connection. Different requests begin the search at different targets.
 func (n *Node) alternative(req *tpmessage.Request, exclude []tpmessage.Target) (tpmessage.Target, bool) {
-	targets := n.poolInForce(req.Pool).Targets
+	pool, _ := n.poolInForce(req.Pool)
+	targets := pool.Targets
 	if len(targets) == 0 {
 		return tpmessage.Target{}, false
 	}
--- a/internal/node/tpnode/quarantine.go
+++ b/internal/node/tpnode/quarantine.go
@@ -166,7 +166,7 @@
 // usableTargets returns the targets of the pool that take new work. Those that
 // could not be reached come back once none else is left.
 func (n *Node) usableTargets(p *placement) []tpmessage.Target {
-	pool := n.poolInForce(p.pool)
+	pool, _ := n.poolInForce(p.pool)
 	usable := make([]tpmessage.Target, 0, len(pool.Targets))
 	var rest []tpmessage.Target
 	for _, t := range pool.Targets {
@@ -184,15 +184,6 @@
 	return usable
 }
 
-func (n *Node) poolInForce(name string) tpmessage.Pool {
-	snapshot := n.InForce()
-	if snapshot == nil {
-		return tpmessage.Pool{}
-	}
-	pool, _ := snapshot.Config.PoolNamed(name)
-	return pool
-}
-
 // known reports whether a fingerprint is remembered.
 func (n *Node) known(fingerprint uint64) bool {
 	_, ok := (*n.quarantine.view.Load())[fingerprint]
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -1,6 +1,12 @@
 package tpnode
 
 import (
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/url"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -10,8 +16,12 @@
 
 // Defaults of a node.
 const (
-	DefaultWindow     = 1024
-	DefaultArrivals   = 1024
+	DefaultWindow   = 1024
+	DefaultArrivals = 1024
+	// DefaultPerTarget is the number of streams to which an engine gives a
+	// token in 39 ms when it generates 600 tokens a second. More streams make
+	// all of them slower; see docs/notes/load-policy.md.
+	DefaultPerTarget  = 24
 	DefaultReports    = 4096
 	DefaultTick       = 100 * time.Millisecond
 	DefaultStopGrace  = 2 * time.Second
@@ -34,6 +44,9 @@
 	Seeds []string `yaml:"seeds"`
 	// Window is the number of requests in flight on this node.
 	Window int `yaml:"window"`
+	// PerTarget is the number of requests in flight for each target of the
+	// fleet, of which the node takes its part.
+	PerTarget int `yaml:"perTarget"`
 	// StopGrace is the time from the announcement of a planned stop to the
 	// refusal of new requests, in which the balancer stops sending.
 	StopGrace time.Duration `yaml:"stopGrace"`
@@ -46,10 +59,34 @@
 	Log   *zerolog.Logger
 }
 
+// Check returns an error that names every setting that is missing or malformed.
+func (s *Settings) Check() error {
+	var faults []error
+	if s.Name == "" {
+		faults = append(faults, errors.New("name: a value is required"))
+	}
+	addresses := map[string]string{"callerAddress": s.CallerAddress, "peerAddress": s.PeerAddress}
+	for i, seed := range s.Seeds {
+		addresses[fmt.Sprintf("seeds[%d]", i)] = seed
+	}
+	for _, field := range slices.Sorted(maps.Keys(addresses)) {
+		if _, port, err := net.SplitHostPort(addresses[field]); err != nil || port == "" {
+			faults = append(faults, fmt.Errorf("%s: want host:port, found %q", field, addresses[field]))
+		}
+	}
+	if u, err := url.Parse(s.Platform); err != nil || s.Platform != "" && (u.Scheme == "" || u.Host == "") {
+		faults = append(faults, fmt.Errorf("platform: want a URL such as http://10.0.0.1:7000, found %q", s.Platform))
+	}
+	return errors.Join(faults...)
+}
+
 func (s *Settings) setDefaults() {
 	if s.Window <= 0 {
 		s.Window = DefaultWindow
 	}
+	if s.PerTarget <= 0 {
+		s.PerTarget = DefaultPerTarget
+	}
 	if s.StopGrace <= 0 {
 		s.StopGrace = DefaultStopGrace
 	}
