--- a/internal/proof/tpprocess/process.go
+++ b/internal/proof/tpprocess/process.go
@@ -193,3 +193,28 @@
 	defer w.p.mu.Unlock()
 	return w.p.output.Write(b)
 }
+
+// ProcessorTime returns the processor time that the process has used, in steps
+// of 10 ms, from /proc/PID/stat.
+func (p *Process) ProcessorTime(t testing.TB) time.Duration {
+	t.Helper()
+	const tick = 10 * time.Millisecond // USER_HZ is 100 on Linux
+	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "stat"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		t.Fatalf("stat of %s: got %d fields", p.Name, len(fields))
+	}
+	var total time.Duration
+	for _, f := range fields[11:13] { // utime and stime
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += time.Duration(n) * tick
+	}
+	return total
+}
