Merge whole answers, planned stops, leaving targets and the quarantine

Cause: streams, stops and crashing requests were handled only on the thin path. Change: streams resume with a compared overlap, a stopping node finishes its requests, targets that leave take no new work, requests that crash targets are quarantined on all nodes. One filter now decides which targets are leaving, from reports, the platform's list, drains, orders and peers.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -70,6 +71,9 @@
 			Fingerprint: s.Fingerprint, Targets: s.Targets, Cleared: s.Cleared,
 		})
 	}
+	for _, l := range hb.Leaving {
+		m.LeavingTargets = append(m.LeavingTargets, &tpwire.LeavingTarget{Name: l.Name, AgeMs: l.Age.Milliseconds()})
+	}
 	return m
 }
 
@@ -96,5 +100,10 @@
 			Fingerprint: s.GetFingerprint(), Targets: s.GetTargets(), Cleared: s.GetCleared(),
 		})
 	}
+	for _, l := range m.GetLeavingTargets() {
+		hb.Leaving = append(hb.Leaving, tpmessage.LeavingTarget{
+			Name: l.GetName(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+		})
+	}
 	return hb
 }
--- a/internal/node/tpnode/membership.go
+++ b/internal/node/tpnode/membership.go
@@ -201,6 +201,7 @@
 		vms, err := client.VMs(ctx)
 		if err == nil {
 			_ = n.members.in.TryPut(memberInput{kind: memberListed, listed: listedNodes(vms)})
+			n.leavingVMs(vms)
 		}
 		return jitter(rng, listInterval)
 	})
@@ -233,17 +234,17 @@
 		m.table.Join(in.address)
 		n.sendRound(m.table.Tick(now))
 	case memberReceived:
-		_ = in.reply.Put(m.fill(m.table.Receive(now, in.heartbeat)))
-		m.deliver(in.heartbeat)
+		_ = in.reply.Put(n.fill(m.table.Receive(now, in.heartbeat)))
+		n.deliver(in.heartbeat)
 	case memberAnswered:
 		m.table.Answer(now, in.heartbeat)
-		m.deliver(in.heartbeat)
+		n.deliver(in.heartbeat)
 	case memberListed:
 		m.table.List(in.listed)
 		n.sendRound(m.table.Tick(now))
 	case memberLeave:
 		r := m.table.Leave(now)
-		r.Heartbeat = m.fill(r.Heartbeat)
+		r.Heartbeat = n.fill(r.Heartbeat)
 		_ = in.round.Put(r)
 	}
 	view := m.table.Members()
@@ -261,26 +262,29 @@
 	if len(r.Addresses) == 0 {
 		return
 	}
-	hb := n.members.fill(r.Heartbeat)
+	hb := n.fill(r.Heartbeat)
 	for _, address := range r.Addresses {
 		_ = n.members.out.PutDropOldest(outgoing{address: address, heartbeat: hb})
 	}
 }
 
 // fill adds what other filters send with heartbeats.
-func (m *membership) fill(hb tpmessage.Heartbeat) tpmessage.Heartbeat {
+func (n *Node) fill(hb tpmessage.Heartbeat) tpmessage.Heartbeat {
+	m := n.members
 	if u, err := m.usage.TryTake(); err == nil {
 		m.sentUsage = u
 	}
 	if s, err := m.suspects.TryTake(); err == nil {
 		m.sentSuspects = s
 	}
-	hb.Usage, hb.Suspects = m.sentUsage, m.sentSuspects
+	hb.Usage, hb.Suspects, hb.Leaving = m.sentUsage, m.sentSuspects, n.LeavingTargets()
 	return hb
 }
 
 // deliver passes what a heartbeat brought to other filters.
-func (m *membership) deliver(hb tpmessage.Heartbeat) {
+func (n *Node) deliver(hb tpmessage.Heartbeat) {
+	m := n.members
+	n.MergeLeavingTargets(hb.Leaving)
 	if f := m.onUsage.Load(); f != nil && len(hb.Usage) > 0 {
 		(*f)(hb.Usage)
 	}
--- a/internal/node/tpnode/order.go
+++ b/internal/node/tpnode/order.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"expvar"
 	"sort"
 	"sync/atomic"
@@ -15,7 +14,6 @@
 	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
 	"teaselpin.example/teaselpin/internal/order/stage3/tporder"
 	"teaselpin.example/teaselpin/internal/order/stage4/tpdispatch"
-	"teaselpin.example/teaselpin/internal/request/stage3/tprouter"
 	"teaselpin.example/teaselpin/internal/rollout/tprollout"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpobject"
@@ -25,7 +23,6 @@
 // Capacities of the rings of the order pipeline.
 const (
 	desiredCapacity = 16
-	leavingCapacity = 64
 	// logCapacity leaves room for the results of all actions in progress.
 	logCapacity = 4 * tporder.DefaultMaxActions
 	// logTicks is the depth of the log's ring above which ticks are left out.
@@ -45,12 +42,6 @@
 	release func()
 }
 
-// leavingInput is what one source knows of leaving targets.
-type leavingInput struct {
-	source string
-	names  []string
-}
-
 // orderPipeline holds the rings and decisions of the order pipeline:
 //
 //	configuration, roles -> desired -> leases
@@ -61,7 +52,6 @@
 // rings have room.
 type orderPipeline struct {
 	desiredIn *tpring.Ring[desiredInput]
-	leavingIn *tpring.Ring[leavingInput]
 	logIn     *tpring.Ring[tporder.Input]
 	actions   *tpring.Ring[tporder.Action]
 	store     tpobject.Store
@@ -75,8 +65,6 @@
 	snapshot *tpmessage.Snapshot
 	roles    map[string]tpmessage.Role
 	leases   map[string]leaseDuty
-	// State of the leaving filter.
-	bySource map[string][]string
 }
 
 // startOrders starts the order pipeline. A node without a platform gives no
@@ -84,21 +72,15 @@
 func (n *Node) startOrders() error {
 	n.orders = &orderPipeline{
 		desiredIn: tpring.New[desiredInput](tpring.Settings{Capacity: desiredCapacity}),
-		leavingIn: tpring.New[leavingInput](tpring.Settings{Capacity: leavingCapacity}),
 		logIn:     tpring.New[tporder.Input](tpring.Settings{Capacity: logCapacity}),
 		actions:   tpring.New[tporder.Action](tpring.Settings{Capacity: tporder.DefaultMaxActions}),
 		log:       tporder.New(n.cfg.orderSettings()),
 		counters:  &tplease.Counters{},
 		leases:    make(map[string]leaseDuty),
-		bySource:  make(map[string][]string),
 	}
 	n.rings.Add("desired", n.orders.desiredIn)
-	n.rings.Add("leaving", n.orders.leavingIn)
 	n.rings.Add("orders", n.orders.logIn)
 	n.rings.Add("dispatch", n.orders.actions)
-	if err := startFilter(n, "leaving", n.orders.leavingIn, n.handleLeaving); err != nil {
-		return err
-	}
 	if n.cfg.Platform == "" {
 		return nil
 	}
@@ -328,7 +310,8 @@
 			changed = followDrain(drains, c) || changed
 		}
 		if changed {
-			n.SetLeaving("orders", sortedKeys(drains))
+			names := sortedKeys(drains)
+			_ = n.targets.in.Put(leavingInput{orders: &names})
 		}
 	}
 }
@@ -359,37 +342,14 @@
 	return keys
 }
 
-// SetLeaving replaces what one source knows of leaving targets. The router
-// gets the union of all sources.
-func (n *Node) SetLeaving(source string, names []string) {
-	_ = n.orders.leavingIn.Put(leavingInput{source: source, names: names})
-}
-
 // SetRoles replaces the roles that a role policy wants, by name of the engine.
 // An engine without a role keeps the one that the configuration gives it.
 func (n *Node) SetRoles(roles map[string]tpmessage.Role) {
 	_ = n.orders.desiredIn.PutDropOldest(desiredInput{roles: roles})
 }
 
-func (n *Node) handleLeaving(in leavingInput) {
-	p := n.orders
-	p.bySource[in.source] = in.names
-	all := make(map[string]bool)
-	for _, names := range p.bySource {
-		for _, name := range names {
-			all[name] = true
-		}
-	}
-	update := tprouter.Input{Kind: tprouter.InputLeaving, Leaving: sortedKeys(all)}
-	// The rest of the ring is kept for work and completions.
-	for errors.Is(n.request.routerIn.TryPutBelow(update, DefaultReports), tpring.ErrFull) {
-		<-n.clock.After(DefaultTick)
-	}
-}
-
 // apply passes a configuration to the filters.
 func (p *orderPipeline) apply(s *tpmessage.Snapshot) {
-	_ = p.leavingIn.Put(leavingInput{source: "configuration", names: s.Config.Drains})
 	if p.store != nil {
 		_ = p.desiredIn.Put(desiredInput{snapshot: s})
 	}
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -59,15 +59,18 @@
 	n.rings.Add("router", p.routerIn)
 	n.rings.Add("sender", p.sendIn)
 
-	transport, closeTransport := tptarget.NewTransport()
+	transport, closeTransport := tptarget.NewTransport(tptarget.Settings{})
 	n.onStop(closeTransport)
 	p.sender = &tpsender.Sender{
 		Transport: transport,
 		Clock:     n.clock,
 		Events:    n.events,
-		Budget:    &tpsender.Budget{},
+		Budgets:   &tpsender.Budgets{},
 		Counters:  &tpsender.Counters{},
-		Sinks:     tpsender.Sinks{Completion: n.completed, Report: n.reported, Settled: n.settled},
+		Sinks: tpsender.Sinks{
+			Completion: n.completed, Report: n.reported, Settled: n.settled,
+			Usable: n.takesNewWork, Alternative: n.alternative, Admit: n.admitAttempt,
+		},
 	}
 	if err := n.startJournal(); err != nil {
 		return err
@@ -110,7 +113,8 @@
 	return nil
 }
 
-// startTicks starts the duty that lets admission expire waiting work.
+// startTicks starts the duty that lets admission expire waiting work the
+// quarantine place waiting suspects, and word of leaving targets age.
 func (n *Node) startTicks() error {
 	stop := make(chan struct{})
 	wait, err := n.duties.Go("ticks", func() {
@@ -120,6 +124,8 @@
 				return
 			case <-n.clock.After(DefaultTick):
 				_ = n.request.admissionIn.TryPutBelow(tpadmission.Input{Kind: tpadmission.InputTick}, DefaultArrivals)
+				n.tickQuarantine()
+				n.tickLeaving()
 			}
 		}
 	})
@@ -135,13 +141,21 @@
 
 // submit passes work from the front end to admission.
 func (n *Node) submit(w tpmessage.Work) *tpmessage.Refusal {
+	ref := n.draining()
+	if ref == nil {
+		ref = n.quarantined(&w.Request)
+	}
+	if ref != nil {
+		n.request.refused.Add(string(ref.Code), 1)
+		return ref
+	}
 	n.events.Record(tpmessage.Event{Kind: "arrive", Request: w.Request.ID, Organisation: w.Request.Organisation})
 	err := n.request.admissionIn.TryPutBelow(
 		tpadmission.Input{Kind: tpadmission.InputArrival, Work: w}, DefaultArrivals)
 	if err == nil {
 		return nil
 	}
-	ref := &tpmessage.Refusal{
+	ref = &tpmessage.Refusal{
 		Code: tpmessage.RefusalNotRun, Reason: err.Error(), RetryAfter: time.Second, NotRun: true,
 	}
 	n.request.refused.Add(string(ref.Code), 1)
@@ -203,6 +217,7 @@
 
 // completed feeds the end of an attempt back to admission and to the router.
 func (n *Node) completed(c tpmessage.Completion) {
+	n.noteCompletion(c)
 	_ = n.request.admissionIn.Put(tpadmission.Input{Kind: tpadmission.InputCompletion, Completion: c})
 	_ = n.request.routerIn.Put(tprouter.Input{Kind: tprouter.InputCompletion, Completion: c})
 }
@@ -210,12 +225,14 @@
 // reported passes a load report to the router; a full ring loses it.
 func (n *Node) reported(rep tpmessage.LoadReport) {
 	_ = n.request.routerIn.TryPutBelow(tprouter.Input{Kind: tprouter.InputReport, Report: rep}, DefaultReports)
+	n.noteLeaving(rep)
 }
 
 // apply passes a configuration to the filters.
 func (p *requestPipeline) apply(s *tpmessage.Snapshot) {
 	_ = p.admissionIn.Put(tpadmission.Input{Kind: tpadmission.InputConfig, Snapshot: s})
 	_ = p.routerIn.Put(tprouter.Input{Kind: tprouter.InputConfig, Snapshot: s})
+	p.sender.Budgets.SetRatio(s.Config.Policy.RetryBudget)
 }
 
 // vars returns the counters of the pipeline.
@@ -226,6 +243,9 @@
 			"streams":    c.Streams.Load(),
 			"retries":    c.Retries.Load(),
 			"resumes":    c.Resumes.Load(),
+			"stalls":     c.Stalls.Load(),
+			"lost":       c.Lost.Load(),
+			"early":      c.Early.Load(),
 			"crossed":    c.Crossed.Load(),
 			"doubled":    c.Doubled.Load(),
 			"late":       c.Late.Load(),
--- a/internal/node/tpnode/settings.go
+++ b/internal/node/tpnode/settings.go
@@ -28,6 +28,7 @@
 	DefaultStopGrace  = 2 * time.Second
 	DefaultMaxHeader  = 16 << 10
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
 )
 
 // Settings configures a node. The addresses and names have no default; the
--- a/internal/standin/tpenginefake/orders.go
+++ b/internal/standin/tpenginefake/orders.go
@@ -257,8 +257,3 @@
 	defer o.mu.Unlock()
 	return append([]OrderEvent{}, o.log...)
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -7,6 +7,7 @@
 	Generation uint64       // of the configuration in force on the sender
 	Usage      []Usage
 	Suspects   []Suspect
+	Leaving    []LeavingTarget
 }
 
 // MemberBeat is news of one member. Name, Address and Zone are empty in a
@@ -16,9 +17,10 @@
 	Beat   uint64 // rises with each heartbeat of the incarnation
 }
 
-// Suspect is a request that ran on targets when they crashed.
+// Suspect is a request, by the fingerprint of its content, that ran on targets
+// when they crashed.
 type Suspect struct {
-	Fingerprint uint64
-	Targets     []string // targets that it was running on at a crash
-	Cleared     bool
+	Fingerprint uint64   `json:"fingerprint"`
+	Targets     []string `json:"targets"`           // targets that it was running on, one for each crash
+	Cleared     bool     `json:"cleared,omitempty"` // it completed after the crash
 }
--- a/pkg/tpmessage/request.go
+++ b/pkg/tpmessage/request.go
@@ -91,6 +91,7 @@
 	Next          string // target of the attempt that follows, if it is known
 	Final         bool   // no further attempt follows
 	Outcome       Outcome
+	Lost          bool    // the target takes no connections after a cut
 	PrefillPieces float64 // actual work done
 	DecodePieces  float64
 	Fingerprint   uint64
