--- a/internal/request/stage4/tpjournal/grouped_commit.go
+++ b/internal/request/stage4/tpjournal/grouped_commit.go
@@ -45,7 +45,7 @@
 		t.Fencing++
 		t.Archived = 0
 	}
-	drop := now.Add(-g.cfg.Retention).UnixMilli()
+	drop := min(now.UnixMilli(), g.newestClaim()) - g.cfg.Retention.Milliseconds()
 	if drop-t.DropBefore >= dropStep.Milliseconds() {
 		t.DropBefore = drop
 	}
@@ -64,6 +64,19 @@
 	return t
 }
 
+// newestClaim returns the latest time of the keys that wait to be claimed, or
+// 0. It bounds DropBefore, because a holder whose clock is ahead would
+// otherwise make the keys of all callers expire.
+func (g *Grouped) newestClaim() int64 {
+	var newest int64
+	for i := range g.waiting {
+		if g.waiting[i].Kind == OpClaim {
+			newest = max(newest, KeyTime(g.waiting[i].Key))
+		}
+	}
+	return newest
+}
+
 // apply returns the entry that an operation of the group leads to, or nil if
 // it changes nothing and was answered.
 func (g *Grouped) apply(now time.Time, next *group, op Op, dst []Output) (*Entry, []Output) {
--- a/internal/request/stage4/tpjournal/history_test.go
+++ b/internal/request/stage4/tpjournal/history_test.go
@@ -20,6 +20,9 @@
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
+// refusedPause is a caller's pause after a refusal.
+const refusedPause = 10 * time.Millisecond
+
 // faultyStore refuses calls, loses answers and lets writes arrive late.
 type faultyStore struct {
 	tpobject.Store
@@ -193,6 +196,11 @@
 				e := entries[rnd.IntN(nodes)]
 				op := e.call(&c.service, caller, names[rnd.IntN(keys)], rnd.IntN(10) == 0)
 				perCaller[caller] = append(perCaller[caller], op)
+				if op.Refusal.NotRun {
+					// A refusal takes microseconds. Without a pause all calls
+					// of a run can fall into one outage, as seed 4 once did.
+					time.Sleep(refusedPause)
+				}
 				if rnd.IntN(4*keys) == 0 {
 					store.setDown(true)
 					time.Sleep(20 * time.Millisecond)
--- a/internal/request/stage4/tpjournal/scheme_test.go
+++ b/internal/request/stage4/tpjournal/scheme_test.go
@@ -361,3 +361,23 @@
 		}
 	})
 }
+
+// Guards against a holder whose clock is ahead and that makes new keys expire,
+// for itself and for the next holder.
+func TestClockAheadExpiresNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, []tpjournal.Scheme{grouped("a"), grouped("b")})
+		start := s.now
+		s.now = start.Add(time.Hour)
+		first := s.claim(0, keyAt(0, 0))
+		s.drain()
+		s.now = start
+		second := s.claim(1, keyAt(1, 0))
+		s.drain()
+		for _, attempt := range []string{first, second} {
+			if got := s.answers[attempt]; got != tpjournal.AnswerCommitted {
+				t.Fatalf("%s: got %s, want committed", attempt, got)
+			}
+		}
+	})
+}
