--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -37,8 +37,12 @@
 	rollout atomic.Pointer[tprollout.Rollout]
 	request *requestPipeline
 	journal *journalPipeline // nil without a platform
+	orders  *orderPipeline
 	inForce atomic.Pointer[tpmessage.Snapshot]
 	leaving atomic.Bool
+	// naiveLease is Deps.NaiveLease.
+	naiveLease bool
+
 	callers *server
 	peers   *server
 	cleanup []func()
@@ -51,7 +55,7 @@
 // request finish before it returns.
 func New(cfg Settings, deps Deps) (*Node, func(), error) {
 	cfg.setDefaults()
-	n := &Node{cfg: cfg, clock: deps.Clock, log: zerolog.Nop()}
+	n := &Node{cfg: cfg, clock: deps.Clock, log: zerolog.Nop(), naiveLease: deps.NaiveLease}
 	if n.clock == nil {
 		n.clock = tpclock.System{}
 	}
@@ -86,6 +90,9 @@
 	if err := n.startRequestPipeline(); err != nil {
 		return err
 	}
+	if err := n.startOrders(); err != nil {
+		return err
+	}
 	if err := n.startServers(); err != nil {
 		return err
 	}
@@ -112,6 +119,7 @@
 	}
 	n.inForce.Store(s)
 	n.request.apply(s)
+	n.orders.apply(s)
 	n.events.Record(tpmessage.Event{Kind: "configurationInForce", Generation: s.Generation})
 	n.log.Info().Uint64("generation", s.Generation).Msg("configuration in force")
 }
@@ -196,6 +204,7 @@
 		vars.Set("rings", n.rings.Var())
 		vars.Set("duties", n.duties.Var())
 		vars.Set("request", n.request.vars())
+		vars.Set("orders", n.orders.vars())
 		vars.Set("journal", n.journal.vars())
 		_, _ = w.Write([]byte(vars.String()))
 	})
--- a/internal/proof/rollout_bench_test.go
+++ b/internal/proof/rollout_bench_test.go
@@ -1,9 +1,7 @@
 package proof_test
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -95,7 +93,7 @@
 // phase reports the use of all nodes and of the platform while f runs.
 func phase(b *testing.B, f *tpprocess.Fleet, name string, run func()) {
 	var before, after tpprocess.Usage
-	calls := platformCalls(b, f)
+	calls := allPlatformCalls(b, f)
 	for _, n := range f.Nodes {
 		before = add(before, n.Usage(b))
 	}
@@ -110,7 +108,7 @@
 	b.ReportMetric(float64(after.WrittenBytes-before.WrittenBytes)/seconds/count, name+"-writtenB/s/node")
 	b.ReportMetric(100*(after.Processor-before.Processor).Seconds()/seconds/count, name+"-%core/node")
 	b.ReportMetric(float64(after.Resident)/count/(1<<20), name+"-MB/node")
-	b.ReportMetric(float64(platformCalls(b, f)-calls)/seconds, name+"-calls/s")
+	b.ReportMetric(float64(allPlatformCalls(b, f)-calls)/seconds, name+"-calls/s")
 }
 
 func add(a, c tpprocess.Usage) tpprocess.Usage {
@@ -122,14 +120,11 @@
 	}
 }
 
-func platformCalls(b *testing.B, f *tpprocess.Fleet) uint64 {
-	resp, err := http.Get("http://" + f.Platform.Addresses[0] + "/counts")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer resp.Body.Close()
+// allPlatformCalls returns the number of calls of every kind so far.
+func allPlatformCalls(b *testing.B, f *tpprocess.Fleet) uint64 {
+	b.Helper()
 	var c tpplatformfake.Counts
-	if err := json.NewDecoder(resp.Body).Decode(&c); err != nil {
+	if err := getJSON(f.Platform.Addresses[0]+"/counts", &c); err != nil {
 		b.Fatal(err)
 	}
 	return c.Get + c.Put + c.Delete + c.List + c.Watch + c.VMs
