--- a/internal/node/tpnode/leaving.go
+++ b/internal/node/tpnode/leaving.go
@@ -16,7 +16,7 @@
 // leavingInput is one message to the leaving filter. Of its fields one is set.
 type leavingInput struct {
 	report *tpmessage.LoadReport
-	vms    *[]string
+	vms    map[string]bool // names and addresses of leaving VMs
 	told   []tpmessage.LeavingTarget
 	config *tpmessage.Config
 }
@@ -25,6 +25,8 @@
 type leavingTargets struct {
 	in       *tpring.Ring[leavingInput]
 	decision tpmember.LeavingTargets
+	vms      map[string]bool   // from the latest list
+	config   *tpmessage.Config // the latest
 	names    []string
 	current  atomic.Pointer[map[string]bool]
 	told     atomic.Pointer[[]tpmessage.LeavingTarget] // that heartbeats carry
@@ -45,10 +47,13 @@
 	case in.report != nil:
 		l.decision.Report(*in.report)
 	case in.vms != nil:
-		l.decision.VMs(*in.vms)
+		l.vms = in.vms
+		l.decision.VMs(l.listed())
 	case in.config != nil:
 		l.decision.Drain(in.config.Drains)
 		l.decision.Keep(targetNames(in.config))
+		l.config = in.config
+		l.decision.VMs(l.listed())
 	default:
 		l.decision.Merge(now, in.told)
 	}
@@ -117,27 +122,31 @@
 	}
 }
 
-// leavingVMs passes on the targets that a list of VMs shows as leaving.
+// leavingVMs passes on the VMs of targets that a list shows as leaving.
 func (n *Node) leavingVMs(list []tpplatform.VM) {
-	names := []string{}
-	snapshot := n.InForce()
-	if snapshot == nil {
-		return
-	}
 	leaving := make(map[string]bool)
 	for _, vm := range list {
 		if vm.Target && vm.Leaving {
 			leaving[vm.Name], leaving[vm.Address] = true, true
 		}
 	}
-	for _, p := range snapshot.Config.Pools {
+	_ = n.targets.in.Put(leavingInput{vms: leaving})
+}
+
+// listed returns the names of the targets whose VMs are leaving.
+func (l *leavingTargets) listed() []string {
+	names := []string{}
+	if l.config == nil {
+		return names
+	}
+	for _, p := range l.config.Pools {
 		for _, t := range p.Targets {
-			if leaving[t.Name] || leaving[t.Address] {
+			if l.vms[t.Name] || l.vms[t.Address] {
 				names = append(names, t.Name)
 			}
 		}
 	}
-	_ = n.targets.in.Put(leavingInput{vms: &names})
+	return names
 }
 
 func targetNames(cfg *tpmessage.Config) map[string]bool {
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -84,13 +84,13 @@
 	}
 	n.events = events
 	n.onStop(stopEvents)
-	if err := n.startMembership(); err != nil {
+	if err := n.startLeaving(); err != nil {
 		return err
 	}
-	if err := n.startQuarantine(); err != nil {
+	if err := n.startMembership(); err != nil {
 		return err
 	}
-	if err := n.startLeaving(); err != nil {
+	if err := n.startQuarantine(); err != nil {
 		return err
 	}
 	if err := n.startRequestPipeline(); err != nil {
--- a/internal/proof/streams_load_test.go
+++ b/internal/proof/streams_load_test.go
@@ -185,11 +185,17 @@
 
 func setFaults(t *testing.T, engine *tpprocess.Process, f tpenginefake.Faults) {
 	t.Helper()
-	data, err := json.Marshal(f)
+	put(t, "http://"+engine.Addresses[0]+"/faults", f)
+}
+
+// put sends a value as JSON to a stand-in.
+func put(t *testing.T, url string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
 	if err != nil {
 		t.Fatal(err)
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+engine.Addresses[0]+"/faults", bytes.NewReader(data))
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -199,7 +205,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("faults of %s: got %s", engine.Name, resp.Status)
+		t.Fatalf("put to %s: got %s", url, resp.Status)
 	}
 }
 
--- a/internal/proof/streams_stop_test.go
+++ b/internal/proof/streams_stop_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"teaselpin.example/teaselpin/internal/edge/tpplatform"
 	"teaselpin.example/teaselpin/internal/proof/tphistory"
 	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/internal/rollout/tprollout"
@@ -132,6 +133,12 @@
 		"report": func(t *testing.T, f *tpprocess.Fleet) {
 			setFaults(t, f.Engines[0], tpenginefake.Faults{Leaving: true})
 		},
+		// A node that starts reads the list at once, and tells the others.
+		"platform's list": func(t *testing.T, f *tpprocess.Fleet) {
+			vms := []tpplatform.VM{{Name: "engine-0", Address: f.Engines[0].Addresses[0], Target: true, Leaving: true}}
+			put(t, "http://"+f.Platform.Addresses[0]+"/vms", vms)
+			tpprocess.WaitReady(t, f.StartNode(t, "node-late"))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := tpprocess.StartFleet(t, tpprocess.FleetSettings{Engines: 3, Nodes: 2})
