--- a/internal/node/tpnode/leaving.go
+++ b/internal/node/tpnode/leaving.go
@@ -8,13 +8,12 @@
 
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
-	"teaselpin.example/teaselpin/internal/request/stage3/tprouter"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
-// leavingInput is one message to the leaving filter. Of its fields one is set.
-type leavingInput struct {
+// targetInput is one message to the targets filter. Of its fields one is set.
+type targetInput struct {
 	report *tpmessage.LoadReport
 	vms    map[string]bool // names and addresses of leaving VMs
 	told   []tpmessage.LeavingTarget
@@ -23,24 +22,24 @@
 
 // leavingTargets is the filter that decides which targets take no new work.
 type leavingTargets struct {
-	in       *tpring.Ring[leavingInput]
+	in       *tpring.Ring[targetInput]
 	decision tpmember.LeavingTargets
 	vms      map[string]bool   // from the latest list
 	config   *tpmessage.Config // the latest
 	names    []string
-	current  atomic.Pointer[map[string]bool]
+	current  atomic.Pointer[map[string]bool]           // of all sources
 	told     atomic.Pointer[[]tpmessage.LeavingTarget] // that heartbeats carry
 }
 
 func (n *Node) startLeaving() error {
-	n.targets = &leavingTargets{in: tpring.New[leavingInput](tpring.Settings{Capacity: 256})}
+	n.targets = &leavingTargets{in: tpring.New[targetInput](tpring.Settings{Capacity: 256})}
 	n.targets.current.Store(&map[string]bool{})
 	n.targets.told.Store(&[]tpmessage.LeavingTarget{})
-	n.rings.Add("leaving", n.targets.in)
-	return startFilter(n, "leaving", n.targets.in, n.handleLeaving)
+	n.rings.Add("targets", n.targets.in)
+	return startFilter(n, "targets", n.targets.in, n.handleTargets)
 }
 
-func (n *Node) handleLeaving(in leavingInput) {
+func (n *Node) handleTargets(in targetInput) {
 	l := n.targets
 	now := n.clock.Now()
 	switch {
@@ -64,13 +63,10 @@
 		return
 	}
 	l.names = names
-	current := make(map[string]bool, len(names))
 	for _, name := range names {
-		current[name] = true
 		n.events.Record(tpmessage.Event{Kind: "targetLeaving", Target: name})
 	}
-	l.current.Store(&current)
-	_ = n.request.routerIn.Put(tprouter.Input{Kind: tprouter.InputLeaving, Leaving: names})
+	n.SetLeaving("targets", names)
 }
 
 // takesNewWork reports whether a target is not known to be leaving.
@@ -100,7 +96,7 @@
 // leaving.
 func (n *Node) noteLeaving(rep tpmessage.LoadReport) {
 	if rep.Leaving || !n.takesNewWork(rep.Target) {
-		_ = n.targets.in.Put(leavingInput{report: &rep})
+		_ = n.targets.in.Put(targetInput{report: &rep})
 	}
 }
 
@@ -111,14 +107,14 @@
 // not wait; the next heartbeat brings again what finds no room.
 func (n *Node) MergeLeavingTargets(told []tpmessage.LeavingTarget) {
 	if len(told) > 0 {
-		_ = n.targets.in.TryPut(leavingInput{told: told})
+		_ = n.targets.in.TryPut(targetInput{told: told})
 	}
 }
 
 // tickLeaving lets the word of peers age while there is any.
 func (n *Node) tickLeaving() {
 	if len(n.LeavingTargets()) > 0 {
-		_ = n.targets.in.TryPut(leavingInput{})
+		_ = n.targets.in.TryPut(targetInput{})
 	}
 }
 
@@ -130,7 +126,7 @@
 			leaving[vm.Name], leaving[vm.Address] = true, true
 		}
 	}
-	_ = n.targets.in.Put(leavingInput{vms: leaving})
+	_ = n.targets.in.Put(targetInput{vms: leaving})
 }
 
 // listed returns the names of the targets whose VMs are leaving.
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -37,10 +37,13 @@
 	rollout atomic.Pointer[tprollout.Rollout]
 	request *requestPipeline
 	journal *journalPipeline // nil without a platform
+	orders  *orderPipeline
 	inForce atomic.Pointer[tpmessage.Snapshot]
 	leaving atomic.Bool // this node is stopping
 	gate    gate
 	targets *leavingTargets
+	// naiveLease is Deps.NaiveLease.
+	naiveLease bool
 
 	quarantine *quarantine
 	callers    *server
@@ -55,7 +58,7 @@
 // request finish before it returns.
 func New(cfg Settings, deps Deps) (*Node, func(), error) {
 	cfg.setDefaults()
-	n := &Node{cfg: cfg, clock: deps.Clock, log: zerolog.Nop()}
+	n := &Node{cfg: cfg, clock: deps.Clock, log: zerolog.Nop(), naiveLease: deps.NaiveLease}
 	if n.clock == nil {
 		n.clock = tpclock.System{}
 	}
@@ -99,6 +102,9 @@
 	if err := n.startQuarantineObject(); err != nil {
 		return err
 	}
+	if err := n.startOrders(); err != nil {
+		return err
+	}
 	if err := n.startServers(); err != nil {
 		return err
 	}
@@ -114,7 +120,8 @@
 	}
 	n.inForce.Store(s)
 	n.request.apply(s)
-	_ = n.targets.in.Put(leavingInput{config: &s.Config})
+	_ = n.targets.in.Put(targetInput{config: &s.Config})
+	n.orders.apply(s)
 	n.events.Record(tpmessage.Event{Kind: "configurationInForce", Generation: s.Generation})
 	n.log.Info().Uint64("generation", s.Generation).Msg("configuration in force")
 }
@@ -200,6 +207,8 @@
 		vars.Set("rings", n.rings.Var())
 		vars.Set("duties", n.duties.Var())
 		vars.Set("request", n.request.vars())
+		vars.Set("orders", n.orders.vars())
+		vars.Set("journal", n.journal.vars())
 		_, _ = w.Write([]byte(vars.String()))
 	})
 	n.handleJournalPeers(mux)
--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -24,6 +25,9 @@
 	Nodes    []*Process
 	Config   tpmessage.Config
 	Client   *tpplatform.Client
+
+	nodeSettings string
+	nodeCommand  []string
 }
 
 // FleetSettings gives the sizes of a fleet.
@@ -31,13 +35,27 @@
 	Engines, Services, Nodes int
 	// EngineArgs are further arguments of each stand-in engine.
 	EngineArgs []string
+	// Configure changes the configuration before it is published.
+	Configure func(*tpmessage.Config)
+	// NodeSettings are further lines of each node's settings.
+	NodeSettings string
+	// NodeCommand is the program of a node and its arguments before the path
+	// of its settings; empty means the product.
+	NodeCommand []string
 }
 
 // StartFleet starts the processes, publishes a configuration with the routes
 // /v1/language and /v1/booking, and waits until every node has it in force.
 func StartFleet(t testing.TB, s FleetSettings) *Fleet {
 	t.Helper()
-	f := &Fleet{Platform: Start(t, "platform", Standin, "platform")}
+	f := &Fleet{
+		Platform:     Start(t, "platform", Standin, "platform"),
+		nodeSettings: s.NodeSettings,
+		nodeCommand:  s.NodeCommand,
+	}
+	if len(f.nodeCommand) == 0 {
+		f.nodeCommand = []string{Teaselpin, "serve", "--settings"}
+	}
 	client, cleanup := tpplatform.NewClient("http://" + f.Platform.Addresses[0])
 	t.Cleanup(cleanup)
 	f.Client = client
@@ -68,6 +86,9 @@
 		},
 		Organisations: []tpmessage.Organisation{{Name: "bergamo", Share: 1, TokenHash: tpintake.TokenHash(Token)}},
 	}
+	if s.Configure != nil {
+		s.Configure(&f.Config)
+	}
 	if _, err := tprollout.Publish(t.Context(), client, &f.Config, 0, "test"); err != nil {
 		t.Fatal(err)
 	}
@@ -96,10 +117,10 @@
 peerAddress: 127.0.0.1:0
 platform: http://%s
 seeds: [%s]
-`, name, f.Platform.Addresses[0], strings.Join(seeds, ", "))
+%s`, name, f.Platform.Addresses[0], strings.Join(seeds, ", "), f.nodeSettings)
 	path := filepath.Join(t.TempDir(), name+".yaml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return Start(t, name, Teaselpin, "serve", "--settings", path)
+	return Start(t, name, f.nodeCommand[0], append(slices.Clone(f.nodeCommand[1:]), path)...)
 }
--- a/internal/standin/tpenginefake/batch.go
+++ b/internal/standin/tpenginefake/batch.go
@@ -158,6 +158,9 @@
 		Model:     e.cfg.Model,
 		Leaving:   e.faults.now().Leaving,
 	}
+	if role := e.role.Load(); role != nil {
+		rep.Role = *role
+	}
 	for _, s := range e.waiting {
 		rep.WaitingPrefill += float64(s.left) / tpmessage.PieceTokens
 		rep.WaitingDecode += float64((s.chunks-s.next)*e.cfg.ChunkTokens) / tpmessage.PieceTokens
--- a/internal/standin/tpenginefake/engine.go
+++ b/internal/standin/tpenginefake/engine.go
@@ -101,6 +101,7 @@
 	cache    prefixCache
 	faults   faultState
 	runs     record
+	role     atomic.Pointer[tpmessage.Role] // set by orders; nil means mixed
 }
 
 // New starts an engine. The clean-up function ends its streams and duties.
--- a/internal/standin/tpenginefake/handler.go
+++ b/internal/standin/tpenginefake/handler.go
@@ -150,8 +150,3 @@
 	w.Header().Set(tptarget.HeaderRefused, "true")
 	http.Error(w, reason, status)
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
