--- a/internal/node/tpnode/leaving.go
+++ b/internal/node/tpnode/leaving.go
@@ -13,10 +13,10 @@
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
-// leavingInput is one message to the leaving filter. Of its fields one is set.
-type leavingInput struct {
+// targetInput is one message to the targets filter. Of its fields one is set.
+type targetInput struct {
 	report *tpmessage.LoadReport
-	vms    *[]string
+	vms    map[string]bool // names and addresses of leaving VMs
 	told   []tpmessage.LeavingTarget
 	config *tpmessage.Config
 	orders *[]string // drained for orders
@@ -24,32 +24,37 @@
 
 // leavingTargets is the filter that decides which targets take no new work.
 type leavingTargets struct {
-	in       *tpring.Ring[leavingInput]
+	in       *tpring.Ring[targetInput]
 	decision tpmember.LeavingTargets
+	vms      map[string]bool   // from the latest list
+	config   *tpmessage.Config // the latest
 	names    []string
-	current  atomic.Pointer[map[string]bool]
+	current  atomic.Pointer[map[string]bool]           // of all sources
 	told     atomic.Pointer[[]tpmessage.LeavingTarget] // that heartbeats carry
 }
 
 func (n *Node) startLeaving() error {
-	n.targets = &leavingTargets{in: tpring.New[leavingInput](tpring.Settings{Capacity: 256})}
+	n.targets = &leavingTargets{in: tpring.New[targetInput](tpring.Settings{Capacity: 256})}
 	n.targets.current.Store(&map[string]bool{})
 	n.targets.told.Store(&[]tpmessage.LeavingTarget{})
-	n.rings.Add("leaving", n.targets.in)
-	return startFilter(n, "leaving", n.targets.in, n.handleLeaving)
+	n.rings.Add("targets", n.targets.in)
+	return startFilter(n, "targets", n.targets.in, n.handleTargets)
 }
 
-func (n *Node) handleLeaving(in leavingInput) {
+func (n *Node) handleTargets(in targetInput) {
 	l := n.targets
 	now := n.clock.Now()
 	switch {
 	case in.report != nil:
 		l.decision.Report(*in.report)
 	case in.vms != nil:
-		l.decision.VMs(*in.vms)
+		l.vms = in.vms
+		l.decision.VMs(l.listed())
 	case in.config != nil:
 		l.decision.Drain(in.config.Drains)
 		l.decision.Keep(targetNames(in.config))
+		l.config = in.config
+		l.decision.VMs(l.listed())
 	case in.orders != nil:
 		l.decision.Orders(*in.orders)
 	default:
@@ -98,7 +103,7 @@
 // leaving.
 func (n *Node) noteLeaving(rep tpmessage.LoadReport) {
 	if rep.Leaving || !n.takesNewWork(rep.Target) {
-		_ = n.targets.in.Put(leavingInput{report: &rep})
+		_ = n.targets.in.Put(targetInput{report: &rep})
 	}
 }
 
@@ -109,38 +114,42 @@
 // not wait; the next heartbeat brings again what finds no room.
 func (n *Node) MergeLeavingTargets(told []tpmessage.LeavingTarget) {
 	if len(told) > 0 {
-		_ = n.targets.in.TryPut(leavingInput{told: told})
+		_ = n.targets.in.TryPut(targetInput{told: told})
 	}
 }
 
 // tickLeaving lets the word of peers age while there is any.
 func (n *Node) tickLeaving() {
 	if len(n.LeavingTargets()) > 0 {
-		_ = n.targets.in.TryPut(leavingInput{})
+		_ = n.targets.in.TryPut(targetInput{})
 	}
 }
 
-// leavingVMs passes on the targets that a list of VMs shows as leaving.
+// leavingVMs passes on the VMs of targets that a list shows as leaving.
 func (n *Node) leavingVMs(list []tpplatform.VM) {
-	names := []string{}
-	snapshot := n.InForce()
-	if snapshot == nil {
-		return
-	}
 	leaving := make(map[string]bool)
 	for _, vm := range list {
 		if vm.Target && vm.Leaving {
 			leaving[vm.Name], leaving[vm.Address] = true, true
 		}
 	}
-	for _, p := range snapshot.Config.Pools {
+	_ = n.targets.in.Put(targetInput{vms: leaving})
+}
+
+// listed returns the names of the targets whose VMs are leaving.
+func (l *leavingTargets) listed() []string {
+	names := []string{}
+	if l.config == nil {
+		return names
+	}
+	for _, p := range l.config.Pools {
 		for _, t := range p.Targets {
-			if leaving[t.Name] || leaving[t.Address] {
+			if l.vms[t.Name] || l.vms[t.Address] {
 				names = append(names, t.Name)
 			}
 		}
 	}
-	_ = n.targets.in.Put(leavingInput{vms: &names})
+	return names
 }
 
 func targetNames(cfg *tpmessage.Config) map[string]bool {
--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -87,22 +87,22 @@
 	}
 	n.events = events
 	n.onStop(stopEvents)
-	if err := n.startMembership(); err != nil {
+	if err := n.startLeaving(); err != nil {
 		return err
 	}
-	if err := n.startQuarantine(); err != nil {
+	if err := n.startMembership(); err != nil {
 		return err
 	}
-	if err := n.startLeaving(); err != nil {
+	if err := n.startQuarantine(); err != nil {
 		return err
 	}
 	if err := n.startRequestPipeline(); err != nil {
 		return err
 	}
-	if err := n.startOrders(); err != nil {
+	if err := n.startQuarantineObject(); err != nil {
 		return err
 	}
-	if err := n.startQuarantineObject(); err != nil {
+	if err := n.startOrders(); err != nil {
 		return err
 	}
 	if err := n.startServers(); err != nil {
@@ -120,8 +120,8 @@
 	}
 	n.inForce.Store(s)
 	n.request.apply(s)
+	_ = n.targets.in.Put(targetInput{config: &s.Config})
 	n.orders.apply(s)
-	_ = n.targets.in.Put(leavingInput{config: &s.Config})
 	n.events.Record(tpmessage.Event{Kind: "configurationInForce", Generation: s.Generation})
 	n.log.Info().Uint64("generation", s.Generation).Msg("configuration in force")
 }
--- a/internal/node/tpnode/order.go
+++ b/internal/node/tpnode/order.go
@@ -311,7 +311,7 @@
 		}
 		if changed {
 			names := sortedKeys(drains)
-			_ = n.targets.in.Put(leavingInput{orders: &names})
+			_ = n.targets.in.Put(targetInput{orders: &names})
 		}
 	}
 }
