--- a/internal/request/stage4/tpjournal/client.go
+++ b/internal/request/stage4/tpjournal/client.go
@@ -20,6 +20,12 @@
 	// further tries. It covers the default deadline of a request.
 	SettleFor = 2 * time.Minute
 
+	// RepeatWait is the time for which a repeat waits for the end of an earlier
+	// request with its key. The result is recorded a group interval after its
+	// caller had the answer, so a prompt repeat would else get "unknown".
+	RepeatWait = time.Second
+
+	repeatPause    = 50 * time.Millisecond
 	holderTries    = 8
 	holderPause    = 50 * time.Millisecond
 	settlePause    = 200 * time.Millisecond
@@ -94,10 +100,26 @@
 	c.claims.Submit(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), min(ClaimTimeout, w.Request.Deadline.Sub(c.cfg.Clock.Now())))
 		defer cancel()
-		c.cfg.Answered(w.Attempt, c.do(ctx, ClaimOf(&w)))
+		c.cfg.Answered(w.Attempt, c.claim(ctx, ClaimOf(&w)))
 	})
 }
 
+// claim asks again for RepeatWait while the outcome of the key is unknown. Such
+// an answer says that this attempt was not recorded, so that asking again is safe.
+func (c *Client) claim(ctx context.Context, op Op) Answer {
+	until := c.cfg.Clock.Now().Add(RepeatWait)
+	a := c.do(ctx, op)
+	for a.State == AnswerUnknown && c.cfg.Clock.Now().Before(until) && c.pause(ctx, repeatPause) {
+		again := c.do(ctx, op)
+		if again.State == AnswerRefused {
+			// The key stays unknown; a refusal would read as if it had not run.
+			return a
+		}
+		a = again
+	}
+	return a
+}
+
 // Settle passes the end of a call to the holder. It does not block: if too
 // many ends are waiting, this one is counted as unsettled.
 func (c *Client) Settle(op Op) {
