--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -214,3 +214,6 @@
 	n.handleJournalPeers(mux)
 	return mux
 }
+
+// Rings returns the counters of the node's rings by name.
+func (n *Node) Rings() map[string]tpring.Stats { return n.rings.Stats() }
--- a/internal/rollout/tprollout/duty.go
+++ b/internal/rollout/tprollout/duty.go
@@ -74,7 +74,7 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.held.Store(&Held{})
 	rings.Add("announcements", r.in)
-	rings.Add("rollout actions", r.actions)
+	rings.Add("rolloutActions", r.actions)
 	follower := NewFollower(policy, cfg.Follower)
 	var cleanups []func()
 	stop := func() {
