--- a/internal/node/tpnode/node.go
+++ b/internal/node/tpnode/node.go
@@ -207,6 +207,7 @@
 		vars.Set("rings", n.rings.Var())
 		vars.Set("duties", n.duties.Var())
 		vars.Set("request", n.request.vars())
+		vars.Set("refusals", &n.request.refused)
 		vars.Set("orders", n.orders.vars())
 		vars.Set("journal", n.journal.vars())
 		_, _ = w.Write([]byte(vars.String()))
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -41,7 +41,7 @@
 	sender      *tpsender.Sender
 	outputs     []tpadmission.Output // scratch of the admission duty
 	exchange    usageExchange        // of the admission duty
-	refused     expvar.Map
+	refused     expvar.Map // refusals by code
 }
 
 func (n *Node) startRequestPipeline() error {
@@ -113,7 +113,7 @@
 	return nil
 }
 
-// startTicks starts the duty that lets admission expire waiting work the
+// startTicks starts the duty that lets admission expire waiting work, the
 // quarantine place waiting suspects, and word of leaving targets age.
 func (n *Node) startTicks() error {
 	stop := make(chan struct{})
