--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -41,7 +41,7 @@
 	sender      *tpsender.Sender
 	outputs     []tpadmission.Output // scratch of the admission duty
 	exchange    usageExchange        // of the admission duty
-	refused     expvar.Map // refusals by code
+	refused     expvar.Map           // refusals by code
 }
 
 func (n *Node) startRequestPipeline() error {
