--- a/internal/frame/tpevent/event_test.go
+++ b/internal/frame/tpevent/event_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -9,11 +10,14 @@
 
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/frame/tpevent"
+	"teaselpin.example/teaselpin/internal/proof/tpseed"
 	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
+func TestMain(m *testing.M) { os.Exit(tpseed.Run(m, tpseed.Default)) }
+
 // Guards against a merged timeline that shows an effect before its cause when
 // the wall clocks of the processes disagree or go back.
 func TestMergeKeepsCausalOrder(t *testing.T) {
--- a/internal/node/tpnode/order.go
+++ b/internal/node/tpnode/order.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"sort"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -255,25 +256,10 @@
 
 // startOrderTicks starts the duty that lets the log look at its engines.
 func (n *Node) startOrderTicks() error {
-	stop := make(chan struct{})
-	wait, err := n.duties.Go("order ticks", func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-n.clock.After(DefaultTick):
-				_ = n.orders.logIn.TryPutBelow(tporder.Input{Kind: tporder.InputTick}, logTicks)
-			}
-		}
-	})
-	if err != nil {
-		return err
-	}
-	n.onStop(func() {
-		close(stop)
-		wait()
+	return n.startTimer("order ticks", func() time.Duration {
+		_ = n.orders.logIn.TryPutBelow(tporder.Input{Kind: tporder.InputTick}, logTicks)
+		return DefaultTick
 	})
-	return nil
 }
 
 // startDrainWatch starts the duty that follows the order objects, so that
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -116,27 +116,12 @@
 // startTicks starts the duty that lets admission expire waiting work, the
 // quarantine place waiting suspects, and word of leaving targets age.
 func (n *Node) startTicks() error {
-	stop := make(chan struct{})
-	wait, err := n.duties.Go("ticks", func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-n.clock.After(DefaultTick):
-				_ = n.request.admissionIn.TryPutBelow(tpadmission.Input{Kind: tpadmission.InputTick}, DefaultArrivals)
-				n.tickQuarantine()
-				n.tickLeaving()
-			}
-		}
-	})
-	if err != nil {
-		return err
-	}
-	n.onStop(func() {
-		close(stop)
-		wait()
+	return n.startTimer("ticks", func() time.Duration {
+		_ = n.request.admissionIn.TryPutBelow(tpadmission.Input{Kind: tpadmission.InputTick}, DefaultArrivals)
+		n.tickQuarantine()
+		n.tickLeaving()
+		return DefaultTick
 	})
-	return nil
 }
 
 // submit passes work from the front end to admission.
--- a/pkg/tpring/ring_test.go
+++ b/pkg/tpring/ring_test.go
@@ -4,14 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"teaselpin.example/teaselpin/internal/proof/tpseed"
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
+func TestMain(m *testing.M) { os.Exit(tpseed.Run(m, tpseed.Default)) }
+
 // Guards against values that are lost, doubled or reordered by wrap-around or
 // by one of the three rules for a full ring.
 func TestRingMatchesSlice(t *testing.T) {
