--- a/internal/edge/tpfront/handler.go
+++ b/internal/edge/tpfront/handler.go
@@ -132,10 +132,11 @@
 	if ref := decodeHeaders(r, &p); ref != nil {
 		return p, ref
 	}
-	if route, ok := cfg.RouteAt(p.Path); ok {
-		if pool, ok := cfg.PoolNamed(route.Pool); ok && pool.Kind == tpmessage.PoolService {
-			return p, nil
-		}
+	// An unknown route is refused by the intake, which names it.
+	route, known := cfg.RouteAt(p.Path)
+	pool, _ := cfg.PoolNamed(route.Pool)
+	if !known || pool.Kind == tpmessage.PoolService {
+		return p, nil
 	}
 	return p, decodeLanguage(body, &p)
 }
--- a/internal/edge/tptimeline/picture.go
+++ b/internal/edge/tptimeline/picture.go
@@ -19,6 +19,7 @@
 	pictureWidth   = 28 * vg.Centimeter
 	pictureMargin  = 4 * vg.Centimeter
 	pictureRow     = 1 * vg.Centimeter
+	legendRoom     = 1.25
 	pictureMaxKind = 12 // kinds beyond it share one colour and legend entry
 )
 
@@ -34,6 +35,8 @@
 	p.X.Label.Text = "seconds since the first event"
 	p.Y.Min, p.Y.Max = -0.5, float64(len(processes))-0.5
 	p.NominalY(processes...)
+	// The legend has the right part of the picture for itself.
+	p.X.Min, p.X.Max = 0, legendRoom*secondsOf(events)
 	p.Legend.Top = true
 	p.Legend.Left = false
 	p.Legend.TextStyle.Font.Size = font.Length(8)
@@ -81,6 +84,12 @@
 	return nil
 }
 
+// secondsOf returns the time from the first event to the last one.
+func secondsOf(events []tpmessage.Event) float64 {
+	const shortest = 1e-6 // an axis needs a length
+	return max(shortest, float64(events[len(events)-1].Time.Wall-events[0].Time.Wall)/1e9)
+}
+
 func processesOf(events []tpmessage.Event) []string {
 	var names []string
 	for i := range events {
