--- a/internal/proof/tpprocess/fleet.go
+++ b/internal/proof/tpprocess/fleet.go
@@ -53,9 +53,6 @@
 		nodeSettings: s.NodeSettings,
 		nodeCommand:  s.NodeCommand,
 	}
-	if len(f.nodeCommand) == 0 {
-		f.nodeCommand = []string{Teaselpin, "serve", "--settings"}
-	}
 	client, cleanup := tpplatform.NewClient("http://" + f.Platform.Addresses[0])
 	t.Cleanup(cleanup)
 	f.Client = client
@@ -122,5 +119,9 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return Start(t, name, f.nodeCommand[0], append(slices.Clone(f.nodeCommand[1:]), path)...)
+	command := f.nodeCommand
+	if len(command) == 0 {
+		command = []string{Teaselpin, "serve", "--settings"}
+	}
+	return Start(t, name, command[0], append(slices.Clone(command[1:]), path)...)
 }
