--- a/internal/standin/tpenginefake/handler.go
+++ b/internal/standin/tpenginefake/handler.go
@@ -111,7 +111,7 @@
 // write reports whether the stream goes on.
 func (l *lineWriter) write(line tptarget.GenerateLine) bool {
 	f := l.engine.faults.now()
-	if f.Delay > 0 {
+	if f.Delay > 0 { // a fault on command
 		time.Sleep(f.Delay)
 	}
 	if l.left == 0 {
--- a/internal/standin/tpenginefake/orders.go
+++ b/internal/standin/tpenginefake/orders.go
@@ -145,7 +145,7 @@
 	delay := o.faults.ContinueDelay
 	o.record(OrderHead, tpmessage.Order{}, 0)
 	o.mu.Unlock()
-	time.Sleep(delay)
+	time.Sleep(delay) // a fault on command: 100 Continue comes late
 	order, err := o.readOrder(w, r)
 	if err != nil {
 		o.mu.Lock()
--- a/internal/standin/tpplatformfake/platform.go
+++ b/internal/standin/tpplatformfake/platform.go
@@ -149,7 +149,7 @@
 			http.Error(w, "over the platform's rate", http.StatusTooManyRequests)
 			return
 		}
-		if delay > 0 {
+		if delay > 0 { // a fault on command
 			time.Sleep(delay)
 		}
 		if down {
--- a/internal/standin/tpservicefake/service.go
+++ b/internal/standin/tpservicefake/service.go
@@ -91,14 +91,14 @@
 		return
 	}
 	f := s.takeFaults()
-	time.Sleep(f.DelayBefore)
+	time.Sleep(f.DelayBefore) // a fault on command
 	if f.Refuse > 0 {
 		w.Header().Set(tptarget.HeaderRefused, "true")
 		http.Error(w, "refused before the call ran", http.StatusServiceUnavailable)
 		return
 	}
 	run := s.Call(r.Header.Get(tptarget.HeaderKey), r.Header.Get(tptarget.HeaderRequestID), string(body))
-	time.Sleep(f.DelayAfter)
+	time.Sleep(f.DelayAfter) // a fault on command
 	if f.LoseAnswers > 0 {
 		panic(http.ErrAbortHandler)
 	}
