--- a/internal/command/tpcommand/run.go
+++ b/internal/command/tpcommand/run.go
@@ -44,17 +44,22 @@
 	Log    zerolog.Logger
 	// Stop receives the signals that ask for a planned stop.
 	Stop <-chan os.Signal
+	// Reload receives the signals that announce changed settings.
+	Reload <-chan os.Signal
 }
 
 // System returns the environment of the process.
 func System() Env {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	return Env{
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Log:    zerolog.New(os.Stderr).With().Timestamp().Logger(),
 		Stop:   stop,
+		Reload: reload,
 	}
 }
 
--- a/internal/command/tpcommand/serve.go
+++ b/internal/command/tpcommand/serve.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"teaselpin.example/teaselpin/internal/node/tpnode"
-	"teaselpin.example/teaselpin/pkg/tpconfig"
 )
 
 // Serve runs a node.
@@ -16,8 +15,8 @@
 
 // Execute implements flags.Commander.
 func (c *Serve) Execute([]string) error {
-	cfg, err := readNodeSettings(c.Settings)
-	if err != nil {
+	var cfg tpnode.Settings
+	if err := readSettings(c.Settings, &cfg); err != nil {
 		return err
 	}
 	n, cleanup, err := tpnode.New(cfg, tpnode.Deps{Log: &c.env.Log})
@@ -29,19 +28,3 @@
 	cleanup()
 	return nil
 }
-
-// readNodeSettings reads and checks a node's settings.
-func readNodeSettings(path string) (tpnode.Settings, error) {
-	var cfg tpnode.Settings
-	f, err := tpconfig.ReadFile(path)
-	if err != nil {
-		return cfg, err
-	}
-	if err := tpconfig.Decode(f, &cfg); err != nil {
-		return cfg, &statusError{ExitInvalid, err}
-	}
-	if err := cfg.Check(); err != nil {
-		return cfg, &statusError{ExitInvalid, Error.New("%s: %w", path, err)}
-	}
-	return cfg, nil
-}
--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -10,6 +10,7 @@
 	"teaselpin.example/teaselpin/internal/edge/tpwire"
 	"teaselpin.example/teaselpin/internal/frame/tpevent"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
 )
 
 // MembersPath is the path prefix of the Members service.
@@ -20,6 +21,8 @@
 	Events *tpevent.Recorder
 	// Receive passes a heartbeat to the membership filter and returns its answer.
 	Receive func(tpmessage.Heartbeat) (tpmessage.Heartbeat, error)
+	// Held returns the view of a kind, and false if none is known. It may be nil.
+	Held func(kind string) (tpobject.View, bool)
 }
 
 // Handler returns the HTTP handler of the service.
@@ -71,6 +74,12 @@
 			Fingerprint: s.Fingerprint, Targets: s.Targets, Cleared: s.Cleared,
 		})
 	}
+	for _, n := range hb.Loads {
+		m.Loads = append(m.Loads, loadToWire(n))
+	}
+	for _, v := range hb.Views {
+		m.Views = append(m.Views, &tpwire.ViewMark{Kind: v.Kind, Version: v.Version, Digest: v.Digest})
+	}
 	for _, l := range hb.Leaving {
 		m.LeavingTargets = append(m.LeavingTargets, &tpwire.LeavingTarget{Name: l.Name, AgeMs: l.Age.Milliseconds()})
 	}
@@ -100,6 +109,12 @@
 			Fingerprint: s.GetFingerprint(), Targets: s.GetTargets(), Cleared: s.GetCleared(),
 		})
 	}
+	for _, n := range m.GetLoads() {
+		hb.Loads = append(hb.Loads, loadFromWire(n))
+	}
+	for _, v := range m.GetViews() {
+		hb.Views = append(hb.Views, tpmessage.ViewMark{Kind: v.GetKind(), Version: v.GetVersion(), Digest: v.GetDigest()})
+	}
 	for _, l := range m.GetLeavingTargets() {
 		hb.Leaving = append(hb.Leaving, tpmessage.LeavingTarget{
 			Name: l.GetName(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
@@ -107,3 +122,54 @@
 	}
 	return hb
 }
+
+// View implements tpwire.Members.
+func (s *MembersServer) View(_ context.Context, m *tpwire.ViewRequest) (*tpwire.ViewMessage, error) {
+	if s.Held == nil {
+		return nil, twirp.NotFoundError("this node follows no kinds")
+	}
+	v, known := s.Held(m.GetKind())
+	if !known {
+		return nil, twirp.NotFoundError("no view of " + m.GetKind())
+	}
+	out := &tpwire.ViewMessage{Kind: v.Kind, Version: v.Version}
+	for _, o := range v.Objects {
+		out.Objects = append(out.Objects, &tpwire.ViewObject{Name: o.Name, Version: o.Version, Value: o.Value})
+	}
+	return out, nil
+}
+
+// View returns a peer's view of a kind.
+func (c *Client) View(ctx context.Context, address, kind string) (tpobject.View, error) {
+	ctx, cancel := context.WithTimeout(ctx, HeartbeatTimeout)
+	defer cancel()
+	m, err := tpwire.NewMembersProtobufClient("http://"+address, c.HTTP).View(ctx, &tpwire.ViewRequest{Kind: kind})
+	if err != nil {
+		return tpobject.View{}, Error.New("view of %s from %s: %w", kind, address, err)
+	}
+	v := tpobject.View{Kind: m.GetKind(), Version: m.GetVersion()}
+	for _, o := range m.GetObjects() {
+		v.Objects = append(v.Objects, tpobject.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
+	}
+	return v, nil
+}
+
+func loadToWire(n tpmessage.NodeLoad) *tpwire.NodeLoad {
+	out := &tpwire.NodeLoad{Node: n.Node, PrefillRate: n.PrefillRate, DecodeRate: n.DecodeRate}
+	for _, t := range n.Loads {
+		out.Targets = append(out.Targets, &tpwire.TargetLoad{
+			Target: t.Target, Prefill: uint32(t.Prefill), Runs: uint32(t.Runs), Tokens: uint32(t.Tokens), Failing: t.Failing,
+		})
+	}
+	return out
+}
+
+func loadFromWire(n *tpwire.NodeLoad) tpmessage.NodeLoad {
+	out := tpmessage.NodeLoad{Node: n.GetNode(), PrefillRate: n.GetPrefillRate(), DecodeRate: n.GetDecodeRate()}
+	for _, t := range n.GetTargets() {
+		out.Loads = append(out.Loads, tpmessage.TargetLoad{
+			Target: t.GetTarget(), Prefill: int(t.GetPrefill()), Runs: int(t.GetRuns()), Tokens: int(t.GetTokens()), Failing: t.GetFailing(),
+		})
+	}
+	return out
+}
--- a/internal/edge/tpplatform/client.go
+++ b/internal/edge/tpplatform/client.go
@@ -44,7 +44,7 @@
 func (c *Client) Get(ctx context.Context, name string) (tpobject.Object, error) {
 	var o tpobject.Object
 	resp, err := c.calls.R().SetContext(ctx).SetResult(&o).Get(PathObjects + name)
-	return o, check(resp, err, false, "get "+name)
+	return o, Check(resp, err, false, "get "+name)
 }
 
 // Put implements tpobject.Store.
@@ -54,7 +54,7 @@
 		SetHeader("Content-Type", "application/octet-stream").
 		SetQueryParam("version", strconv.FormatUint(version, 10)).
 		Put(PathObjects + name)
-	return answer.Version, check(resp, err, true, "put "+name)
+	return answer.Version, Check(resp, err, true, "put "+name)
 }
 
 // Delete implements tpobject.Store.
@@ -62,14 +62,14 @@
 	resp, err := c.calls.R().SetContext(ctx).
 		SetQueryParam("version", strconv.FormatUint(version, 10)).
 		Delete(PathObjects + name)
-	return check(resp, err, true, "delete "+name)
+	return Check(resp, err, true, "delete "+name)
 }
 
 // List implements tpobject.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]tpobject.Object, error) {
 	var list []tpobject.Object
 	resp, err := c.calls.R().SetContext(ctx).SetResult(&list).SetQueryParam("prefix", prefix).Get(PathList)
-	return list, check(resp, err, false, "list "+prefix)
+	return list, Check(resp, err, false, "list "+prefix)
 }
 
 // Watch implements tpobject.Store.
@@ -79,19 +79,19 @@
 		SetQueryParam("prefix", prefix).
 		SetQueryParam("after", strconv.FormatUint(after, 10)).
 		Get(PathWatch)
-	return changes, check(resp, err, false, "watch "+prefix)
+	return changes, Check(resp, err, false, "watch "+prefix)
 }
 
 // VMs returns the platform's list, which lags behind.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	var list []VM
 	resp, err := c.calls.R().SetContext(ctx).SetResult(&list).Get(PathVMs)
-	return list, check(resp, err, false, "list VMs")
+	return list, Check(resp, err, false, "list VMs")
 }
 
-// check turns an answer into an error that matches a sentinel of tpobject. A
+// Check turns an answer into an error that matches a sentinel of tpobject. A
 // write without an answer has an unknown outcome.
-func check(resp *resty.Response, err error, write bool, what string) error {
+func Check(resp *resty.Response, err error, write bool, what string) error {
 	if err != nil && write {
 		return Error.New("%s: %w: %w", what, tpobject.ErrOutcomeUnknown, err)
 	}
@@ -99,12 +99,14 @@
 		return Error.New("%s: %w: %w", what, tpobject.ErrUnavailable, err)
 	}
 	switch resp.StatusCode() {
-	case http.StatusOK:
+	case http.StatusOK, http.StatusCreated:
 		return nil
 	case http.StatusNotFound:
 		return Error.New("%s: %w", what, tpobject.ErrNotFound)
 	case http.StatusConflict:
 		return Error.New("%s: %w", what, tpobject.ErrConflict)
+	case http.StatusGone:
+		return Error.New("%s: %w", what, tpobject.ErrHistoryGone)
 	case http.StatusRequestEntityTooLarge:
 		return Error.New("%s: %w", what, tpobject.ErrTooLarge)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
--- /dev/null
+++ b/internal/node/tprelaynode/members.go
@@ -0,0 +1,226 @@
+package tprelaynode
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"teaselpin.example/teaselpin/internal/edge/tppeer"
+	"teaselpin.example/teaselpin/internal/membership/tpmember"
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+const (
+	// memberInputs is the capacity of the membership ring. A heartbeat that
+	// finds it full is refused; the next one carries the same news.
+	memberInputs = 256
+	// heartbeatsOut is the capacity of the ring of outgoing heartbeats, which
+	// drops the oldest.
+	heartbeatsOut = 16
+	// heartbeatSenders is the number of duties that send heartbeats. Each may
+	// wait tppeer.HeartbeatTimeout for a silent peer.
+	heartbeatSenders = 6
+	// heartbeatInterval is the time between two rounds of heartbeats, which
+	// carry the outstanding work. With three peers a round and their answers, a
+	// node of eight hears each peer about every 300 ms.
+	heartbeatInterval = 250 * time.Millisecond
+	// memberSuspect and memberDrop are the silences after which a member counts
+	// as suspected and as gone.
+	memberSuspect = 1500 * time.Millisecond
+	memberDrop    = 4 * time.Second
+)
+
+type memberKind uint8
+
+const (
+	memberTick memberKind = iota
+	memberReceived
+	memberAnswered
+)
+
+type memberInput struct {
+	kind      memberKind
+	address   string
+	heartbeat tpmessage.Heartbeat
+	reply     *tpring.Ring[tpmessage.Heartbeat]
+}
+
+type outgoing struct {
+	address   string
+	heartbeat tpmessage.Heartbeat
+}
+
+// members holds the rings and the state of the membership filter:
+//
+//	peers, ticks -> members ring -> membership -> heartbeats ring -> senders
+type members struct {
+	node   *Node
+	in     *tpring.Ring[memberInput]
+	out    *tpring.Ring[outgoing]
+	views  *tpring.Ring[[]tpmessage.ViewMark] // newest
+	table  *tpmember.Table
+	client *tppeer.Client
+	own    tpmessage.NodeLoad
+	marks  []tpmessage.ViewMark
+	loads  map[string]tpmessage.NodeLoad // by node
+	// incarnation tells this process from an earlier one on the machine.
+	incarnation string
+	live        atomic.Pointer[[]tpmessage.Member]
+}
+
+func (n *Node) startMembers() error {
+	self := tpmessage.Member{
+		Name: n.cfg.Name, Zone: n.cfg.Zone, Incarnation: tpmember.Incarnation(n.clock.Now(), n.random),
+	}
+	client, closeClient := tppeer.NewClient(nil)
+	m := &members{
+		node:  n,
+		in:    tpring.New[memberInput](tpring.Settings{Capacity: memberInputs}),
+		out:   tpring.New[outgoing](tpring.Settings{Capacity: heartbeatsOut}),
+		views: tpring.New[[]tpmessage.ViewMark](tpring.Settings{Capacity: 1}),
+		table: tpmember.NewTable(tpmember.Settings{
+			Self: self, Seeds: n.cfg.Seeds, Random: n.random,
+			SuspectAfter: memberSuspect, DropAfter: memberDrop,
+		}),
+		client: client, incarnation: self.Incarnation,
+		loads: make(map[string]tpmessage.NodeLoad),
+	}
+	m.table.Join(n.cfg.Peers)
+	m.live.Store(&[]tpmessage.Member{self})
+	n.members = m
+	n.deps.Rings.Add("members", m.in)
+	n.deps.Rings.Add("heartbeats", m.out)
+	n.onStop(closeClient)
+	ctx, cancel := context.WithCancel(context.Background())
+	for range heartbeatSenders {
+		if err := startFilter(n, "heartbeats", m.out, func(o outgoing) { m.send(ctx, o) }); err != nil {
+			cancel()
+			return err
+		}
+	}
+	n.onStop(cancel)
+	if err := startFilter(n, "membership", m.in, m.handle); err != nil {
+		return err
+	}
+	return n.startTimer("member ticks", func() time.Duration {
+		_ = m.in.TryPut(memberInput{kind: memberTick})
+		return heartbeatInterval
+	})
+}
+
+func (m *members) handle(in memberInput) {
+	n := m.node
+	now := n.clock.Now()
+	if own, err := n.place.load.TryTake(); err == nil {
+		m.own = own
+	}
+	if marks, err := m.views.TryTake(); err == nil {
+		m.marks = marks
+	}
+	generation := uint64(0)
+	if t := n.table.Load(); t != nil {
+		generation = t.Config.Generation
+	}
+	m.table.SetSelf(generation, n.leaving.Load(), false)
+	switch in.kind {
+	case memberTick:
+		r := m.table.Tick(now)
+		hb := m.fill(r.Heartbeat)
+		for _, address := range r.Addresses {
+			_ = m.out.PutDropOldest(outgoing{address: address, heartbeat: hb})
+		}
+		m.publish(now)
+	case memberReceived:
+		_ = in.reply.Put(m.fill(m.table.Receive(now, in.heartbeat)))
+		m.heard(now, in.heartbeat, "")
+	case memberAnswered:
+		m.table.Answer(now, in.heartbeat)
+		m.heard(now, in.heartbeat, in.address)
+	}
+	for _, c := range m.table.Changes() {
+		n.log.Info().Str("event", string(c.Kind)).Str("member", c.Member.Name).Str("address", c.Member.Address).
+			Str("incarnation", c.Member.Incarnation).Send()
+	}
+}
+
+func (m *members) fill(hb tpmessage.Heartbeat) tpmessage.Heartbeat {
+	hb.Loads = []tpmessage.NodeLoad{m.own}
+	hb.Views = m.marks
+	return hb
+}
+
+// heard passes on what a peer's heartbeat brought.
+func (m *members) heard(now time.Time, hb tpmessage.Heartbeat, address string) {
+	for _, l := range hb.Loads {
+		if l.Node != "" && l.Node != m.node.cfg.Name {
+			l.At = now
+			m.loads[l.Node] = l
+		}
+	}
+	if address == "" && len(hb.Members) > 0 {
+		address = hb.Members[0].Member.Address
+	}
+	if address != "" && len(hb.Views) > 0 {
+		m.node.follow.hear(address, hb.Views)
+	}
+	m.publish(now)
+}
+
+// publish gives the placement and the roles what all nodes have outstanding.
+func (m *members) publish(now time.Time) {
+	live := m.table.Members()
+	m.live.Store(&live)
+	names := make(map[string]bool, len(live))
+	for _, member := range live {
+		names[member.Name] = true
+	}
+	maps.DeleteFunc(m.loads, func(name string, _ tpmessage.NodeLoad) bool { return !names[name] })
+	loads := slices.Collect(maps.Values(m.loads))
+	_ = m.node.place.in.TryPutBelow(tpplace.Input{Kind: tpplace.InputLoads, Nodes: len(live), Loads: loads}, arrivals)
+	if s := m.node.shift; s != nil {
+		own := m.own
+		own.At = now
+		_ = s.loads.PutDropOldest(append(loads, own))
+	}
+}
+
+// receive passes a heartbeat from a peer to the filter.
+func (m *members) receive(hb tpmessage.Heartbeat) (tpmessage.Heartbeat, error) {
+	reply := tpring.New[tpmessage.Heartbeat](tpring.Settings{Capacity: 1})
+	if err := m.in.TryPut(memberInput{kind: memberReceived, heartbeat: hb, reply: reply}); err != nil {
+		return tpmessage.Heartbeat{}, err
+	}
+	return reply.Take()
+}
+
+// send is a sender duty. A peer that does not answer is suspected by the
+// filter for its silence alone.
+func (m *members) send(ctx context.Context, o outgoing) {
+	answer, err := m.client.Heartbeat(ctx, o.address, o.heartbeat)
+	if err != nil {
+		return
+	}
+	_ = m.in.TryPut(memberInput{kind: memberAnswered, address: o.address, heartbeat: answer})
+}
+
+// rank returns the number of live members, other than a lease's holder, that
+// should compete for the lease before this node.
+func (m *members) rank(lease, holder string) int {
+	own := xxh3.HashString(lease + m.node.cfg.Name)
+	before := 0
+	for _, member := range *m.live.Load() {
+		if member.Name == m.node.cfg.Name || member.Name == holder || member.Leaving || member.Suspect {
+			continue
+		}
+		if xxh3.HashString(lease+member.Name) > own {
+			before++
+		}
+	}
+	return before
+}
--- /dev/null
+++ b/internal/node/tprelaynode/node.go
@@ -0,0 +1,255 @@
+package tprelaynode
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+
+	"teaselpin.example/teaselpin/internal/edge/tppeer"
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/internal/relay/stage1/tproute"
+	"teaselpin.example/teaselpin/internal/relay/stage3/tprelay"
+	"teaselpin.example/teaselpin/internal/relay/tpshift"
+	"teaselpin.example/teaselpin/pkg/tpclock"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+const (
+	// readHeaderTimeout and idleTimeout are above the limits that the
+	// configuration gives clients, which may come later than the first client.
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+	// maxHeader is above the limit that the configuration gives clients.
+	maxHeader = 64 << 10
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("relay node")
+
+// Kind is a kind of objects that the node follows, with what it means.
+type Kind struct {
+	Config  string // kind that holds the configuration
+	Targets string // kind that holds the registrations
+}
+
+// Deps are the parts that speak to the outside. Clock and Log may be zero.
+type Deps struct {
+	Clock    tpclock.Clock
+	Log      zerolog.Logger
+	Store    tpobject.Store
+	Viewer   tpobject.Viewer
+	Upstream tprelay.Upstream
+	Engines  tpshift.Engines
+	// Kinds names the kinds to follow.
+	Kinds Kind
+	// DecodeConfig and DecodeTargets decode what the kinds hold.
+	DecodeConfig  func([]tpobject.Object) (*tpmessage.RelayConfig, error)
+	DecodeTargets func([]tpobject.Object) ([]tpmessage.RelayTarget, []error)
+	// Front returns the handler of clients' requests.
+	Front func(*Node) http.Handler
+	// Ready returns the handler of the balancer's question.
+	Ready func(ready func() bool) http.Handler
+	// Rings and Duties are shared with what was started before the node.
+	Rings  *tpring.Group
+	Duties *tpduty.Runner
+}
+
+// Node is one running node that relays.
+type Node struct {
+	cfg     Settings
+	deps    Deps
+	clock   tpclock.Clock
+	log     zerolog.Logger
+	table   atomic.Pointer[tproute.Table]
+	leaving atomic.Bool
+	random  *rand.Rand
+
+	place   *placement
+	follow  *following
+	members *members
+	shift   *shifting
+	relay   *tprelay.Relay
+	front   *http.Server
+	latency latencies
+	cleanup []func()
+}
+
+// New starts a node. The clean-up function is its planned stop: it lets the
+// requests in progress finish before it returns.
+func New(cfg Settings, deps Deps) (*Node, func(), error) {
+	cfg.setDefaults()
+	n := &Node{cfg: cfg, deps: deps, clock: deps.Clock, log: deps.Log}
+	if n.clock == nil {
+		n.clock = tpclock.System{}
+	}
+	n.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	if err := n.start(); err != nil {
+		n.stop()
+		return nil, nil, err
+	}
+	n.log.Info().Str("event", "start").Str("node", cfg.Name).Str("zone", cfg.Zone).Str("front", cfg.Front).Send()
+	return n, n.stop, nil
+}
+
+func (n *Node) start() error {
+	steps := []func() error{n.startPlacement, n.startMembers, n.startFollowing, n.startShifting, n.startServers}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// onStop adds a clean-up function; the last one added runs first.
+func (n *Node) onStop(f func()) { n.cleanup = append(n.cleanup, f) }
+
+// startFilter starts a filter whose clean-up is part of the node's.
+func startFilter[T any](n *Node, name string, in *tpring.Ring[T], handle func(T)) error {
+	cleanup, err := tpduty.Filter(n.deps.Duties, name, in, handle)
+	if err != nil {
+		return err
+	}
+	n.onStop(cleanup)
+	return nil
+}
+
+// startTimer starts a duty that calls f until the node stops, each time after
+// the delay that the last call returned.
+func (n *Node) startTimer(name string, f func() time.Duration) error {
+	stop := make(chan struct{})
+	wait, err := n.deps.Duties.Go(name, func() {
+		for {
+			select {
+			case <-n.clock.After(f()):
+			case <-stop:
+				return
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	n.onStop(func() {
+		close(stop)
+		wait()
+	})
+	return nil
+}
+
+// Ready reports whether the node takes clients.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.table.Load() != nil && n.follow.targetsKnown.Load()
+}
+
+// Closing reports whether the node is about to stop.
+func (n *Node) Closing() bool { return n.leaving.Load() }
+
+// Limits returns the limits in force.
+func (n *Node) Limits() tpmessage.RelayLimits {
+	if t := n.table.Load(); t != nil {
+		return t.Config.Limits
+	}
+	return tpmessage.RelayLimits{}
+}
+
+func (n *Node) startServers() error {
+	peers := http.NewServeMux()
+	server := &tppeer.MembersServer{Receive: n.members.receive, Held: n.follow.held}
+	peers.Handle(tppeer.MembersPath, server.Handler())
+	if _, err := n.serve("peers", n.cfg.Peers, peers); err != nil {
+		return err
+	}
+	if n.cfg.Metrics != "" {
+		if _, err := n.serve("metrics", n.cfg.Metrics, n.metrics()); err != nil {
+			return err
+		}
+	}
+	if _, err := n.serve("ready", n.cfg.Ready, n.deps.Ready(n.Ready)); err != nil {
+		return err
+	}
+	front, err := n.serve("front", n.cfg.Front, n.deps.Front(n))
+	n.front = front
+	return err
+}
+
+// serve starts one server. Its clean-up waits for the requests in progress.
+func (n *Node) serve(name, address string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, Error.New("listen for %s: %w", name, err)
+	}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, IdleTimeout: idleTimeout,
+	}
+	wait, err := n.deps.Duties.Go(name, func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error().Str("event", "serverEnded").Str("server", name).Err(err).Send()
+		}
+	})
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	n.onStop(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), n.cfg.StopGrace)
+		defer cancel()
+		if err := srv.Shutdown(ctx); err != nil {
+			n.log.Warn().Str("event", "serverCut").Str("server", name).Err(err).Send()
+			srv.Close()
+		}
+		wait()
+	})
+	return srv, nil
+}
+
+// stop is the planned stop: the node says that it takes no clients, serves
+// those that still come, then closes its idle connections and finishes the
+// requests in progress.
+func (n *Node) stop() {
+	n.leaving.Store(true)
+	n.log.Info().Str("event", "leaving").Str("node", n.cfg.Name).Send()
+	if n.front != nil {
+		<-n.clock.After(n.cfg.StopDelay)
+	}
+	for i := len(n.cleanup) - 1; i >= 0; i-- {
+		n.cleanup[i]()
+	}
+	n.cleanup = nil
+	n.log.Info().Str("event", "stop").Str("node", n.cfg.Name).Send()
+}
+
+// metrics serves the counters as JSON.
+func (n *Node) metrics() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		vars := expvar.Map{}
+		vars.Set("rings", n.deps.Rings.Var())
+		vars.Set("duties", n.deps.Duties.Var())
+		vars.Set("relay", n.counters())
+		vars.Set("latency", n.latency.variable())
+		vars.Set("follow", n.follow.variable())
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(vars.String()))
+	})
+}
+
+func (n *Node) counters() expvar.Var {
+	c := n.relay.Counters
+	return expvar.Func(func() any {
+		return map[string]uint64{
+			"requests": c.Requests.Load(), "prefills": c.Prefills.Load(), "runs": c.Runs.Load(),
+			"calls": c.Calls.Load(), "retries": c.Retries.Load(), "resumes": c.Resumes.Load(),
+			"refused": c.Refused.Load(), "unknown": c.Unknown.Load(), "broken": c.Broken.Load(), "left": c.Left.Load(),
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/stage2/tpplace/message.go
@@ -0,0 +1,112 @@
+package tpplace
+
+import (
+	"time"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// Step is what a target is asked to do.
+type Step uint8
+
+// Steps of a request.
+const (
+	// StepFirst leaves the choice of the first step to the placement.
+	StepFirst Step = iota
+	// StepPrefill reads the prompt and keeps it under a handle.
+	StepPrefill
+	// StepRun generates, from a handle or from the whole prompt.
+	StepRun
+	// StepCall is a call to a plain service.
+	StepCall
+)
+
+// String implements fmt.Stringer.
+func (s Step) String() string {
+	return [...]string{"first", "prefill", "run", "call"}[min(int(s), 3)]
+}
+
+// Ask asks for a target.
+type Ask struct {
+	Work tpmessage.RelayWork
+	Step Step
+	// Extra is true if the pool has already been sent an arrival of this kind
+	// for the request, so that a further one is taken from the retry budget.
+	Extra bool
+	// Loaded is true for a run that takes its prompt from a handle.
+	Loaded bool
+	// Exclude holds the names of targets that must not be chosen.
+	Exclude []string
+	// Reply takes the grant of an ask that a task makes; it is nil for a new
+	// request, whose grant goes down the pipeline.
+	Reply *tpring.Ring[Grant]
+}
+
+// Charge is the work that a grant has counted at a target.
+type Charge struct {
+	Target  string
+	Prefill int // tokens to be read
+	Runs    int
+	Tokens  int // memory, in tokens
+}
+
+// Grant is the answer to an Ask: a target, or a refusal.
+type Grant struct {
+	Work    tpmessage.RelayWork
+	Step    Step
+	Target  tpmessage.RelayTarget
+	Charge  Charge
+	Fetch   string        // address of a target that keeps the shared prefix, if another
+	Wait    time.Duration // expected until the target begins
+	Read    time.Duration // expected for reading the prompt
+	Refusal *tpmessage.RelayRefusal
+}
+
+// Done tells how a granted step ended.
+type Done struct {
+	Charge  Charge
+	Prefix  uint64 // of the prompt that the target has read, or zero
+	Outcome Outcome
+}
+
+// Outcome is what the end of a step says about its target.
+type Outcome uint8
+
+// Outcomes of a step.
+const (
+	OutcomeServed    Outcome = iota // the target answered
+	OutcomeRefused                  // the target refused before it ran anything
+	OutcomeMisplaced                // another process or another role has the address
+	OutcomeLost                     // no connection, a reset, silence, or bytes that are no answer
+	OutcomeFailed                   // the target answered with a failure of its own
+	OutcomeAbandoned                // the client left, or the time was over
+)
+
+// String implements fmt.Stringer.
+func (o Outcome) String() string {
+	names := [...]string{"served", "refused", "misplaced", "lost", "failed", "abandoned"}
+	return names[min(int(o), len(names)-1)]
+}
+
+// Kind tells what an Input holds.
+type Kind uint8
+
+// Kinds of inputs.
+const (
+	InputAsk Kind = iota
+	InputDone
+	InputTargets
+	InputLoads
+	InputTick
+)
+
+// Input is one message to the placement filter.
+type Input struct {
+	Kind    Kind
+	Ask     Ask
+	Done    Done
+	Targets []tpmessage.RelayTarget
+	Nodes   int // live nodes, of InputLoads
+	Loads   []tpmessage.NodeLoad
+}
--- /dev/null
+++ b/internal/relay/stage3/tprelay/task.go
@@ -0,0 +1,353 @@
+package tprelay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+const (
+	// prefillPatience is how long a target may take to read a prompt beyond the
+	// expected time. A target that is gone shows on the connection earlier; a
+	// shorter patience gives up prompts that a busy target has nearly read.
+	prefillPatience = 2500 * time.Millisecond
+	// firstPatience is how long a target may take to begin a stream that can
+	// go on elsewhere, beyond the expected time.
+	firstPatience = 1500 * time.Millisecond
+	// gapFactor is the silence within a stream that can go on elsewhere, in
+	// units of the longest pause that is still on time.
+	gapFactor = 3
+	// callPatience is how long a plain service may take to answer a call that
+	// may run again, in units of the route's goal.
+	callPatience = 4
+	// freeTimeout bounds the call that gives up a handle.
+	freeTimeout = 500 * time.Millisecond
+	// firstPriority is the priority of the most urgent route. The levels above
+	// it are left for work that the system itself needs.
+	firstPriority = 3
+	// lastPriority is the least urgent one that targets know.
+	lastPriority = 9
+	// maxWhole is the largest answer of a plain service that is held until it
+	// is complete. A longer one is passed on as it comes.
+	maxWhole = 256 << 10
+)
+
+// task carries out one request.
+type task struct {
+	r      *Relay
+	req    *tpmessage.RelayRequest
+	work   tpmessage.RelayWork
+	grant  tpplace.Grant
+	plan   Plan
+	ctx    context.Context
+	cancel context.CancelFunc
+	reply  *tpring.Ring[tpplace.Grant]
+	handle Handle
+
+	begun bool                  // a part was delivered
+	head  *tpmessage.AnswerHead // held back until the first data
+	last  int                   // number of the last event delivered, or -1
+	whole []tpmessage.AnswerPart
+	size  int
+	fail  []tpmessage.AnswerPart // answer of a target that failed
+	sent  int
+}
+
+func newTask(r *Relay, g tpplace.Grant) *task {
+	req := g.Work.Request
+	t := &task{
+		r: r, req: req, work: g.Work, grant: g, plan: Plan{Request: req},
+		reply: tpring.New[tpplace.Grant](tpring.Settings{Capacity: 1}),
+		last:  req.ResumeAfter,
+	}
+	t.ctx, t.cancel = context.WithDeadline(g.Work.Ctx, req.Deadline)
+	return t
+}
+
+func (t *task) close() {
+	t.cancel()
+	t.work.Answer.Close()
+}
+
+func (t *task) run() {
+	t.r.Counters.Requests.Add(1)
+	for {
+		action := t.step()
+		switch action {
+		case ActionPrefill, ActionRun:
+			if t.next(action) {
+				continue
+			}
+			action = t.plan.GiveUp(t.r.Clock.Now())
+		}
+		t.finish(action)
+		return
+	}
+}
+
+// step carries out the granted step and returns what follows.
+func (t *task) step() Action {
+	if t.grant.Step == tpplace.StepPrefill {
+		return t.prefill()
+	}
+	return t.generate()
+}
+
+func (t *task) sending() *Sending {
+	return &Sending{
+		Request: t.req, Target: t.grant.Target, Deadline: t.req.Deadline, Fetch: t.grant.Fetch,
+		Priority:    min(firstPriority+t.req.Route.Priority, lastPriority),
+		ResumeAfter: t.last,
+	}
+}
+
+func (t *task) prefill() Action {
+	t.r.Counters.Prefills.Add(1)
+	s := t.sending()
+	s.FirstWithin = prefillPatience + t.grant.Wait + t.grant.Read
+	started := t.r.Clock.Now()
+	h, res := t.r.Upstream.Prefill(t.ctx, s)
+	now := t.r.Clock.Now()
+	_, prefix := t.req.SharedTokens()
+	t.done(res, prefix)
+	action := t.plan.Prefilled(now, t.grant.Target.Name, res.End)
+	t.logStep(res, now.Sub(started))
+	if res.End == EndWhole {
+		t.handle = h
+	}
+	return action
+}
+
+func (t *task) generate() Action {
+	s := t.sending()
+	s.Handle = t.handle
+	switch {
+	case t.grant.Step == tpplace.StepCall:
+		t.r.Counters.Calls.Add(1)
+		if t.req.Route.Idempotent {
+			s.FirstWithin = callPatience * t.req.Route.Goal
+		}
+	case t.req.Route.Resumable:
+		s.FirstWithin = firstPatience + t.grant.Wait + t.grant.Read
+		s.NextWithin = gapFactor * t.req.Route.GapGoal
+		fallthrough
+	default:
+		t.r.Counters.Runs.Add(1)
+	}
+	if t.begun {
+		t.r.Counters.Resumes.Add(1)
+	}
+	started := t.r.Clock.Now()
+	t.whole, t.size = nil, 0
+	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
+	now := t.r.Clock.Now()
+	if res.End == EndWhole || res.End == EndCut || res.End == EndSilent {
+		t.handle = Handle{} // taken
+	}
+	t.done(res, 0)
+	if len(failure) > 0 || res.End == EndWhole {
+		t.fail = failure
+	}
+	action := t.plan.Ran(now, t.grant.Target.Name, res, t.begun)
+	t.logStep(res, now.Sub(started))
+	return action
+}
+
+// deliver takes a part of a successful answer. A stream's head waits for its
+// first event, and the answer of a plain service for its end, so that another
+// attempt can still replace them.
+func (t *task) deliver(part tpmessage.AnswerPart) error {
+	if !t.req.Route.Stream {
+		return t.collect(part)
+	}
+	if part.Head != nil {
+		if !t.begun {
+			t.head = part.Head
+		}
+		part.Head = nil
+		if len(part.Data) == 0 && !part.End {
+			return nil
+		}
+	}
+	if part.Event >= 0 {
+		if part.Event <= t.last {
+			return nil
+		}
+		t.last = part.Event
+	}
+	if !t.begun {
+		part.Head = t.head
+		t.begun = true
+	}
+	return t.work.Answer.PutContext(t.ctx, part)
+}
+
+func (t *task) collect(part tpmessage.AnswerPart) error {
+	t.whole = append(t.whole, part)
+	t.size += len(part.Data)
+	if !part.End && t.size <= maxWhole && !t.begun {
+		return nil
+	}
+	for _, p := range t.whole {
+		t.begun = true
+		if err := t.work.Answer.PutContext(t.ctx, p); err != nil {
+			return err
+		}
+	}
+	t.whole = t.whole[:0]
+	return nil
+}
+
+// next asks for the target of a further step. It returns false if there is none.
+func (t *task) next(action Action) bool {
+	ask := tpplace.Ask{Work: t.work, Reply: t.reply, Exclude: slices.Clone(t.plan.exclude)}
+	ask.Step = t.grant.Step
+	if t.req.Pool.Engine != nil {
+		ask.Step = tpplace.StepRun
+		if action == ActionPrefill {
+			ask.Step = tpplace.StepPrefill
+		}
+	}
+	ask.Loaded = t.handle.ID != ""
+	ask.Extra = t.plan.Extra(ask.Step)
+	if ask.Extra {
+		t.r.Counters.Retries.Add(1)
+	}
+	if !t.granted(ask) && ask.Step == tpplace.StepPrefill {
+		// Without a second reading target the first run reads the prompt itself.
+		ask.Step = tpplace.StepRun
+		ask.Extra = t.plan.Extra(ask.Step)
+		return t.granted(ask)
+	}
+	return t.grant.Refusal == nil
+}
+
+func (t *task) granted(ask tpplace.Ask) bool {
+	t.r.Place(tpplace.Input{Kind: tpplace.InputAsk, Ask: ask})
+	g, err := t.reply.Take()
+	if err != nil {
+		g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: err.Error()}
+	}
+	t.grant = g
+	return g.Refusal == nil
+}
+
+// done reports the end of a step to the placement.
+func (t *task) done(res Result, prefix uint64) {
+	outcome := tpplace.OutcomeServed
+	switch res.End {
+	case EndWhole:
+		if res.Status >= 500 {
+			outcome = tpplace.OutcomeFailed
+		}
+	case EndNotRun:
+		outcome = tpplace.OutcomeRefused
+	case EndMisdirected:
+		outcome = tpplace.OutcomeMisplaced
+	case EndForeign:
+		outcome = tpplace.OutcomeFailed
+	case EndNotSent, EndCut, EndSilent:
+		outcome = tpplace.OutcomeLost
+	case EndStopped:
+		outcome = tpplace.OutcomeAbandoned
+	}
+	t.r.Place(tpplace.Input{Kind: tpplace.InputDone, Done: tpplace.Done{
+		Charge: t.grant.Charge, Prefix: prefix, Outcome: outcome,
+	}})
+}
+
+// finish gives the client its end.
+func (t *task) finish(action Action) {
+	if t.handle.ID != "" {
+		defer t.free()
+	}
+	switch {
+	case action == ActionLeave:
+		t.r.Counters.Left.Add(1)
+	case action == ActionFinish && len(t.fail) == 0:
+	case t.begun:
+		t.r.Counters.Broken.Add(1)
+		t.put(tpmessage.AnswerPart{Broken: true, Event: -1})
+	case len(t.fail) > 0 && action != ActionRefuse:
+		for _, p := range t.fail {
+			t.put(p)
+		}
+	default:
+		t.put(tpmessage.AnswerPart{Refusal: t.refusal(action), Event: -1})
+	}
+	t.logEnd(action)
+}
+
+func (t *task) put(part tpmessage.AnswerPart) {
+	// The client's handler closes the ring when it has gone, so the only error
+	// is that nobody reads the answer any more.
+	if err := t.work.Answer.PutContext(t.work.Ctx, part); err != nil {
+		t.r.Log.Debug().Str("request", t.req.ID).Err(err).Msg("answer not taken")
+	}
+}
+
+func (t *task) refusal(action Action) *tpmessage.RelayRefusal {
+	switch action {
+	case ActionUnknown:
+		t.r.Counters.Unknown.Add(1)
+		return &tpmessage.RelayRefusal{Status: tpmessage.StatusUnknown, Reason: "the request may have run"}
+	case ActionTimeout:
+		t.r.Counters.Unknown.Add(1)
+		return &tpmessage.RelayRefusal{Status: tpmessage.StatusTimeout, Reason: "the time is over"}
+	}
+	t.r.Counters.Refused.Add(1)
+	if t.grant.Refusal != nil {
+		return t.grant.Refusal
+	}
+	return &tpmessage.RelayRefusal{
+		Status: tpmessage.StatusUnavailable, Reason: "no target took the request", RetryAfter: retryAfter,
+	}
+}
+
+// retryAfter is the advice after targets have refused. They avoid a full batch
+// for about that long.
+const retryAfter = 300 * time.Millisecond
+
+func (t *task) free() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), freeTimeout)
+	defer cancel()
+	t.r.Upstream.Free(ctx, t.handle)
+}
+
+func (t *task) logStep(res Result, took time.Duration) {
+	t.sent++
+	level := zerolog.InfoLevel
+	e := t.r.Log.WithLevel(level).Str("event", "step").Str("request", t.req.ID).Str("step", t.grant.Step.String()).
+		Int("send", t.sent).Str("target", t.grant.Target.Name).Str("end", res.End.String()).
+		Int64("tookMs", took.Milliseconds()).Int64("waitMs", t.grant.Wait.Milliseconds()).
+		Int64("readMs", t.grant.Read.Milliseconds())
+	if t.grant.Fetch != "" {
+		e = e.Str("fetch", t.grant.Fetch)
+	}
+	if res.Status != 0 {
+		e = e.Int("status", res.Status)
+	}
+	if res.Err != nil {
+		e = e.Err(res.Err)
+	}
+	e.Send()
+}
+
+func (t *task) logEnd(action Action) {
+	names := [...]string{"finished", "prefill", "run", "refused", "unknown", "timeout", "left"}
+	took := t.r.Clock.Now().Sub(t.req.Arrived)
+	t.r.Ended(names[action], took)
+	e := t.r.Log.Info().Str("event", "end").Str("request", t.req.ID).Str("route", t.req.Route.Name).
+		Uint64("generation", t.req.Generation).Str("outcome", names[action]).
+		Int64("tookMs", took.Milliseconds()).Int("sends", t.sent)
+	if t.grant.Refusal != nil {
+		e = e.Str("reason", t.grant.Refusal.Reason)
+	}
+	e.Send()
+}
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -8,6 +8,15 @@
 	Usage      []Usage
 	Suspects   []Suspect
 	Leaving    []LeavingTarget
+	Loads      []NodeLoad // of the relay, the sender's alone
+	Views      []ViewMark
+}
+
+// ViewMark tells how far a node has followed a kind of objects.
+type ViewMark struct {
+	Kind    string
+	Version uint64 // of the store
+	Digest  uint64 // of the content
 }
 
 // MemberBeat is news of one member. Name, Address and Zone are empty in a
--- a/pkg/tpobject/store.go
+++ b/pkg/tpobject/store.go
@@ -56,3 +56,25 @@
 	// returns no changes and no error if the platform ended the wait first.
 	Watch(ctx context.Context, prefix string, after uint64) ([]Change, error)
 }
+
+// ErrHistoryGone is returned by a watch from a version that the platform no
+// longer keeps. The caller lists again.
+var ErrHistoryGone = errors.New("object history is gone")
+
+// View is all objects of one kind at a version of the store.
+type View struct {
+	Kind    string
+	Version uint64 // of the store
+	Objects []Object
+}
+
+// Viewer reads kinds of objects. Each method is one call that the platform
+// counts against its rate.
+type Viewer interface {
+	// View lists the objects of a kind.
+	View(ctx context.Context, kind string) (View, error)
+	// Follow waits until objects of the kind change after a version, and
+	// returns the changes and the version up to which they are complete. It
+	// returns ErrHistoryGone if the changes are no longer known.
+	Follow(ctx context.Context, kind string, after uint64) ([]Change, uint64, error)
+}
