Audit the followed kinds, so that no missed change stays unseen

Ruled out: shorter watches on every node, which cost calls on each node. Change: the two nodes of the highest rank read both kinds every 700 ms; the others learn of another content through the marks in heartbeats.

--- a/internal/node/tprelaynode/follow.go
+++ b/internal/node/tprelaynode/follow.go
@@ -20,6 +20,14 @@
 	// followTick is the interval at which lapsed registrations and the marks of
 	// peers are looked at.
 	followTick = 100 * time.Millisecond
+	// auditInterval is the time between two full reads of the kinds by an
+	// auditor. A change that no wait has reported is then in force on all nodes
+	// within two seconds: 700 ms here, 300 ms of heartbeats, 250 ms of calls.
+	auditInterval = 700 * time.Millisecond
+	// auditors is the number of nodes of the region that audit.
+	auditors = 2
+	// auditRole names the task in the ranking of the nodes.
+	auditRole = "audit"
 )
 
 // followInput is the result of a call, a peer's marks, or a tick.
@@ -49,6 +57,7 @@
 	in           *tpring.Ring[followInput]
 	calls        map[string]*tpring.Ring[call] // to the platform, by kind
 	peerCalls    *tpring.Ring[call]
+	kinds        []string
 	followers    []*tpfollow.Follower
 	registry     *tpfollow.Registry
 	views        map[string]*atomic.Pointer[tpobject.View]
@@ -73,7 +82,8 @@
 	n.deps.Rings.Add("follow", f.in)
 	n.deps.Rings.Add("peerCalls", f.peerCalls)
 	ctx, cancel := context.WithCancel(context.Background())
-	for _, kind := range []string{n.deps.Kinds.Config, n.deps.Kinds.Targets} {
+	f.kinds = []string{n.deps.Kinds.Config, n.deps.Kinds.Targets}
+	for _, kind := range f.kinds {
 		f.followers = append(f.followers, &tpfollow.Follower{Kind: kind})
 		f.views[kind] = &atomic.Pointer[tpobject.View]{}
 		f.calls[kind] = tpring.New[call](tpring.Settings{Capacity: 1})
@@ -91,6 +101,14 @@
 	if err := startFilter(n, "follow", f.in, f.handle); err != nil {
 		return err
 	}
+	if err := n.startTimer("audit", func() time.Duration {
+		if n.members.rank(auditRole, "") < auditors {
+			f.audit(ctx)
+		}
+		return auditInterval
+	}); err != nil {
+		return err
+	}
 	return n.startTimer("follow ticks", func() time.Duration {
 		_ = f.in.TryPut(followInput{})
 		return followTick
@@ -142,6 +160,8 @@
 		changed = w.Viewed(now, in.view, in.err)
 	case tpfollow.ActionFollow:
 		changed = w.Followed(now, in.changes, in.version, in.err)
+	case tpfollow.ActionAudit:
+		changed = w.Audited(in.view, in.err)
 	case tpfollow.ActionPeer:
 		changed = w.Peer(in.view, in.err)
 	case tpfollow.ActionNone:
@@ -156,7 +176,7 @@
 
 // logDependency writes a line when the platform stops or begins to serve.
 func (f *following) logDependency(now time.Time, w *tpfollow.Follower, in *followInput) {
-	if in.action == tpfollow.ActionPeer {
+	if in.action == tpfollow.ActionPeer || in.action == tpfollow.ActionAudit {
 		return
 	}
 	failed := in.err != nil
@@ -192,8 +212,11 @@
 	n := f.node
 	v, _ := w.View()
 	source := "store"
-	if in.action == tpfollow.ActionPeer {
+	switch in.action {
+	case tpfollow.ActionPeer:
 		source = in.peer
+	case tpfollow.ActionAudit:
+		source = "audit"
 	}
 	if w.Kind == n.deps.Kinds.Config {
 		f.configure(v, source)
@@ -274,6 +297,17 @@
 	}
 }
 
+// audit reads all kinds.
+func (f *following) audit(ctx context.Context) {
+	for _, w := range f.kinds {
+		in := followInput{action: tpfollow.ActionAudit, kind: w}
+		in.view, in.err = f.node.deps.Viewer.View(ctx, w)
+		if ctx.Err() == nil {
+			_ = f.in.TryPut(in)
+		}
+	}
+}
+
 // callPeer asks a peer for a view.
 func (f *following) callPeer(ctx context.Context, c call) {
 	in := followInput{action: c.action.Kind, kind: c.kind, peer: c.action.Peer}
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -12,7 +12,7 @@
 const (
 	// DirectTokens is the longest unread prompt that a generating target reads
 	// by itself. Reading it there costs less than a second target's queue.
-	DirectTokens = 1700
+	DirectTokens = 800
 	// minRetryAfter is the least advice given with a refusal.
 	minRetryAfter = 200 * time.Millisecond
 	// maxRetryAfter keeps the advice within what clients accept, a third of
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -18,7 +18,7 @@
 	// affinityMs is how much longer a request waits for the target that keeps
 	// its prefix, before another one fetches the prefix. A fetched copy takes
 	// cache memory from other prefixes.
-	affinityMs = 120.0
+	affinityMs = 500.0
 	// zoneRuns is the number of runs by which a target of the node's zone may
 	// be busier than another, since traffic between zones is priced.
 	zoneRuns = 2.0
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -22,7 +22,7 @@
 	maxRetryPause = 800 * time.Millisecond
 	// peerPatience is how long a peer may have another content before it is
 	// asked for it. The platform tells all nodes of a change within that time.
-	peerPatience = 250 * time.Millisecond
+	peerPatience = 150 * time.Millisecond
 	// disturbedFor is how long after a failed call the platform counts as
 	// disturbed: registrations lapse while their owners cannot reach it.
 	disturbedFor = 3 * time.Second
@@ -37,6 +37,7 @@
 	ActionView
 	ActionFollow
 	ActionPeer
+	ActionAudit
 )
 
 // Action is a call to make.
@@ -114,6 +115,15 @@
 	return f.replace(v)
 }
 
+// Audited takes a view that was read beside the calls of Next, because a wait
+// for changes may miss some when the platform forgets its history.
+func (f *Follower) Audited(v tpobject.View, err error) bool {
+	if err != nil || !f.known {
+		return false
+	}
+	return f.replace(v)
+}
+
 // Followed takes the result of ActionFollow.
 func (f *Follower) Followed(now time.Time, changes []tpobject.Change, version uint64, err error) bool {
 	f.calling = false
