Tell all nodes which engines change their role, and count refused arrivals as the users do

Cause: during releases the nodes that had not given an order went on sending runs to engines that refuse all work while they change their role; a refused prompt made the run after it an extra arrival that was not paid for.

--- a/internal/node/tprelaynode/follow.go
+++ b/internal/node/tprelaynode/follow.go
@@ -166,7 +166,7 @@
 		changed = w.Peer(in.view, in.err)
 	case tpfollow.ActionNone:
 	}
-	f.logDependency(now, w, in)
+	f.logDependency(w, in)
 	v, _ := w.View()
 	f.views[w.Kind].Store(&v)
 	if changed {
@@ -175,7 +175,7 @@
 }
 
 // logDependency writes a line when the platform stops or begins to serve.
-func (f *following) logDependency(now time.Time, w *tpfollow.Follower, in *followInput) {
+func (f *following) logDependency(w *tpfollow.Follower, in *followInput) {
 	if in.action == tpfollow.ActionPeer || in.action == tpfollow.ActionAudit {
 		return
 	}
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -205,8 +205,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), n.cfg.StopGrace)
 		defer cancel()
 		if err := srv.Shutdown(ctx); err != nil {
-			n.log.Warn().Str("event", "serverCut").Str("server", name).Err(err).Send()
-			srv.Close()
+			n.log.Warn().Str("event", "serverCut").Str("server", name).Err(errs.Combine(err, srv.Close())).Send()
 		}
 		wait()
 	})
--- a/internal/node/tprelaynode/shift.go
+++ b/internal/node/tprelaynode/shift.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/internal/relay/tpshift"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
@@ -42,6 +44,8 @@
 	orders *tpring.Ring[tpshift.Order]
 	loads  *tpring.Ring[[]tpmessage.NodeLoad] // newest
 	shift  *tpshift.Shift[*tpshift.Balance]
+	// changing is what the placement was told last.
+	changing []string
 }
 
 func (n *Node) startShifting() error {
@@ -86,7 +90,13 @@
 	duty.Store = n.deps.Store
 	duty.Clock = n.clock
 	duty.Rank = n.members.rank
+	held, fencing := false, uint64(0)
 	duty.Sink = func(a tpmessage.Authority) {
+		if a.Held == held && a.Fencing == fencing {
+			_ = n.shift.in.Put(shiftInput{authority: &a}) // a renewal
+			return
+		}
+		held, fencing = a.Held, a.Fencing
 		n.log.Info().Str("event", "lease").Str("lease", a.Lease).Bool("held", a.Held).Uint64("fencing", a.Fencing).Send()
 		_ = n.shift.in.Put(shiftInput{authority: &a})
 	}
@@ -111,6 +121,7 @@
 		}
 		s.shift.SetLoads(byNode)
 	}
+	defer s.tellChanging()
 	switch {
 	case in.config != nil:
 		s.shift.SetConfig(in.config)
@@ -129,6 +140,16 @@
 	}
 }
 
+// tellChanging tells the placement which engines are changing.
+func (s *shifting) tellChanging() {
+	names := s.shift.Changing()
+	if slices.Equal(names, s.changing) {
+		return
+	}
+	s.changing = names
+	_ = s.node.place.in.Put(tpplace.Input{Kind: tpplace.InputChanging, Changing: names})
+}
+
 // give sends one order, unless the authority has ended while it waited. An
 // engine that cannot be asked for its state gets none.
 func (s *shifting) give(ctx context.Context, o tpshift.Order) {
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -98,6 +98,7 @@
 	InputDone
 	InputTargets
 	InputLoads
+	InputChanging
 	InputTick
 )
 
@@ -109,4 +110,6 @@
 	Targets []tpmessage.RelayTarget
 	Nodes   int // live nodes, of InputLoads
 	Loads   []tpmessage.NodeLoad
+	// Changing names the targets that this node has ordered to another role.
+	Changing []string
 }
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -42,9 +42,11 @@
 	pools   map[string][]*target // sorted by name
 	budgets map[string]*budget
 	nodes   int
-	prefill rate
-	decode  rate
-	view    View // scratch
+	// changing names the targets that this node has ordered to another role.
+	changing []string
+	prefill  rate
+	decode   rate
+	view     View // scratch
 }
 
 // New returns a placer without targets.
@@ -74,6 +76,10 @@
 	case InputLoads:
 		p.nodes = max(1, in.Nodes)
 		p.setLoads(now, in.Loads)
+	case InputChanging:
+		p.changing = in.Changing
+		p.markChanging(p.changing)
+	case InputTick:
 	}
 	return Grant{}, false
 }
@@ -81,7 +87,7 @@
 // Load returns what this node has outstanding.
 func (p *Placer[P]) Load(now time.Time) tpmessage.NodeLoad {
 	n := tpmessage.NodeLoad{
-		Node: p.cfg.Node, At: now,
+		Node: p.cfg.Node, At: now, Changing: p.changing,
 		PrefillRate: p.prefill.value(now), DecodeRate: p.decode.value(now),
 	}
 	for _, pool := range p.pools {
@@ -121,11 +127,14 @@
 func (p *Placer[P]) setLoads(now time.Time, nodes []tpmessage.NodeLoad) {
 	for _, t := range p.targets {
 		t.peers = tpmessage.TargetLoad{}
+		t.changing = false
 	}
+	p.markChanging(p.changing)
 	for _, n := range nodes {
 		if n.Node == p.cfg.Node || now.Sub(n.At) > loadLife {
 			continue
 		}
+		p.markChanging(n.Changing)
 		for _, l := range n.Loads {
 			t, ok := p.targets[l.Target]
 			if !ok {
@@ -139,6 +148,15 @@
 	}
 }
 
+// markChanging marks targets that refuse all work while they change their role.
+func (p *Placer[P]) markChanging(names []string) {
+	for _, name := range names {
+		if t, ok := p.targets[name]; ok {
+			t.changing = true
+		}
+	}
+}
+
 func (p *Placer[P]) budget(pool string) *budget {
 	b, ok := p.budgets[pool]
 	if !ok {
--- a/internal/relay/stage2/tpplace/target.go
+++ b/internal/relay/stage2/tpplace/target.go
@@ -12,9 +12,13 @@
 	lostPause = 500 * time.Millisecond
 	// maxLostPause bounds lostPause.
 	maxLostPause = 4 * time.Second
-	// fullPause is how long a target that refused is avoided. It is about the
-	// time in which a full batch ends a few requests.
+	// fullPause is how long a target is avoided after it refused once. It is
+	// about the time in which a full batch ends a few requests. It doubles with
+	// each further refusal, since a target that changes its role refuses for
+	// seconds.
 	fullPause = 250 * time.Millisecond
+	// maxFullPause bounds fullPause.
+	maxFullPause = 2 * time.Second
 	// misplacedPause is how long a target is avoided that another process or
 	// role has replaced; the registration follows within that time.
 	misplacedPause = time.Second
@@ -32,6 +36,8 @@
 	peers    tpmessage.TargetLoad // sum over the other nodes
 	losses   int                  // failures in a row
 	failures int                  // failed answers in a row
+	refusals int                  // in a row
+	changing bool                 // ordered to another role
 	avoid    time.Time            // not used before, if another target is left
 	failing  bool                 // avoid was set by a loss
 }
@@ -42,7 +48,7 @@
 	t.tokens = max(0, t.tokens-d.Charge.Tokens)
 	switch d.Outcome {
 	case OutcomeServed:
-		t.losses, t.failures = 0, 0
+		t.losses, t.failures, t.refusals = 0, 0, 0
 		t.avoid, t.failing = time.Time{}, false
 	case OutcomeFailed:
 		t.failures++
@@ -54,16 +60,20 @@
 		t.losses++
 		t.avoid, t.failing = now.Add(pause), true
 	case OutcomeRefused:
-		t.avoid = now.Add(fullPause)
+		t.avoid, t.failing = now.Add(min(fullPause<<min(t.refusals, 4), maxFullPause)), true
+		t.refusals++
 	case OutcomeMisplaced:
 		t.avoid = now.Add(misplacedPause)
 	}
 }
 
 // rank orders targets before their load is compared: those that seem sound,
-// those that peers call failing, and those that this node avoids.
+// those that peers call failing, those that this node avoids, and those that
+// change their role.
 func (t *target) rank(now time.Time) int {
 	switch {
+	case t.changing:
+		return 3
 	case now.Before(t.avoid):
 		return 2
 	case t.peers.Failing:
--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
@@ -34,26 +33,32 @@
 type Plan struct {
 	Request *tpmessage.RelayRequest
 
-	sends    int // of any kind
-	prefills int // arrivals for reading the prompt
-	arrivals int // arrivals to run
-	ran      int // arrivals that may have run
+	sends    int  // of any kind
+	prefills int  // arrivals for reading the prompt
+	read     bool // a target has read the prompt
+	arrivals int  // of any kind but the first prompt that was read
+	paid     int  // arrivals taken from the retry budget
+	ran      int  // arrivals that may have run
 	exclude  []string
 }
 
-// Extra reports whether the next arrival of a step goes beyond the first one.
-func (p *Plan) Extra(step tpplace.Step) bool {
-	if step == tpplace.StepPrefill {
-		return p.prefills > 0
-	}
-	return p.arrivals > 0
-}
+// Extra reports whether the next arrival takes from the retry budget: the
+// first arrival and the first prompt that is read are free, and a refused
+// arrival is not.
+func (p *Plan) Extra() bool { return p.arrivals > p.paid }
+
+// Paid counts an arrival that was taken from the retry budget.
+func (p *Plan) Paid() { p.paid++ }
 
 // Prefilled decides after an attempt to have the prompt read.
 func (p *Plan) Prefilled(now time.Time, target string, end End) Action {
 	p.sends++
 	if end != EndNotSent {
 		p.prefills++
+		if end != EndWhole || p.read {
+			p.arrivals++
+		}
+		p.read = p.read || end == EndWhole
 	}
 	switch {
 	case end == EndWhole:
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -215,14 +215,14 @@
 		}
 	}
 	ask.Loaded = t.handle.ID != ""
-	ask.Extra = t.plan.Extra(ask.Step)
+	ask.Extra = t.plan.Extra()
 	if ask.Extra {
 		t.r.Counters.Retries.Add(1)
 	}
 	if !t.granted(ask) && ask.Step == tpplace.StepPrefill {
 		// Without a second reading target the first run reads the prompt itself.
 		ask.Step = tpplace.StepRun
-		ask.Extra = t.plan.Extra(ask.Step)
+		ask.Extra = t.plan.Extra()
 		return t.granted(ask)
 	}
 	return t.grant.Refusal == nil
@@ -235,6 +235,9 @@
 		g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: err.Error()}
 	}
 	t.grant = g
+	if ask.Extra && g.Refusal == nil {
+		t.plan.Paid()
+	}
 	return g.Refusal == nil
 }
 
--- a/internal/relay/tpshift/shift.go
+++ b/internal/relay/tpshift/shift.go
@@ -82,6 +82,7 @@
 // pending is an order whose effect is not yet seen.
 type pending struct {
 	role  tpmessage.Role
+	from  tpmessage.Role
 	born  int64
 	until time.Time
 }
@@ -193,11 +194,23 @@
 	for _, c := range roles.Step(tprole.Observation{At: now, Demand: s.demand()}, engines) {
 		t := byName[c.Engine]
 		orders = append(orders, Order{Target: t, Role: c.Role, Holder: s.cfg.Node, Fencing: s.authority.Fencing, Until: s.authority.Until.Add(-leaseReserve)})
-		s.pending[t.Name] = pending{role: c.Role, born: t.Born, until: now.Add(p.Engine.RoleSwitch + switchSlack)}
+		s.pending[t.Name] = pending{role: c.Role, from: t.Role, born: t.Born, until: now.Add(p.Engine.RoleSwitch + switchSlack)}
 	}
 	return orders
 }
 
+// Changing returns the names of the engines that may be changing their role.
+func (s *Shift[P]) Changing() []string {
+	var names []string
+	for name, p := range s.pending {
+		if p.role != p.from {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Answered takes an engine's answer to an order.
 func (s *Shift[P]) Answered(now time.Time, o Order, a Answer) {
 	p, ok := s.pending[o.Target.Name]
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -169,6 +169,9 @@
 type NodeLoad struct {
 	Node  string
 	Loads []TargetLoad
+	// Changing holds the names of targets that the node has ordered to another
+	// role and that have not shown it yet.
+	Changing []string
 	// PrefillRate and DecodeRate are the tokens that arrived at the node in a
 	// second, without those that caches hold.
 	PrefillRate float64
