Remember which targets keep which prefixes, and keep prompts at their home

Cause: prompts were placed as if every shared prefix were cached, so the expected waits were 50 to 200 ms where prompts took over a second.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -158,6 +158,9 @@
 	out := &tpwire.NodeLoad{
 		Node: n.Node, PrefillRate: n.PrefillRate, DecodeRate: n.DecodeRate, Changing: n.Changing,
 	}
+	for _, p := range n.Prefixes {
+		out.Prefixes = append(out.Prefixes, &tpwire.HeldPrefix{Prefix: p.Prefix, Target: p.Target})
+	}
 	for _, t := range n.Loads {
 		out.Targets = append(out.Targets, &tpwire.TargetLoad{
 			Target: t.Target, Prefill: uint32(t.Prefill), Runs: uint32(t.Runs), Tokens: uint32(t.Tokens), Failing: t.Failing,
@@ -170,6 +173,9 @@
 	out := tpmessage.NodeLoad{
 		Node: n.GetNode(), PrefillRate: n.GetPrefillRate(), DecodeRate: n.GetDecodeRate(), Changing: n.GetChanging(),
 	}
+	for _, p := range n.GetPrefixes() {
+		out.Prefixes = append(out.Prefixes, tpmessage.HeldPrefix{Prefix: p.GetPrefix(), Target: p.GetTarget()})
+	}
 	for _, t := range n.GetTargets() {
 		out.Loads = append(out.Loads, tpmessage.TargetLoad{
 			Target: t.GetTarget(), Prefill: int(t.GetPrefill()), Runs: int(t.GetRuns()), Tokens: int(t.GetTokens()), Failing: t.GetFailing(),
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -44,6 +44,7 @@
 	nodes   int
 	// changing names the targets that this node has ordered to another role.
 	changing []string
+	prefixes prefixes
 	prefill  rate
 	decode   rate
 	view     View // scratch
@@ -87,7 +88,7 @@
 // Load returns what this node has outstanding.
 func (p *Placer[P]) Load(now time.Time) tpmessage.NodeLoad {
 	n := tpmessage.NodeLoad{
-		Node: p.cfg.Node, At: now, Changing: p.changing,
+		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.sweep(now),
 		PrefillRate: p.prefill.value(now), DecodeRate: p.decode.value(now),
 	}
 	for _, pool := range p.pools {
@@ -112,6 +113,7 @@
 		t, ok := known[rt.Name]
 		if !ok || t.Born != rt.Born || t.Address != rt.Address {
 			t = &target{}
+			p.prefixes.forget(rt.Name)
 		} else if t.Role != rt.Role {
 			t.avoid = time.Time{}
 		}
@@ -135,6 +137,7 @@
 			continue
 		}
 		p.markChanging(n.Changing)
+		p.prefixes.heard(now, n.Prefixes)
 		for _, l := range n.Loads {
 			t, ok := p.targets[l.Target]
 			if !ok {
@@ -185,7 +188,7 @@
 		g.Refusal = refuse("the retry budget of pool "+req.Pool.Name+" is used up", maxRetryAfter)
 		return g
 	}
-	t := p.choose(a, &g, candidates)
+	t := p.choose(now, a, &g, candidates)
 	if ref := p.tooLate(now, req, &g); ref != nil {
 		g.Refusal = ref
 		return g
@@ -195,6 +198,10 @@
 	t.prefill += g.Charge.Prefill
 	t.runs += g.Charge.Runs
 	t.tokens += g.Charge.Tokens
+	if g.Step != StepCall {
+		_, prefix := req.SharedTokens()
+		p.prefixes.used(now, prefix, t.Name)
+	}
 	return g
 }
 
@@ -269,29 +276,31 @@
 }
 
 // choose sets the charge and the expectations of a grant.
-func (p *Placer[P]) choose(a *Ask, g *Grant, candidates []*target) *target {
+func (p *Placer[P]) choose(now time.Time, a *Ask, g *Grant, candidates []*target) *target {
 	req := a.Work.Request
-	shared, prefix := req.SharedTokens()
 	p.view.Zone = p.cfg.Zone
-	p.view.home = -1
+	p.look(now, req, candidates)
 	switch g.Step {
 	case StepPrefill:
-		p.view.home = home(prefix, candidates)
 		at := p.policy.Prefill(&p.view, req)
 		t := candidates[at]
-		if p.view.home >= 0 && at != p.view.home {
-			g.Fetch = candidates[p.view.home].Address
+		if p.view.source >= 0 && !p.view.holds[at] {
+			g.Fetch = candidates[p.view.source].Address
 		}
-		g.Charge.Prefill = req.Prompt - shared
+		g.Charge.Prefill = p.view.unread[at]
 		g.Wait = millis(float64(t.totalPrefill()) / PrefillTokensPerMs)
 		g.Read = millis(float64(g.Charge.Prefill) / PrefillTokensPerMs)
 		return t
 	case StepRun:
-		t := candidates[p.policy.Run(&p.view, req, a.Loaded)]
+		at := p.policy.Run(&p.view, req, a.Loaded)
+		t := candidates[at]
 		g.Charge.Runs = 1
 		g.Charge.Tokens = req.Prompt + req.MaxOutput
 		if !a.Loaded {
-			g.Charge.Prefill = req.Prompt - shared
+			g.Charge.Prefill = req.Prompt
+			if p.view.holds[at] {
+				g.Charge.Prefill = p.view.unread[at]
+			}
 			g.Wait = millis(float64(t.totalPrefill()) / DecodeReadTokensPerMs)
 			g.Read = millis(float64(g.Charge.Prefill) / DecodeReadTokensPerMs)
 		}
@@ -301,6 +310,32 @@
 	return candidates[p.policy.Run(&p.view, req, true)]
 }
 
+// look fills the view with what is known of a request's prefix.
+func (p *Placer[P]) look(now time.Time, req *tpmessage.RelayRequest, candidates []*target) {
+	v := &p.view
+	v.holds, v.unread = v.holds[:0], v.unread[:0]
+	v.home, v.source = -1, -1
+	if req.Pool.Engine == nil {
+		return
+	}
+	shared, prefix := req.SharedTokens()
+	v.home = home(prefix, candidates)
+	for i, t := range candidates {
+		holds := p.prefixes.holds(now, prefix, t.Name)
+		v.holds = append(v.holds, holds)
+		if holds && (v.source < 0 || i == v.home) {
+			v.source = i
+		}
+	}
+	unread := req.Prompt
+	if v.source >= 0 {
+		unread -= shared
+	}
+	for range candidates {
+		v.unread = append(v.unread, unread)
+	}
+}
+
 // tooLate refuses a request that has no chance to be served in its time.
 func (p *Placer[P]) tooLate(now time.Time, req *tpmessage.RelayRequest, g *Grant) *tpmessage.RelayRefusal {
 	if req.Pool.Engine == nil {
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -18,7 +18,7 @@
 	// affinityMs is how much longer a request waits for the target that keeps
 	// its prefix, before another one fetches the prefix. A fetched copy takes
 	// cache memory from other prefixes.
-	affinityMs = 500.0
+	affinityMs = 1200.0
 	// zoneRuns is the number of runs by which a target of the node's zone may
 	// be busier than another, since traffic between zones is priced.
 	zoneRuns = 2.0
@@ -40,7 +40,10 @@
 type View struct {
 	Zone    string
 	targets []*target
-	home    int // place of the prefix's home among the targets, or -1
+	home    int    // place of the prefix's home among the targets, or -1
+	source  int    // place of a target that keeps the prefix, or -1
+	holds   []bool // for each target, whether it keeps the prefix
+	unread  []int  // for each target, the tokens of the prompt that it has to read
 }
 
 // Affinity places prompts where their shared prefix is kept, unless that
@@ -51,7 +54,7 @@
 func (Affinity) Prefill(v *View, req *tpmessage.RelayRequest) int {
 	best, least := 0, 0.0
 	for i, t := range v.targets {
-		cost := float64(t.totalPrefill()) / PrefillTokensPerMs
+		cost := float64(t.totalPrefill()+v.unread[i]) / PrefillTokensPerMs
 		if i != v.home {
 			cost += affinityMs
 		}
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -57,6 +57,7 @@
 	size  int
 	fail  []tpmessage.AnswerPart // answer of a target that failed
 	sent  int
+	first time.Duration // from the arrival to the first event of a stream
 }
 
 func newTask(r *Relay, g tpplace.Grant) *task {
@@ -184,6 +185,7 @@
 	if !t.begun {
 		part.Head = t.head
 		t.begun = true
+		t.first = t.r.Clock.Now().Sub(t.req.Arrived)
 	}
 	return t.work.Answer.PutContext(t.ctx, part)
 }
@@ -349,6 +351,9 @@
 	e := t.r.Log.Info().Str("event", "end").Str("request", t.req.ID).Str("route", t.req.Route.Name).
 		Uint64("generation", t.req.Generation).Str("outcome", names[action]).
 		Int64("tookMs", took.Milliseconds()).Int("sends", t.sent)
+	if t.first > 0 {
+		e = e.Int64("firstMs", t.first.Milliseconds())
+	}
 	if t.grant.Refusal != nil {
 		e = e.Str("reason", t.grant.Refusal.Reason)
 	}
--- a/internal/relay/tpshift/balance.go
+++ b/internal/relay/tpshift/balance.go
@@ -1,8 +1,6 @@
 package tpshift
 
 import (
-	"math"
-
 	"teaselpin.example/teaselpin/internal/order/stage1/tprole"
 )
 
@@ -10,9 +8,13 @@
 	// DefaultPrefillPart is the part of the engines that read prompts while no
 	// demand is known. With the sheets' mix it gives both roles equal load.
 	DefaultPrefillPart = 0.58
-	// tolerance is the number of engines by which the split may be off while
-	// targets are replaced. Each change takes an engine away for seconds.
+	// tolerance is the number of prefill engines that may be missing while
+	// targets are replaced. Each change takes an engine away for seconds. No
+	// decode engine may be missing, because runs that find no room fail, while
+	// prompts that wait are only late.
 	tolerance = 1
+	// rounding favours decode engines, for the same reason.
+	rounding = 0.1
 )
 
 // Balance gives both roles the same load. It is a tprole.Policy.
@@ -32,9 +34,9 @@
 	if part <= 0 {
 		part = DefaultPrefillPart
 	}
-	want := int(math.Round(part * float64(o.Split.Changeable())))
+	want := int(part*float64(o.Split.Changeable()) + rounding)
 	off := want - o.Split.Prefill
-	if b.reached && off >= -tolerance && off <= tolerance {
+	if b.reached && off >= 0 && off <= tolerance {
 		return o.Split.Prefill
 	}
 	b.reached = off == 0
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -165,6 +165,12 @@
 	Failing bool
 }
 
+// HeldPrefix is a shared prefix that a target has read.
+type HeldPrefix struct {
+	Prefix uint64
+	Target string
+}
+
 // NodeLoad is what one node has outstanding at all targets.
 type NodeLoad struct {
 	Node  string
@@ -172,6 +178,8 @@
 	// Changing holds the names of targets that the node has ordered to another
 	// role and that have not shown it yet.
 	Changing []string
+	// Prefixes are those that targets have lately been given by the node.
+	Prefixes []HeldPrefix
 	// PrefillRate and DecodeRate are the tokens that arrived at the node in a
 	// second, without those that caches hold.
 	PrefillRate float64
