Let four nodes of a region follow the platform for the others

Change: four nodes wait at the platform and push a heartbeat at a change; the others fetch from them by the marks. All rings exist before a filter starts.

--- a/internal/node/tprelaynode/follow.go
+++ b/internal/node/tprelaynode/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,12 @@
 	auditors = 2
 	// auditRole names the task in the ranking of the nodes.
 	auditRole = "audit"
+	// watchers is the number of nodes of the region that wait for changes at
+	// the platform. Each wait is a call that is paid for; the others hear of
+	// changes from them.
+	watchers = 4
+	// watchRole names the task in the ranking of the nodes.
+	watchRole = "watch"
 )
 
 // followInput is the result of a call, a peer's marks, or a tick.
@@ -62,6 +69,8 @@
 	registry     *tpfollow.Registry
 	views        map[string]*atomic.Pointer[tpobject.View]
 	targetsKnown atomic.Bool
+	serving      atomic.Bool // the platform serves this node's waits
+	told         []tpmessage.ViewMark
 	failures     atomic.Uint64
 	faults       map[string]uint64 // versions of unreadable registrations that were logged
 	disturbed    map[string]bool
@@ -132,10 +141,15 @@
 
 func (f *following) handle(in followInput) {
 	now := f.node.clock.Now()
+	passive := f.node.members.watchersBefore() >= watchers
+	serving := true
 	for _, w := range f.followers {
 		f.take(now, w, &in)
+		w.SetPassive(passive)
 		f.next(now, w)
+		serving = serving && w.Serving()
 	}
+	f.serving.Store(serving)
 	if list, changed := f.registry.Targets(now); changed {
 		f.publishTargets(list)
 	}
@@ -276,6 +290,11 @@
 		}
 	}
 	_ = f.node.members.views.PutDropOldest(marks)
+	news := !slices.EqualFunc(marks, f.told, func(a, b tpmessage.ViewMark) bool { return a.Digest == b.Digest })
+	f.told = marks
+	if news && f.serving.Load() {
+		_ = f.node.members.in.TryPut(memberInput{kind: memberPush})
+	}
 }
 
 // call makes one call to the platform.
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -21,8 +21,8 @@
 	// finds it full is refused; the next one carries the same news.
 	memberInputs = 256
 	// heartbeatsOut is the capacity of the ring of outgoing heartbeats, which
-	// drops the oldest.
-	heartbeatsOut = 16
+	// drops the oldest. A push goes to every node of the region.
+	heartbeatsOut = 128
 	// heartbeatSenders is the number of duties that send heartbeats. Each may
 	// wait tppeer.HeartbeatTimeout for a silent peer.
 	heartbeatSenders = 6
@@ -42,6 +42,7 @@
 	memberTick memberKind = iota
 	memberReceived
 	memberAnswered
+	memberPush // of a changed view
 )
 
 type memberInput struct {
@@ -127,7 +128,7 @@
 	if t := n.table.Load(); t != nil {
 		generation = t.Config.Generation
 	}
-	m.table.SetSelf(generation, n.leaving.Load(), false)
+	m.table.SetSelf(generation, n.leaving.Load(), n.follow.serving.Load())
 	switch in.kind {
 	case memberTick:
 		r := m.table.Tick(now)
@@ -136,6 +137,11 @@
 			_ = m.out.PutDropOldest(outgoing{address: address, heartbeat: hb})
 		}
 		m.publish(now)
+	case memberPush:
+		hb := m.fill(m.table.Tick(now).Heartbeat)
+		for _, member := range m.table.Members()[1:] {
+			_ = m.out.PutDropOldest(outgoing{address: member.Address, heartbeat: hb})
+		}
 	case memberReceived:
 		_ = in.reply.Put(m.fill(m.table.Receive(now, in.heartbeat)))
 		m.heard(now, in.heartbeat, "")
@@ -210,17 +216,29 @@
 }
 
 // rank returns the number of live members, other than a lease's holder, that
-// should compete for the lease before this node.
-func (m *members) rank(lease, holder string) int {
-	own := xxh3.HashString(lease + m.node.cfg.Name)
-	before := 0
+// come before this node in a task.
+func (m *members) rank(task, holder string) int {
+	return m.before(task, func(member tpmessage.Member) bool { return member.Name != holder })
+}
+
+// watchersBefore returns the number of members that wait for changes at the
+// platform and come before this node in that task.
+func (m *members) watchersBefore() int {
+	return m.before(watchRole, func(member tpmessage.Member) bool { return member.Watching })
+}
+
+// before counts the live members that come before this node in the ranking of
+// a task and that fit.
+func (m *members) before(task string, fits func(tpmessage.Member) bool) int {
+	own := xxh3.HashString(task + m.node.cfg.Name)
+	n := 0
 	for _, member := range *m.live.Load() {
-		if member.Name == m.node.cfg.Name || member.Name == holder || member.Leaving || member.Suspect {
+		if member.Name == m.node.cfg.Name || member.Leaving || member.Suspect || !fits(member) {
 			continue
 		}
-		if xxh3.HashString(lease+member.Name) > own {
-			before++
+		if xxh3.HashString(task+member.Name) > own {
+			n++
 		}
 	}
-	return before
+	return n
 }
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -102,6 +102,12 @@
 }
 
 func (n *Node) start() error {
+	// The filters give values to each other's rings, so all rings exist before
+	// the first filter starts.
+	n.place = newPlacement(n)
+	n.members = newMembers(n)
+	n.follow = newFollowing(n)
+	n.shift = newShifting(n)
 	steps := []func() error{n.startPlacement, n.startMembers, n.startFollowing, n.startShifting, n.startServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/internal/node/tprelaynode/place.go
+++ b/internal/node/tprelaynode/place.go
@@ -42,7 +42,7 @@
 	placer *tpplace.Placer[placePolicy]
 }
 
-func (n *Node) startPlacement() error {
+func newPlacement(n *Node) *placement {
 	p := &placement{
 		in:    tpring.New[tpplace.Input](tpring.Settings{Capacity: arrivals + inputsPerTask*n.cfg.Window}),
 		tasks: tpring.New[tpplace.Grant](tpring.Settings{Capacity: n.cfg.Window}),
@@ -52,9 +52,13 @@
 			Budget: tpplace.BudgetSettings{Ratio: n.cfg.Budget.Ratio, Slack: n.cfg.Budget.Slack, Window: n.cfg.Budget.Window},
 		}, placePolicy{}),
 	}
-	n.place = p
 	n.deps.Rings.Add("placement", p.in)
 	n.deps.Rings.Add("tasks", p.tasks)
+	return p
+}
+
+func (n *Node) startPlacement() error {
+	p := n.place
 	n.relay = &tprelay.Relay{
 		Upstream: n.deps.Upstream, Clock: n.clock, Log: &n.log, Counters: &tprelay.Counters{},
 		Place: func(in tpplace.Input) { _ = p.in.Put(in) }, // a closed ring means that the node has ended
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -55,6 +55,7 @@
 	view      tpobject.View
 	digest    uint64
 	known     bool
+	passive   bool // other nodes follow the platform for this one
 	calling   bool // a call to the platform is in progress
 	listed    bool // view.Version can be followed
 	failures  int
@@ -78,9 +79,16 @@
 	return f.failures > 0 || (!f.failedAt.IsZero() && now.Sub(f.failedAt) < disturbedFor)
 }
 
+// SetPassive tells whether other nodes follow the platform for this one. A
+// passive follower asks the platform only until it knows a first view.
+func (f *Follower) SetPassive(passive bool) { f.passive = passive }
+
+// Serving reports whether the platform serves this node's wait for changes.
+func (f *Follower) Serving() bool { return f.listed && f.failures == 0 && f.calling }
+
 // Next returns the call to make now to the platform.
 func (f *Follower) Next() Action {
-	if f.calling {
+	if f.calling || (f.passive && f.known) {
 		return Action{}
 	}
 	f.calling = true
@@ -96,7 +104,11 @@
 
 // NextPeer returns the call to make now to a peer.
 func (f *Follower) NextPeer(now time.Time) Action {
-	if f.asking || f.ahead == "" || now.Sub(f.aheadAt) < peerPatience {
+	patience := peerPatience
+	if f.passive {
+		patience = 0
+	}
+	if f.asking || f.ahead == "" || now.Sub(f.aheadAt) < patience {
 		return Action{}
 	}
 	f.asking = true
