--- a/internal/node/tprelaynode/follow.go
+++ b/internal/node/tprelaynode/follow.go
@@ -76,7 +76,7 @@
 	disturbed    map[string]bool
 }
 
-func (n *Node) startFollowing() error {
+func newFollowing(n *Node) *following {
 	f := &following{
 		node:      n,
 		in:        tpring.New[followInput](tpring.Settings{Capacity: followInputs}),
@@ -87,16 +87,25 @@
 		faults:    make(map[string]uint64),
 		disturbed: make(map[string]bool),
 	}
-	n.follow = f
 	n.deps.Rings.Add("follow", f.in)
 	n.deps.Rings.Add("peerCalls", f.peerCalls)
-	ctx, cancel := context.WithCancel(context.Background())
 	f.kinds = []string{n.deps.Kinds.Config, n.deps.Kinds.Targets}
 	for _, kind := range f.kinds {
 		f.followers = append(f.followers, &tpfollow.Follower{Kind: kind})
 		f.views[kind] = &atomic.Pointer[tpobject.View]{}
 		f.calls[kind] = tpring.New[call](tpring.Settings{Capacity: 1})
-		n.deps.Rings.Add("calls_"+kind, f.calls[kind])
+	}
+	// Each kind has a ring of its own, so that a wait for one does not hold back
+	// the other.
+	n.deps.Rings.Add("configCalls", f.calls[n.deps.Kinds.Config])
+	n.deps.Rings.Add("targetCalls", f.calls[n.deps.Kinds.Targets])
+	return f
+}
+
+func (n *Node) startFollowing() error {
+	f := n.follow
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, kind := range f.kinds {
 		if err := startFilter(n, "calls "+kind, f.calls[kind], func(c call) { f.call(ctx, c) }); err != nil {
 			cancel()
 			return err
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -75,11 +75,10 @@
 	live        atomic.Pointer[[]tpmessage.Member]
 }
 
-func (n *Node) startMembers() error {
+func newMembers(n *Node) *members {
 	self := tpmessage.Member{
 		Name: n.cfg.Name, Zone: n.cfg.Zone, Incarnation: tpmember.Incarnation(n.clock.Now(), n.random),
 	}
-	client, closeClient := tppeer.NewClient(nil)
 	m := &members{
 		node:  n,
 		in:    tpring.New[memberInput](tpring.Settings{Capacity: memberInputs}),
@@ -89,14 +88,20 @@
 			Self: self, Seeds: n.cfg.Seeds, Random: n.random,
 			SuspectAfter: memberSuspect, DropAfter: memberDrop,
 		}),
-		client: client, incarnation: self.Incarnation,
-		loads: make(map[string]tpmessage.NodeLoad),
+		incarnation: self.Incarnation,
+		loads:       make(map[string]tpmessage.NodeLoad),
 	}
 	m.table.Join(n.cfg.Peers)
 	m.live.Store(&[]tpmessage.Member{self})
-	n.members = m
 	n.deps.Rings.Add("members", m.in)
 	n.deps.Rings.Add("heartbeats", m.out)
+	return m
+}
+
+func (n *Node) startMembers() error {
+	m := n.members
+	client, closeClient := tppeer.NewClient(nil)
+	m.client = client
 	n.onStop(closeClient)
 	ctx, cancel := context.WithCancel(context.Background())
 	for range heartbeatSenders {
@@ -189,11 +194,9 @@
 	maps.DeleteFunc(m.loads, func(name string, _ tpmessage.NodeLoad) bool { return !names[name] })
 	loads := slices.Collect(maps.Values(m.loads))
 	_ = m.node.place.in.TryPutBelow(tpplace.Input{Kind: tpplace.InputLoads, Nodes: len(live), Loads: loads}, arrivals)
-	if s := m.node.shift; s != nil {
-		own := m.own
-		own.At = now
-		_ = s.loads.PutDropOldest(append(loads, own))
-	}
+	own := m.own
+	own.At = now
+	_ = m.node.shift.loads.PutDropOldest(append(loads, own))
 }
 
 // receive passes a heartbeat from a peer to the filter.
--- a/internal/node/tprelaynode/shift.go
+++ b/internal/node/tprelaynode/shift.go
@@ -48,7 +48,7 @@
 	changing []string
 }
 
-func (n *Node) startShifting() error {
+func newShifting(n *Node) *shifting {
 	s := &shifting{
 		node:   n,
 		in:     tpring.New[shiftInput](tpring.Settings{Capacity: shiftInputs}),
@@ -57,9 +57,13 @@
 		shift: tpshift.New(tpshift.Settings{Node: n.cfg.Name, Guard: n.cfg.LeaseGuard},
 			func() *tpshift.Balance { return &tpshift.Balance{Part: n.cfg.PrefillPart} }),
 	}
-	n.shift = s
 	n.deps.Rings.Add("shift", s.in)
 	n.deps.Rings.Add("orders", s.orders)
+	return s
+}
+
+func (n *Node) startShifting() error {
+	s := n.shift
 	ctx, cancel := context.WithCancel(context.Background())
 	for range orderSenders {
 		if err := startFilter(n, "orders", s.orders, func(o tpshift.Order) { s.give(ctx, o) }); err != nil {
