--- /dev/null
+++ b/internal/frame/tplog/writer_test.go
@@ -0,0 +1,71 @@
+package tplog_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/internal/frame/tplog"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// blocked is an output that takes nothing until it is opened.
+type blocked struct {
+	open chan struct{}
+	bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.open
+	return b.Buffer.Write(p)
+}
+
+// Guards against a blocked standard output that holds back requests, and
+// against lines that are lost without being counted.
+func TestBlockedOutputHoldsNothingBack(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	duties, stopDuties := tpduty.NewRunner(tpduty.Settings{})
+	defer stopDuties()
+	out := &blocked{open: make(chan struct{})}
+	var rings tpring.Group
+	w, stop, err := tplog.NewWriter(tplog.Settings{Lines: 100}, out, duties, &rings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const lines = 10000
+	for i := range lines {
+		if _, err := fmt.Fprintf(w, "line %d\n", i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(out.open)
+	stop()
+	written := bytes.Count(out.Bytes(), []byte("\n"))
+	if got, want := uint64(written)+w.Dropped(), uint64(lines); got != want {
+		t.Errorf("lines written and dropped: got %d, want %d", got, want)
+	}
+	if w.Dropped() == 0 {
+		t.Error("a blocked output took every line")
+	}
+}
+
+// BenchmarkLine measures the cost of one line for its caller.
+func BenchmarkLine(b *testing.B) {
+	duties, stopDuties := tpduty.NewRunner(tpduty.Settings{})
+	defer stopDuties()
+	var rings tpring.Group
+	w, stop, err := tplog.NewWriter(tplog.Settings{}, &bytes.Buffer{}, duties, &rings)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer stop()
+	line := []byte("{\"event\":\"end\",\"request\":\"9c41d07be2a35f68\",\"outcome\":\"finished\",\"tookMs\":120}\n")
+	for b.Loop() {
+		if _, err := w.Write(line); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -0,0 +1,261 @@
+package tprelay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
+	"teaselpin.example/teaselpin/internal/relay/stage3/tprelay"
+	"teaselpin.example/teaselpin/pkg/tpclock"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// attempt is what the scripted upstream does with one run.
+type attempt struct {
+	events int // delivered before the end
+	end    tprelay.End
+	status int
+}
+
+// scripted is an Upstream that follows a script.
+type scripted struct {
+	mu       sync.Mutex
+	attempts []attempt
+	runs     []tprelay.Sending
+	freed    []tprelay.Handle
+	prefill  []tprelay.End
+}
+
+func (u *scripted) Prefill(_ context.Context, s *tprelay.Sending) (tprelay.Handle, tprelay.Result) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	end := u.prefill[0]
+	u.prefill = u.prefill[1:]
+	if end != tprelay.EndWhole {
+		return tprelay.Handle{}, tprelay.Result{End: end, Err: errors.New("scripted")}
+	}
+	return tprelay.Handle{Address: s.Target.Address, ID: "h"}, tprelay.Result{Status: 200}
+}
+
+func (u *scripted) Run(_ context.Context, s *tprelay.Sending, deliver func(tpmessage.AnswerPart) error) (tprelay.Result, []tpmessage.AnswerPart) {
+	u.mu.Lock()
+	a := u.attempts[0]
+	u.attempts = u.attempts[1:]
+	u.runs = append(u.runs, *s)
+	u.mu.Unlock()
+	head := &tpmessage.AnswerHead{Status: a.status, Header: map[string][]string{"Digest": {s.Target.Name}}}
+	if a.status >= 300 {
+		return tprelay.Result{Status: a.status}, []tpmessage.AnswerPart{{Head: head, Event: -1, End: true}}
+	}
+	if a.end == tprelay.EndNotRun || a.end == tprelay.EndNotSent {
+		return tprelay.Result{End: a.end}, nil
+	}
+	_ = deliver(tpmessage.AnswerPart{Head: head, Event: -1})
+	for i := range a.events {
+		n := s.ResumeAfter + 1 + i
+		if err := deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", n), Event: n}); err != nil {
+			return tprelay.Result{End: tprelay.EndStopped, Err: err}, nil
+		}
+	}
+	if a.end == tprelay.EndWhole {
+		_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+	}
+	return tprelay.Result{End: a.end, Status: a.status}, nil
+}
+
+func (u *scripted) Free(_ context.Context, h tprelay.Handle) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.freed = append(u.freed, h)
+}
+
+// outcome is what the client saw.
+type outcome struct {
+	text    string
+	head    *tpmessage.AnswerHead
+	ended   bool
+	broken  bool
+	refusal *tpmessage.RelayRefusal
+}
+
+// play runs one request over a script. Asks are granted while grants last.
+func play(t *testing.T, u *scripted, route tpmessage.RelayRoute, step tpplace.Step, grants int) (outcome, []tpplace.Done) {
+	t.Helper()
+	defer goleak.VerifyNone(t)
+	log := zerolog.Nop()
+	var mu sync.Mutex
+	var ends []tpplace.Done
+	r := &tprelay.Relay{
+		Upstream: u, Clock: tpclock.System{}, Log: &log, Counters: &tprelay.Counters{},
+		Ended: func(string, time.Duration) {},
+	}
+	pool := tpmessage.RelayPool{Name: "p"}
+	if step != tpplace.StepCall {
+		pool.Engine = &tpmessage.EngineTraits{}
+	}
+	target := func(n int) tpmessage.RelayTarget {
+		return tpmessage.RelayTarget{Target: tpmessage.Target{Name: fmt.Sprint("t", n), Address: fmt.Sprint("t", n, ":1")}}
+	}
+	granted := 0
+	r.Place = func(in tpplace.Input) {
+		mu.Lock()
+		defer mu.Unlock()
+		if in.Kind == tpplace.InputDone {
+			ends = append(ends, in.Done)
+			return
+		}
+		granted++
+		g := tpplace.Grant{Work: in.Ask.Work, Step: in.Ask.Step, Target: target(granted)}
+		if granted > grants {
+			g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: "budget", RetryAfter: time.Second}
+		}
+		_ = in.Ask.Reply.TryPut(g)
+	}
+	stop := r.Start(1)
+	now := time.Now()
+	work := tpmessage.RelayWork{
+		Request: &tpmessage.RelayRequest{
+			ID: "r", Route: route, Pool: pool, ResumeAfter: -1, Arrived: now, Deadline: now.Add(20 * time.Second),
+		},
+		Answer: tpring.New[tpmessage.AnswerPart](tpring.Settings{Capacity: 64}),
+		Ctx:    t.Context(),
+	}
+	r.Handle(tpplace.Grant{Work: work, Step: step, Target: target(0)})
+	stop()
+	var out outcome
+	var text strings.Builder
+	for {
+		part, err := work.Answer.TryTake()
+		if err != nil {
+			out.text = text.String()
+			return out, ends
+		}
+		if part.Head != nil {
+			out.head = part.Head
+		}
+		text.Write(part.Data)
+		out.ended = out.ended || part.End
+		out.broken = out.broken || part.Broken
+		if part.Refusal != nil {
+			out.refusal = part.Refusal
+		}
+	}
+}
+
+var (
+	resumable = tpmessage.RelayRoute{Stream: true, Resumable: true, MaxAttempts: 2}
+	once      = tpmessage.RelayRoute{Stream: true, MaxAttempts: 2}
+	unsafe    = tpmessage.RelayRoute{MaxAttempts: 3}
+	safe      = tpmessage.RelayRoute{Idempotent: true, MaxAttempts: 2, Goal: time.Second}
+)
+
+// Guards against a resumed stream that loses or repeats events, or that shows
+// the head of its second target.
+func TestStreamResumes(t *testing.T) {
+	u := &scripted{attempts: []attempt{{3, tprelay.EndCut, 200}, {4, tprelay.EndWhole, 200}}}
+	out, _ := play(t, u, resumable, tpplace.StepRun, 1)
+	if got, want := out.text, "0 1 2 3 4 5 6 "; got != want || !out.ended || out.broken {
+		t.Errorf("answer: got %q ended %v broken %v, want %q whole", got, out.ended, out.broken, want)
+	}
+	if got, want := out.head.Header["Digest"][0], "t0"; got != want {
+		t.Errorf("head: got that of %s, want %s", got, want)
+	}
+	if got, want := u.runs[1].ResumeAfter, 2; got != want {
+		t.Errorf("event after which the second target goes on: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a cut stream that looks complete, and against a second run of
+// a stream that may not be repeated.
+func TestStreamThatCannotResumeIsBroken(t *testing.T) {
+	u := &scripted{attempts: []attempt{{2, tprelay.EndCut, 200}}}
+	out, _ := play(t, u, once, tpplace.StepRun, 5)
+	if out.ended || !out.broken || len(u.runs) != 1 {
+		t.Errorf("got ended %v, broken %v, %d runs; want a broken answer after one run", out.ended, out.broken, len(u.runs))
+	}
+}
+
+// Guards against a call that may not be repeated and runs twice, and against
+// an answer that calls it not run.
+func TestUnsafeCallThatIsCutIsUnknown(t *testing.T) {
+	u := &scripted{attempts: []attempt{{0, tprelay.EndCut, 200}}}
+	out, ends := play(t, u, unsafe, tpplace.StepCall, 5)
+	if out.refusal == nil || out.refusal.Status != tpmessage.StatusUnknown || len(u.runs) != 1 {
+		t.Errorf("got %+v after %d runs, want status %d after one", out.refusal, len(u.runs), tpmessage.StatusUnknown)
+	}
+	if len(ends) != 1 || ends[0].Outcome != tpplace.OutcomeLost {
+		t.Errorf("ends told to the placement: got %+v, want one loss", ends)
+	}
+}
+
+// Guards against a call that a target refused and that is not offered to
+// another one, and against a refusal that hides its time to come back.
+func TestRefusedCallGoesOn(t *testing.T) {
+	u := &scripted{attempts: []attempt{{0, tprelay.EndNotRun, 0}, {0, tprelay.EndWhole, 200}}}
+	out, _ := play(t, u, unsafe, tpplace.StepCall, 1)
+	if !out.ended || out.refusal != nil {
+		t.Errorf("got %+v, want a whole answer from the second target", out)
+	}
+	u = &scripted{attempts: []attempt{{0, tprelay.EndNotRun, 0}}}
+	out, _ = play(t, u, unsafe, tpplace.StepCall, 0)
+	if out.refusal == nil || out.refusal.Status != tpmessage.StatusUnavailable || out.refusal.RetryAfter != time.Second {
+		t.Errorf("got %+v, want the refusal of the placement", out.refusal)
+	}
+}
+
+// Guards against a failed answer of a target that is lost although no further
+// attempt is allowed, and against one that replaces a later success.
+func TestFailedAnswer(t *testing.T) {
+	u := &scripted{attempts: []attempt{{0, 0, 500}}}
+	out, _ := play(t, u, safe, tpplace.StepCall, 0)
+	if out.head == nil || out.head.Status != 500 {
+		t.Errorf("without a second attempt: got %+v, want the target's 500", out)
+	}
+	u = &scripted{attempts: []attempt{{0, 0, 500}, {1, tprelay.EndWhole, 200}}}
+	out, _ = play(t, u, safe, tpplace.StepCall, 1)
+	if out.head == nil || out.head.Status != 200 {
+		t.Errorf("after a second attempt: got %+v, want its 200", out)
+	}
+}
+
+// Guards against a part of an answer that reaches the client before the answer
+// of a plain service is whole, which rules out a second attempt.
+func TestCutAnswerOfSafeCallIsRepeated(t *testing.T) {
+	u := &scripted{attempts: []attempt{{2, tprelay.EndCut, 200}, {1, tprelay.EndWhole, 200}}}
+	out, _ := play(t, u, safe, tpplace.StepCall, 1)
+	if got, want := out.text, "0 "; got != want || !out.ended {
+		t.Errorf("answer: got %q ended %v, want %q whole", got, out.ended, want)
+	}
+}
+
+// Guards against a prompt that was read and whose handle nobody takes or
+// gives up.
+func TestHandleIsGivenUp(t *testing.T) {
+	u := &scripted{prefill: []tprelay.End{tprelay.EndWhole}}
+	out, _ := play(t, u, once, tpplace.StepPrefill, 0)
+	if out.refusal == nil || len(u.freed) != 1 {
+		t.Errorf("got refusal %+v and freed %v, want a refusal and one handle freed", out.refusal, u.freed)
+	}
+}
+
+// Guards against a lost reading target that ends a request of which nothing
+// has run.
+func TestLostPrefillFallsBack(t *testing.T) {
+	u := &scripted{
+		prefill:  []tprelay.End{tprelay.EndCut, tprelay.EndCut},
+		attempts: []attempt{{2, tprelay.EndWhole, 200}},
+	}
+	out, _ := play(t, u, once, tpplace.StepPrefill, 2)
+	if !out.ended || u.runs[0].Handle.ID != "" {
+		t.Errorf("got %+v, want an answer from a run that reads the prompt itself", out)
+	}
+}
--- /dev/null
+++ b/internal/relay/tpfollow/follower_test.go
@@ -0,0 +1,175 @@
+package tpfollow_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/relay/tpfollow"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpobject"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func object(name string, version uint64) tpobject.Object {
+	return tpobject.Object{Name: name, Version: version}
+}
+
+func view(version uint64, objects ...tpobject.Object) tpobject.View {
+	return tpobject.View{Kind: "servers", Version: version, Objects: objects}
+}
+
+// follower returns a follower that has seen a first view.
+func follower(t *testing.T, v tpobject.View) *tpfollow.Follower {
+	t.Helper()
+	f := &tpfollow.Follower{Kind: "servers"}
+	if got, want := f.Next().Kind, tpfollow.ActionView; got != want {
+		t.Fatalf("first action: got %v, want %v", got, want)
+	}
+	if !f.Viewed(epoch, v, nil) {
+		t.Fatal("the first view is no change")
+	}
+	return f
+}
+
+// Guards against a change that a wait has missed and that stays unseen while
+// the wait goes on: the platform forgets its history without telling waits.
+func TestAuditFindsMissedChange(t *testing.T) {
+	f := follower(t, view(5, object("a", 3)))
+	if a := f.Next(); a.Kind != tpfollow.ActionFollow || a.After != 5 {
+		t.Fatalf("action: got %+v, want to follow after 5", a)
+	}
+	if !f.Audited(view(9, object("a", 8)), nil) {
+		t.Fatal("the audit's change is not taken")
+	}
+	if got, _ := f.View(); got.Objects[0].Version != 8 {
+		t.Errorf("version of the object: got %d, want 8", got.Objects[0].Version)
+	}
+	// The old wait ends with what it knew.
+	if f.Followed(epoch, []tpobject.Change{{Object: object("a", 4)}}, 6, nil) {
+		t.Error("an older change is taken")
+	}
+	if got, _ := f.View(); got.Objects[0].Version != 8 || got.Version != 9 {
+		t.Errorf("view after an older change: got %+v, want version 9 with object 8", got)
+	}
+}
+
+// Guards against a follower that goes on from a version whose history is gone.
+func TestHistoryGoneListsAgain(t *testing.T) {
+	f := follower(t, view(5))
+	f.Next()
+	f.Followed(epoch, nil, 0, tpobject.ErrHistoryGone)
+	if got, want := f.Next().Kind, tpfollow.ActionView; got != want {
+		t.Errorf("action: got %v, want %v", got, want)
+	}
+	if f.Disturbed(epoch) {
+		t.Error("a forgotten history counts as a disturbance")
+	}
+}
+
+// Guards against calls without a pause while the platform refuses them.
+func TestFailuresArePaced(t *testing.T) {
+	f := follower(t, view(5))
+	var last time.Duration
+	for i := range 8 {
+		a := f.Next()
+		if i > 0 && (a.Wait <= 0 || a.Wait < last) {
+			t.Fatalf("wait before call %d: got %v after %v", i, a.Wait, last)
+		}
+		last = a.Wait
+		f.Followed(epoch, nil, 0, tpobject.ErrUnavailable)
+	}
+	if !f.Disturbed(epoch) || f.Serving() {
+		t.Error("a platform that refuses calls does not count as disturbed")
+	}
+}
+
+// Guards against a node that does not learn from peers while the platform
+// refuses it, and against one that asks for what it has.
+func TestPeerHelps(t *testing.T) {
+	f := follower(t, view(5, object("a", 3)))
+	f.Heard(epoch, "peer:1", tpmessage.ViewMark{Kind: "servers", Version: 7, Digest: f.Mark().Digest})
+	if a := f.NextPeer(epoch.Add(time.Minute)); a.Kind != tpfollow.ActionNone {
+		t.Errorf("action for the same content: got %+v, want none", a)
+	}
+	f.Heard(epoch, "peer:1", tpmessage.ViewMark{Kind: "servers", Version: 4, Digest: 1})
+	if a := f.NextPeer(epoch.Add(time.Minute)); a.Kind != tpfollow.ActionNone {
+		t.Errorf("action for an older content: got %+v, want none", a)
+	}
+	f.Heard(epoch, "peer:1", tpmessage.ViewMark{Kind: "servers", Version: 8, Digest: 1})
+	if a := f.NextPeer(epoch); a.Kind != tpfollow.ActionNone {
+		t.Errorf("action before the platform had time to tell: got %+v, want none", a)
+	}
+	a := f.NextPeer(epoch.Add(time.Second))
+	if a.Kind != tpfollow.ActionPeer || a.Peer != "peer:1" {
+		t.Fatalf("action: got %+v, want to ask peer:1", a)
+	}
+	if !f.Peer(view(8, object("b", 8)), nil) {
+		t.Error("the peer's view is not taken")
+	}
+	f.Heard(epoch, "peer:2", tpmessage.ViewMark{Kind: "servers", Version: 9, Digest: 2})
+	f.NextPeer(epoch.Add(time.Minute))
+	if f.Peer(tpobject.View{}, errors.New("cut")) {
+		t.Error("a failed call changes the view")
+	}
+	if got, _ := f.View(); got.Version != 8 {
+		t.Errorf("version after a failed call: got %d, want 8", got.Version)
+	}
+}
+
+// Guards against a passive follower that calls the platform although others
+// do, and against one that starts with nothing and waits for them.
+func TestPassiveFollower(t *testing.T) {
+	f := &tpfollow.Follower{Kind: "servers"}
+	f.SetPassive(true)
+	if got, want := f.Next().Kind, tpfollow.ActionView; got != want {
+		t.Errorf("action without a view: got %v, want %v", got, want)
+	}
+	f.Viewed(epoch, view(5), nil)
+	if a := f.Next(); a.Kind != tpfollow.ActionNone {
+		t.Errorf("action with a view: got %+v, want none", a)
+	}
+	f.SetPassive(false)
+	if got, want := f.Next().Kind, tpfollow.ActionFollow; got != want {
+		t.Errorf("action once the others are gone: got %v, want %v", got, want)
+	}
+}
+
+func target(name string, born int64, draining bool) tpmessage.RelayTarget {
+	return tpmessage.RelayTarget{Target: tpmessage.Target{Name: name}, Born: born, Draining: draining}
+}
+
+// Guards against live targets that are dropped because their registrations
+// lapsed while the platform was down, and against gone ones that are kept.
+func TestLapsedRegistration(t *testing.T) {
+	r := tpfollow.NewRegistry()
+	r.Set(epoch, []tpmessage.RelayTarget{target("a", 1, false), target("b", 1, false)}, false)
+	r.Targets(epoch)
+	r.Set(epoch, []tpmessage.RelayTarget{target("b", 1, false)}, true)
+	if _, changed := r.Targets(epoch.Add(time.Second)); changed {
+		t.Error("a lapsed target is dropped within a second of the platform's return")
+	}
+	if list, changed := r.Targets(epoch.Add(2 * time.Second)); !changed || len(list) != 1 {
+		t.Errorf("targets two seconds later: got %+v, want b alone", list)
+	}
+	r.Set(epoch, nil, false)
+	if list, changed := r.Targets(epoch); !changed || len(list) != 0 {
+		t.Errorf("targets after a removal in calm: got %+v, want none", list)
+	}
+}
+
+// Guards against new work for a target whose late registration takes back that
+// it is leaving, and against a new process that inherits the mark.
+func TestDrainingStays(t *testing.T) {
+	r := tpfollow.NewRegistry()
+	r.Set(epoch, []tpmessage.RelayTarget{target("a", 1, true)}, false)
+	r.Set(epoch, []tpmessage.RelayTarget{target("a", 1, false)}, false)
+	if list, _ := r.Targets(epoch); !list[0].Draining {
+		t.Error("a leaving target is used again")
+	}
+	r.Set(epoch, []tpmessage.RelayTarget{target("a", 2, false)}, false)
+	if list, _ := r.Targets(epoch); list[0].Draining {
+		t.Error("the new process counts as leaving")
+	}
+}
--- /dev/null
+++ b/internal/relay/tpshift/shift_test.go
@@ -0,0 +1,142 @@
+package tpshift_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/order/stage1/tprole"
+	"teaselpin.example/teaselpin/internal/relay/tpshift"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func fleet(prefill, decode int) []tpmessage.RelayTarget {
+	var list []tpmessage.RelayTarget
+	for i := range prefill + decode {
+		role := tpmessage.RoleDecode
+		if i < prefill {
+			role = tpmessage.RolePrefill
+		}
+		list = append(list, tpmessage.RelayTarget{
+			Target: tpmessage.Target{Name: fmt.Sprintf("e%02d", i)}, Pool: "llm", Role: role, Born: 1,
+		})
+	}
+	return list
+}
+
+func shift(part float64, list []tpmessage.RelayTarget) *tpshift.Shift[*tpshift.Balance] {
+	s := tpshift.New(tpshift.Settings{Node: "node-0", Guard: 3 * time.Second},
+		func() *tpshift.Balance { return &tpshift.Balance{Part: part} })
+	s.SetConfig(&tpmessage.RelayConfig{Pools: []tpmessage.RelayPool{
+		{Name: "llm", Engine: &tpmessage.EngineTraits{RoleSwitch: 3 * time.Second}}, {Name: "app"},
+	}})
+	s.SetTargets(list)
+	return s
+}
+
+func authority(fencing uint64, until time.Time) tpmessage.Authority {
+	return tpmessage.Authority{Held: true, Fencing: fencing, Until: until}
+}
+
+// Guards against orders of a node without the lease, of a new holder while
+// orders of the one before it may arrive, and of a holder whose lease ends
+// before the order arrives.
+func TestOnlyTheHolderOrders(t *testing.T) {
+	s := shift(0.6, fleet(2, 8))
+	if got := s.Step(epoch); got != nil {
+		t.Errorf("orders without the lease: got %v", got)
+	}
+	s.SetAuthority(epoch, authority(2, epoch.Add(time.Minute)))
+	if got := s.Step(epoch.Add(2900 * time.Millisecond)); got != nil {
+		t.Errorf("orders within the guard: got %v", got)
+	}
+	if got := s.Step(epoch.Add(3 * time.Second)); len(got) == 0 {
+		t.Error("no order after the guard")
+	}
+	s = shift(0.6, fleet(2, 8))
+	s.SetAuthority(epoch, authority(1, epoch.Add(500*time.Millisecond)))
+	if got := s.Step(epoch); got != nil {
+		t.Errorf("orders half a second before the lease ends: got %v", got)
+	}
+}
+
+// Guards against two orders to one engine at a time, and against more engines
+// changing than the pool can spare.
+func TestOneOrderPerEngine(t *testing.T) {
+	s := shift(0.8, fleet(0, 8))
+	s.SetAuthority(epoch, authority(1, epoch.Add(time.Hour)))
+	seen := make(map[string]bool)
+	for i := range 10 {
+		for _, o := range s.Step(epoch.Add(time.Duration(i) * 500 * time.Millisecond)) {
+			if seen[o.Target.Name] {
+				t.Fatalf("a second order to %s while the first is carried out", o.Target.Name)
+			}
+			seen[o.Target.Name] = true
+			s.Answered(epoch, o, tpshift.AnswerUnknown)
+		}
+	}
+	if got, want := len(seen), 2; got != want {
+		t.Errorf("engines under order: got %d, want %d of 8", got, want)
+	}
+	if got, want := len(s.Changing()), 2; got != want {
+		t.Errorf("engines told to be changing: got %d, want %d", got, want)
+	}
+}
+
+// Guards against an order that is repeated while the first, which was not
+// answered, may still be carried out.
+func TestUnansweredOrderBlocks(t *testing.T) {
+	s := shift(0.5, fleet(0, 8))
+	s.SetAuthority(epoch, authority(1, epoch.Add(time.Hour)))
+	orders := s.Step(epoch)
+	if len(orders) != 2 {
+		t.Fatalf("orders: got %v, want two", orders)
+	}
+	for _, o := range orders {
+		s.Answered(epoch, o, tpshift.AnswerUnknown)
+	}
+	if got := s.Step(epoch.Add(12 * time.Second)); len(got) != 0 {
+		t.Errorf("orders 12 s after unanswered ones: got %v", got)
+	}
+	if got := s.Step(epoch.Add(14 * time.Second)); len(got) != 2 {
+		t.Errorf("orders 14 s after unanswered ones: got %v, want two", got)
+	}
+}
+
+// Guards against a refused order that leaves its engine marked as changing,
+// so that no node uses it.
+func TestRefusedOrderFreesTheEngine(t *testing.T) {
+	s := shift(0.5, fleet(0, 2))
+	s.SetAuthority(epoch, authority(1, epoch.Add(time.Hour)))
+	o := s.Step(epoch)[0]
+	s.Answered(epoch, o, tpshift.AnswerRefused)
+	if got := s.Changing(); len(got) != 0 {
+		t.Errorf("changing engines: got %v, want none", got)
+	}
+}
+
+// Guards against a pool that orders engines to and fro while they are
+// replaced, and against one that lacks an engine for runs.
+func TestBalanceTolerance(t *testing.T) {
+	b := &tpshift.Balance{Part: 0.67}
+	at := func(prefill, decode int) int {
+		return b.Want(tprole.Observation{At: epoch, Split: tprole.Split{Prefill: prefill, Decode: decode}})
+	}
+	for _, test := range []struct {
+		name                  string
+		prefill, decode, want int
+	}{
+		{"before the split is reached", 6, 12, 12},
+		{"reached", 12, 6, 12},
+		{"a prefill engine is missing", 11, 7, 11},
+		{"two are missing", 10, 8, 12},
+		{"reached again", 12, 6, 12},
+		{"a decode engine is missing", 12, 5, 11},
+	} {
+		if got := at(test.prefill, test.decode); got != test.want {
+			t.Errorf("%s: got %d, want %d", test.name, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/tpguestfake/store.go
@@ -0,0 +1,306 @@
+package tpguestfake
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageItems is the number of objects in one page of a list.
+const pageItems = 50
+
+// Store is the platform's object store. Its zero value is empty and ready to use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]*entry // by kind and name
+	history  []event
+	forgot   uint64 // changes up to this revision are forgotten
+	deaf     bool   // waits hear of no change
+	refuse   map[string]int
+	changed  chan struct{}
+	calls    map[string]int
+}
+
+type entry struct {
+	Name     string          `json:"name"`
+	Revision uint64          `json:"revision"`
+	Created  uint64          `json:"create_revision"`
+	spec     json.RawMessage // JSON document
+}
+
+type event struct {
+	kind     string
+	revision uint64
+	removed  bool
+	object   wireObject
+}
+
+type wireObject struct {
+	Metadata entry           `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+func (s *Store) init() {
+	if s.objects == nil {
+		s.objects = make(map[string]map[string]*entry)
+		s.refuse = make(map[string]int)
+		s.calls = make(map[string]int)
+		s.changed = make(chan struct{})
+		s.revision = 1
+	}
+}
+
+// Set writes an object as its owner would.
+func (s *Store) Set(kind, name string, spec any) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.set(kind, name, data)
+}
+
+func (s *Store) set(kind, name string, spec json.RawMessage) *entry {
+	s.revision++
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]*entry)
+	}
+	e, ok := s.objects[kind][name]
+	if !ok {
+		e = &entry{Name: name, Created: s.revision}
+		s.objects[kind][name] = e
+	}
+	e.Revision, e.spec = s.revision, spec
+	s.note(kind, e, false)
+	return e
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if e, ok := s.objects[kind][name]; ok {
+		s.revision++
+		delete(s.objects[kind], name)
+		s.note(kind, e, true)
+	}
+}
+
+func (s *Store) note(kind string, e *entry, removed bool) {
+	s.history = append(s.history, event{kind: kind, revision: s.revision, removed: removed, object: e.wire()})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (e *entry) wire() wireObject { return wireObject{Metadata: *e, Spec: e.spec} }
+
+// Forget drops the history, so that waits from before end with 410.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.forgot = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Deafen lets waits hear of no change until it is called with false.
+func (s *Store) Deafen(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.deaf = deaf
+}
+
+// Refuse answers the calls of a client address with a status; 0 ends it. An
+// empty address stands for all.
+func (s *Store) Refuse(host string, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.refuse[host] = status
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns the number of calls by method, with "WATCH" for waits.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int)
+	for k, v := range s.calls {
+		out[k] = v
+	}
+	return out
+}
+
+// refused returns the status with which a call is refused, or zero.
+func (s *Store) refused(r *http.Request) int {
+	host, _, _ := strings.Cut(r.RemoteAddr, ":")
+	if status := s.refuse[""]; status != 0 {
+		return status
+	}
+	return s.refuse[host]
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rest, ok := strings.CutPrefix(r.URL.Path, "/teaselpin/objects/")
+	kind, name, _ := strings.Cut(rest, "/")
+	if !ok || kind == "" {
+		http.NotFound(w, r)
+		return
+	}
+	if r.Method == http.MethodGet && r.URL.Query().Has("watch") {
+		s.watch(w, r, kind)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.calls[r.Method]++
+	if status := s.refused(r); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	switch r.Method {
+	case http.MethodGet:
+		s.get(w, r, kind, name)
+	case http.MethodPost, http.MethodPut:
+		s.put(w, r, kind, name)
+	case http.MethodDelete:
+		s.remove(w, r, kind, name)
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request, kind, name string) {
+	if name != "" {
+		e, ok := s.objects[kind][name]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		answer(w, http.StatusOK, e.wire())
+		return
+	}
+	var names []string
+	for n := range s.objects[kind] {
+		if n > r.URL.Query().Get("after") {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > pageItems
+	items := []wireObject{}
+	for _, n := range names[:min(len(names), pageItems)] {
+		items = append(items, s.objects[kind][n].wire())
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "current_rev": s.revision})
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var in struct {
+		Metadata struct {
+			Name     string `json:"name"`
+			Revision uint64 `json:"revision"`
+		} `json:"metadata"`
+		Spec json.RawMessage `json:"spec"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	create := r.Method == http.MethodPost
+	if create {
+		name = in.Metadata.Name
+	}
+	e, exists := s.objects[kind][name]
+	switch {
+	case create && exists, !create && exists && in.Metadata.Revision != e.Revision:
+		answer(w, http.StatusConflict, e.wire())
+		return
+	case !create && !exists:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, s.set(kind, name, in.Spec).wire())
+}
+
+func (s *Store) remove(w http.ResponseWriter, r *http.Request, kind, name string) {
+	e, exists := s.objects[kind][name]
+	switch {
+	case !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case r.URL.Query().Get("revision") != strconv.FormatUint(e.Revision, 10):
+		answer(w, http.StatusConflict, e.wire())
+	default:
+		s.revision++
+		delete(s.objects[kind], name)
+		s.note(kind, e, true)
+		answer(w, http.StatusOK, e.wire())
+	}
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	ms, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	timeout := time.After(time.Duration(ms) * time.Millisecond)
+	s.mu.Lock()
+	s.init()
+	s.calls["WATCH"]++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		s.init()
+		status, changed := s.refused(r), s.changed
+		events, revision := s.since(kind, after), s.revision
+		gone := after < s.forgot
+		deaf := s.deaf
+		s.mu.Unlock()
+		switch {
+		case status != 0:
+			w.WriteHeader(status)
+			return
+		case gone && !deaf:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 && !deaf:
+			answer(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout:
+			answer(w, http.StatusOK, map[string]any{"events": []any{}, "current_rev": revision})
+			return
+		}
+	}
+}
+
+func (s *Store) since(kind string, after uint64) []map[string]any {
+	var events []map[string]any
+	for _, e := range s.history {
+		if e.kind == kind && e.revision > after {
+			events = append(events, map[string]any{"removed": e.removed, "object": e.object})
+		}
+	}
+	return events
+}
