--- /dev/null
+++ b/internal/node/tprelaynode/node_test.go
@@ -0,0 +1,377 @@
+package tprelaynode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
+	"teaselpin.example/teaselpin/internal/node/tprelaynode"
+	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
+	"teaselpin.example/teaselpin/pkg/tpring"
+	"teaselpin.example/teaselpin/platform/tpguest"
+)
+
+// patience bounds every wait of these tests.
+const patience = 20 * time.Second
+
+// site is a platform of stand-ins.
+type site struct {
+	store   tpguestfake.Store
+	address string // of the store
+	servers []*tpguestfake.Server
+}
+
+// newSite registers engines and one plain service, and writes a first
+// configuration.
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{}
+	s.address = listen(t, &s.store)
+	for i, stage := range []string{"prefill", "prefill", "decode", "decode"} {
+		s.register(t, &tpguestfake.Server{ID: fmt.Sprint("e", i), Stage: stage, Events: 5}, "llm")
+	}
+	s.register(t, &tpguestfake.Server{ID: "u0"}, "app")
+	s.configure(1, "app")
+	return s
+}
+
+func listen(t *testing.T, h http.Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func (s *site) register(t *testing.T, server *tpguestfake.Server, service string) {
+	t.Helper()
+	s.servers = append(s.servers, server)
+	s.store.Set("servers", server.ID, map[string]any{
+		"service": service, "address": listen(t, server), "zone": "z", "slots": 64, "state": "ready",
+		"stage": server.Stage, "born": 1,
+	})
+}
+
+// configure writes a configuration whose last route goes to a service.
+func (s *site) configure(version int, service string) {
+	route := func(name, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": "one.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service,
+			"timeout_ms": 5000, "latency_goal_ms": 600, "max_attempts": 2,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	s.store.Set("config", "main", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("draft", "stream", "llm", map[string]any{"resumable": true, "target_gap_ms": 400}),
+			route("swap", "unsafe", "app", nil),
+			route(fmt.Sprint("v", version), "safe", service, nil),
+		},
+		"services": []any{
+			map[string]any{"name": "llm", "engine": map[string]any{"slots": 64, "kv_capacity": 400000, "role_switch_s": 3}},
+			map[string]any{"name": "app"},
+		},
+		"limits": map[string]any{"max_body_bytes": 1 << 20},
+	})
+}
+
+// node is a running node and its addresses.
+type node struct {
+	*tprelaynode.Node
+	front, ready string
+	stop         func()
+	rings        *tpring.Group
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start starts a node. The first seed, if any, is the address of another node
+// for peers.
+func (s *site) start(t *testing.T, name, peers string, seeds ...string) *node {
+	t.Helper()
+	n := &node{front: freeAddress(t), ready: freeAddress(t), rings: &tpring.Group{}}
+	duties, stopDuties := tpduty.NewRunner(tpduty.Settings{})
+	store, closeStore := tpguest.NewStore(s.address)
+	upstream, closeUpstream := tpguest.NewUpstream()
+	orderer, closeOrderer := tpguest.NewOrderer()
+	relay, cleanup, err := tprelaynode.New(tprelaynode.Settings{
+		Name: name, Region: "r", Zone: "z", Front: n.front, Ready: n.ready, Peers: peers, Seeds: seeds,
+		Store: s.address, StopDelay: time.Millisecond, PrefillPart: 0.5,
+		Budget: tprelaynode.Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+	}, tprelaynode.Deps{
+		Log: zerolog.Nop(), Store: store, Viewer: store, Upstream: upstream, Engines: orderer,
+		Kinds:        tprelaynode.Kind{Config: tpguest.KindConfig, Targets: tpguest.KindServers},
+		DecodeConfig: tpguest.DecodeConfig, DecodeTargets: tpguest.DecodeTargets,
+		Front: func(n *tprelaynode.Node) http.Handler {
+			return &tpguest.Front{Submit: n.Submit, Limits: n.Limits, Closing: n.Closing}
+		},
+		Ready: tpguest.Ready, Rings: n.rings, Duties: duties,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Node = relay
+	stopped := false
+	n.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cleanup()
+		closeOrderer()
+		closeUpstream()
+		closeStore()
+		stopDuties()
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+// eventually waits until check returns an empty text.
+func eventually(t *testing.T, check func() string) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		fault := check()
+		if fault == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(fault)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+func (n *node) ask(ctx context.Context, id, path string, header map[string]string) answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front+path, strings.NewReader("text"))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "one.example"
+	req.Header.Set("X-Teaselpin-Request-Id", id)
+	req.Header.Set("X-Teaselpin-Deadline", "5000")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, body: string(data), err: err}
+}
+
+func (n *node) untilReady(t *testing.T) {
+	t.Helper()
+	eventually(t, func() string {
+		if n.Ready() {
+			return ""
+		}
+		return "the node is not ready"
+	})
+}
+
+const wholeStream = "id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+
+// Guards against a path from client to server that loses or changes an answer:
+// a long prompt is read apart, a cut stream goes on at the other engine, a
+// call that may not be repeated runs once.
+func TestPath(t *testing.T) {
+	s := newSite(t)
+	n := s.start(t, "node-0", freeAddress(t))
+	n.untilReady(t)
+	long := map[string]string{"X-Teaselpin-Token-Counts": "9000,80", "X-Teaselpin-Prefix-Hash": "a1:8000,b2:1000"}
+	if got := n.ask(t.Context(), "1", "/draft/x", long); got.status != 200 || got.body != wholeStream {
+		t.Errorf("long prompt: got %+v", got)
+	}
+	if got := len(s.servers[0].Arrivals()) + len(s.servers[1].Arrivals()); got != 1 {
+		t.Errorf("prompts read apart: got %d, want 1", got)
+	}
+	s.servers[2].Fail(tpguestfake.FaultCut)
+	s.servers[3].Fail(tpguestfake.FaultCut)
+	for i := range 4 {
+		id := fmt.Sprint("short-", i)
+		if got := n.ask(t.Context(), id, "/draft/x", nil); got.status == 200 && got.err == nil && got.body != wholeStream {
+			t.Errorf("stream %s: got %q", id, got.body)
+		}
+	}
+	s.servers[4].Fail(tpguestfake.FaultLost)
+	if got := n.ask(t.Context(), "swap", "/swap/x", nil); got.status != 502 {
+		t.Errorf("call whose answer was lost: got %+v, want 502", got)
+	}
+	runs := 0
+	for _, a := range s.servers[4].Arrivals() {
+		if a.ID == "swap" {
+			runs++
+		}
+	}
+	if runs != 1 {
+		t.Errorf("arrivals of a call that may not be repeated: got %d, want 1", runs)
+	}
+	if got := n.ask(t.Context(), "none", "/nowhere/", nil); got.status != 404 {
+		t.Errorf("path without a route: got %+v, want 404", got)
+	}
+}
+
+// Guards against a node that says 404 while it knows no configuration: the
+// client would not come back.
+func TestWithoutConfiguration(t *testing.T) {
+	s := &site{}
+	s.address = listen(t, &s.store)
+	s.store.Refuse("", 503)
+	n := s.start(t, "node-0", freeAddress(t))
+	if n.Ready() {
+		t.Error("a node without a configuration is ready")
+	}
+	if got := n.ask(t.Context(), "1", "/draft/x", nil); got.status != 503 {
+		t.Errorf("request: got %+v, want 503", got)
+	}
+}
+
+// Guards against a change that reaches only the nodes which the store serves,
+// and against one that waits at the store do not report.
+func TestConfigurationReachesAllNodes(t *testing.T) {
+	s := newSite(t)
+	first := freeAddress(t)
+	a := s.start(t, "node-a", first)
+	b := s.start(t, "node-b", freeAddress(t), first)
+	a.untilReady(t)
+	b.untilReady(t)
+	in := func(n *node, version int) string {
+		if got := n.ask(t.Context(), "probe", fmt.Sprintf("/v%d/x", version), nil); got.status != 200 {
+			return fmt.Sprintf("version %d is not in force: %+v", version, got)
+		}
+		return ""
+	}
+	s.configure(2, "app")
+	for _, n := range []*node{a, b} {
+		eventually(t, func() string { return in(n, 2) })
+	}
+	if got := a.ask(t.Context(), "probe", "/v1/x", nil); got.status != 404 {
+		t.Errorf("dropped route: got %+v, want 404", got)
+	}
+	// Waits hear of nothing, as while the store forgets its history.
+	s.store.Deafen(true)
+	s.configure(3, "app")
+	for _, n := range []*node{a, b} {
+		eventually(t, func() string { return in(n, 3) })
+	}
+	s.store.Deafen(false)
+	// A node that starts while the store is away learns from the others.
+	s.store.Refuse("", 503)
+	c := s.start(t, "node-c", freeAddress(t), first)
+	eventually(t, func() string { return in(c, 3) })
+}
+
+// Guards against new work for a target that is leaving, also while the store
+// is away.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	s := newSite(t)
+	n := s.start(t, "node-0", freeAddress(t))
+	n.untilReady(t)
+	eventually(t, func() string {
+		if got := n.ask(t.Context(), "before", "/swap/x", nil); got.status != 200 {
+			return fmt.Sprintf("call: got %+v", got)
+		}
+		return ""
+	})
+	s.store.Set("servers", "u0", map[string]any{"service": "app", "address": "127.0.0.1:1", "state": "draining", "born": 1})
+	eventually(t, func() string {
+		if got := n.ask(t.Context(), "after", "/swap/x", nil); got.status != 503 {
+			return fmt.Sprintf("call once the only target is leaving: got %+v, want 503", got)
+		}
+		return ""
+	})
+}
+
+// Guards against a planned stop that cuts a request in progress.
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	s := newSite(t)
+	release := make(chan struct{})
+	s.servers[4].Waiting = release
+	n := s.start(t, "node-0", freeAddress(t))
+	n.untilReady(t)
+	got := make(chan answer, 1)
+	go func() { got <- n.ask(context.Background(), "1", "/swap/x", nil) }()
+	eventually(t, func() string {
+		if len(s.servers[4].Arrivals()) == 0 {
+			return "the request does not reach the server"
+		}
+		return ""
+	})
+	stopped := make(chan struct{})
+	go func() {
+		n.stop()
+		close(stopped)
+	}()
+	eventually(t, func() string {
+		if n.Ready() {
+			return "a stopping node is ready"
+		}
+		return ""
+	})
+	close(release)
+	if a := <-got; a.status != 200 || a.body != "answer to text" {
+		t.Errorf("request in progress: got %+v, want its whole answer", a)
+	}
+	<-stopped
+}
+
+// Guards against a page of the pipelines that differs from the wiring.
+func TestPipelinesPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/pipelines-relay.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	documented := make(map[string]int)
+	for _, row := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\| (\\d+) \\|").FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]], _ = strconv.Atoi(row[2])
+	}
+	s := newSite(t)
+	wired := s.start(t, "node-0", freeAddress(t)).rings.Stats()
+	for name, stats := range wired {
+		if got, want := documented[name], stats.Capacity; got != want {
+			t.Errorf("capacity of ring %q on the page: got %d, want %d", name, got, want)
+		}
+	}
+	for name := range documented {
+		if _, ok := wired[name]; !ok && name != "log" {
+			t.Errorf("ring %q is on the page and not in the wiring", name)
+		}
+	}
+}
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -212,6 +212,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	for i := first; i < s.Events; i++ {
+		if r.Context().Err() != nil {
+			return
+		}
 		if fault == FaultCut && i >= (first+s.Events)/2 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			_ = rc.Flush()
