--- a/internal/command/tpcommand/relay.go
+++ b/internal/command/tpcommand/relay.go
@@ -1,6 +1,7 @@
 package tpcommand
 
 import (
+	"fmt"
 	"net/http"
 	"runtime/debug"
 
@@ -68,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	fmt.Fprintf(lines, "listening %s %s\n", cfg.Front, cfg.Peers)
 	c.wait(&log)
 	cleanup()
 	return nil
