Bound the planned stop, tell passive nodes of disturbances, and log what grants rest on

The stop could take longer than the grace period; a node that does not wait at the store dropped targets whose registrations lapsed in an outage that only the waiting nodes saw; nodes other than the waiting ones could be the auditors; log lines lacked the inputs of a grant. Change: one deadline for the stop; marks carry the disturbance; the first two waiting nodes audit; steps are logged with loads, their age and the version of the registration.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -78,7 +78,9 @@
 		m.Loads = append(m.Loads, loadToWire(n))
 	}
 	for _, v := range hb.Views {
-		m.Views = append(m.Views, &tpwire.ViewMark{Kind: v.Kind, Version: v.Version, Digest: v.Digest})
+		m.Views = append(m.Views, &tpwire.ViewMark{
+			Kind: v.Kind, Version: v.Version, Digest: v.Digest, Disturbed: v.Disturbed,
+		})
 	}
 	for _, l := range hb.Leaving {
 		m.LeavingTargets = append(m.LeavingTargets, &tpwire.LeavingTarget{Name: l.Name, AgeMs: l.Age.Milliseconds()})
@@ -113,7 +115,9 @@
 		hb.Loads = append(hb.Loads, loadFromWire(n))
 	}
 	for _, v := range m.GetViews() {
-		hb.Views = append(hb.Views, tpmessage.ViewMark{Kind: v.GetKind(), Version: v.GetVersion(), Digest: v.GetDigest()})
+		hb.Views = append(hb.Views, tpmessage.ViewMark{
+			Kind: v.GetKind(), Version: v.GetVersion(), Digest: v.GetDigest(), Disturbed: v.GetDisturbed(),
+		})
 	}
 	for _, l := range m.GetLeavingTargets() {
 		hb.Leaving = append(hb.Leaving, tpmessage.LeavingTarget{
--- a/internal/node/tprelaynode/follow.go
+++ b/internal/node/tprelaynode/follow.go
@@ -25,10 +25,8 @@
 	// auditor. A change that no wait has reported is then in force on all nodes
 	// within two seconds: 700 ms here, 300 ms of heartbeats, 250 ms of calls.
 	auditInterval = 700 * time.Millisecond
-	// auditors is the number of nodes of the region that audit.
+	// auditors is the number of the watching nodes that audit.
 	auditors = 2
-	// auditRole names the task in the ranking of the nodes.
-	auditRole = "audit"
 	// watchers is the number of nodes of the region that wait for changes at
 	// the platform. Each wait is a call that is paid for; the others hear of
 	// changes from them.
@@ -120,7 +118,7 @@
 		return err
 	}
 	if err := n.startTimer("audit", func() time.Duration {
-		if n.members.rank(auditRole, "") < auditors {
+		if f.serving.Load() && n.members.watchersBefore() < auditors {
 			f.audit(ctx)
 		}
 		return auditInterval
@@ -163,7 +161,7 @@
 		f.publishTargets(list)
 	}
 	if in.marks == nil {
-		f.publishMarks()
+		f.publishMarks(now)
 	}
 }
 
@@ -291,11 +289,13 @@
 	n.log.Info().Str("event", "targets").Int("count", len(list)).Int("leaving", leaving).Send()
 }
 
-func (f *following) publishMarks() {
+func (f *following) publishMarks(now time.Time) {
 	var marks []tpmessage.ViewMark
 	for _, w := range f.followers {
 		if _, known := w.View(); known {
-			marks = append(marks, w.Mark())
+			m := w.Mark()
+			m.Disturbed = w.Disturbed(now)
+			marks = append(marks, m)
 		}
 	}
 	_ = f.node.members.views.PutDropOldest(marks)
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -29,6 +29,9 @@
 	// configuration gives clients, which may come later than the first client.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 60 * time.Second
+	// stopReserve is the part of the grace period in which the process ends
+	// after its last request.
+	stopReserve = 400 * time.Millisecond
 	// maxHeader is above the limit that the configuration gives clients.
 	maxHeader = 64 << 10
 )
@@ -72,6 +75,7 @@
 	log     zerolog.Logger
 	table   atomic.Pointer[tproute.Table]
 	leaving atomic.Bool
+	stopBy  time.Time // requests in progress are cut then
 	random  *rand.Rand
 
 	place   *placement
@@ -208,7 +212,7 @@
 		return nil, err
 	}
 	n.onStop(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), n.cfg.StopGrace)
+		ctx, cancel := context.WithDeadline(context.Background(), n.stopBy)
 		defer cancel()
 		if err := srv.Shutdown(ctx); err != nil {
 			n.log.Warn().Str("event", "serverCut").Str("server", name).Err(errs.Combine(err, srv.Close())).Send()
@@ -223,6 +227,7 @@
 // requests in progress.
 func (n *Node) stop() {
 	n.leaving.Store(true)
+	n.stopBy = n.clock.Now().Add(n.cfg.StopGrace - stopReserve)
 	n.log.Info().Str("event", "leaving").Str("node", n.cfg.Name).Send()
 	if n.front != nil {
 		<-n.clock.After(n.cfg.StopDelay)
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -57,12 +57,23 @@
 	Step    Step
 	Target  tpmessage.RelayTarget
 	Charge  Charge
+	Basis   Basis
 	Fetch   string        // address of a target that keeps the shared prefix, if another
 	Wait    time.Duration // expected until the target begins
 	Read    time.Duration // expected for reading the prompt
 	Refusal *tpmessage.RelayRefusal
 }
 
+// Basis is what a grant rests on, for the log.
+type Basis struct {
+	Candidates int           // targets of the best rank
+	Rank       int           // 0 if the target seems sound
+	Runs       int           // outstanding at the target, of all nodes
+	Prefill    int           // tokens to be read there, of all nodes
+	Nodes      int           // nodes whose load is known
+	OldestLoad time.Duration // age of the oldest of these loads
+}
+
 // Done tells how a granted step ended.
 type Done struct {
 	Charge  Charge
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -42,6 +42,10 @@
 	pools   map[string][]*target // sorted by name
 	budgets map[string]*budget
 	nodes   int
+	// heardNodes is the number of other nodes whose load counts, and oldestLoad
+	// the instant of the oldest of these loads.
+	heardNodes int
+	oldestLoad time.Time
 	// changing names the targets that this node has ordered to another role.
 	changing []string
 	prefixes prefixes
@@ -132,10 +136,15 @@
 		t.changing = false
 	}
 	p.markChanging(p.changing)
+	p.heardNodes = 0
 	for _, n := range nodes {
 		if n.Node == p.cfg.Node || now.Sub(n.At) > loadLife {
 			continue
 		}
+		if p.heardNodes == 0 || n.At.Before(p.oldestLoad) {
+			p.oldestLoad = n.At
+		}
+		p.heardNodes++
 		p.markChanging(n.Changing)
 		p.prefixes.heard(now, n.Prefixes)
 		for _, l := range n.Loads {
@@ -194,6 +203,13 @@
 		return g
 	}
 	g.Target = t.RelayTarget
+	g.Basis = Basis{
+		Candidates: len(candidates), Rank: t.rank(now), Runs: t.totalRuns(), Prefill: t.totalPrefill(),
+		Nodes: p.heardNodes,
+	}
+	if p.heardNodes > 0 {
+		g.Basis.OldestLoad = now.Sub(p.oldestLoad)
+	}
 	g.Charge.Target = t.Name
 	t.prefill += g.Charge.Prefill
 	t.runs += g.Charge.Runs
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
@@ -327,11 +325,13 @@
 
 func (t *task) logStep(res Result, took time.Duration) {
 	t.sent++
-	level := zerolog.InfoLevel
-	e := t.r.Log.WithLevel(level).Str("event", "step").Str("request", t.req.ID).Str("step", t.grant.Step.String()).
+	e := t.r.Log.Info().Str("event", "step").Str("request", t.req.ID).Str("step", t.grant.Step.String()).
 		Int("send", t.sent).Str("target", t.grant.Target.Name).Str("end", res.End.String()).
 		Int64("tookMs", took.Milliseconds()).Int64("waitMs", t.grant.Wait.Milliseconds()).
-		Int64("readMs", t.grant.Read.Milliseconds())
+		Int64("readMs", t.grant.Read.Milliseconds()).Int("candidates", t.grant.Basis.Candidates).
+		Int("rank", t.grant.Basis.Rank).Int("runs", t.grant.Basis.Runs).Int("prefill", t.grant.Basis.Prefill).
+		Int("nodes", t.grant.Basis.Nodes).Int64("loadAgeMs", t.grant.Basis.OldestLoad.Milliseconds()).
+		Uint64("registration", t.grant.Target.Revision)
 	if t.grant.Fetch != "" {
 		e = e.Str("fetch", t.grant.Fetch)
 	}
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -169,8 +169,12 @@
 	return f.replace(v)
 }
 
-// Heard takes a peer's mark.
+// Heard takes a peer's mark. A passive follower has no calls of its own that
+// show a disturbance, so it believes the peer's word.
 func (f *Follower) Heard(now time.Time, peer string, m tpmessage.ViewMark) {
+	if m.Disturbed && f.passive {
+		f.failedAt = now
+	}
 	if m.Version == 0 || (f.known && (m.Version <= f.view.Version || m.Digest == f.digest)) {
 		return
 	}
--- a/internal/relay/tpfollow/registry.go
+++ b/internal/relay/tpfollow/registry.go
@@ -10,8 +10,9 @@
 
 // LapseGrace is how long a target whose registration vanished while the
 // platform was disturbed is still used. A live target registers again within
-// two seconds of the platform's return.
-const LapseGrace = 1900 * time.Millisecond
+// two seconds of the platform's return; a target that has left may get no new
+// work two seconds later, of which the news takes up to 0.3 s to reach a node.
+const LapseGrace = 1700 * time.Millisecond
 
 // Registry turns the registrations that a node has seen into the targets that
 // it uses. It belongs to one filter.
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -17,6 +17,9 @@
 	Kind    string
 	Version uint64 // of the store
 	Digest  uint64 // of the content
+	// Disturbed is true if the platform has lately failed the node, so that
+	// registrations may have lapsed.
+	Disturbed bool
 }
 
 // MemberBeat is news of one member. Name, Address and Zone are empty in a
