--- a/internal/relay/tpshift/balance.go
+++ b/internal/relay/tpshift/balance.go
@@ -23,7 +23,7 @@
 	// known; zero means DefaultPrefillPart.
 	Part float64
 
-	reached bool // the wanted split was reached
+	reached bool // the wanted split was reached once
 }
 
 var _ tprole.Policy = (*Balance)(nil)
@@ -39,6 +39,6 @@
 	if b.reached && off >= 0 && off <= tolerance {
 		return o.Split.Prefill
 	}
-	b.reached = off == 0
+	b.reached = b.reached || off == 0
 	return want
 }
--- a/internal/relay/tpshift/shift_test.go
+++ b/internal/relay/tpshift/shift_test.go
@@ -134,6 +134,9 @@
 		{"two are missing", 10, 8, 12},
 		{"reached again", 12, 6, 12},
 		{"a decode engine is missing", 12, 5, 11},
+		// Without the tolerance in this state, engines were ordered to and fro
+		// after a crash.
+		{"a prefill engine is missing after that", 11, 7, 11},
 	} {
 		if got := at(test.prefill, test.decode); got != test.want {
 			t.Errorf("%s: got %d, want %d", test.name, got, test.want)
