--- a/internal/node/tprelaynode/settings.go
+++ b/internal/node/tprelaynode/settings.go
@@ -40,8 +40,8 @@
 	StopGrace  time.Duration `yaml:"stopGrace"`
 	LeaseGuard time.Duration `yaml:"leaseGuard"`
 	Budget     Budget        `yaml:"budget"`
-	// PrefillPart is the part of the engines that read prompts while no demand
-	// is known.
+	// PrefillPart is the part of the engines that read prompts; zero means
+	// tpshift.DefaultPrefillPart.
 	PrefillPart float64 `yaml:"prefillPart"`
 }
 
--- a/internal/relay/tpshift/balance.go
+++ b/internal/relay/tpshift/balance.go
@@ -5,9 +5,10 @@
 )
 
 const (
-	// DefaultPrefillPart is the part of the engines that read prompts while no
-	// demand is known. With the sheets' mix it gives both roles equal load.
-	DefaultPrefillPart = 0.58
+	// DefaultPrefillPart is the part of the engines that read prompts if the
+	// settings name none. With the mix of both deployments 12 of 18 earn more
+	// than 11, 10 or 9.
+	DefaultPrefillPart = 0.67
 	// tolerance is the number of prefill engines that may be missing while
 	// targets are replaced. Each change takes an engine away for seconds. No
 	// decode engine may be missing, because runs that find no room fail, while
@@ -17,10 +18,11 @@
 	rounding = 0.1
 )
 
-// Balance gives both roles the same load. It is a tprole.Policy.
+// Balance keeps a part of the engines reading prompts while engines come and
+// go. It is a tprole.Policy.
 type Balance struct {
-	// Part is the part of the engines that read prompts while no demand is
-	// known; zero means DefaultPrefillPart.
+	// Part is the part of the engines that read prompts; zero means
+	// DefaultPrefillPart.
 	Part float64
 
 	reached bool // the wanted split was reached once
--- a/pkg/tpconfig/settings_test.go
+++ b/pkg/tpconfig/settings_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"teaselpin.example/teaselpin/internal/node/tpnode"
+	"teaselpin.example/teaselpin/internal/node/tprelaynode"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
@@ -22,12 +23,17 @@
 	if !ok {
 		t.Fatal("the page has no section on the settings of a node")
 	}
+	node, relay, ok := strings.Cut(node, "## Settings of a relay node")
+	if !ok {
+		t.Fatal("the page has no section on the settings of a relay node")
+	}
 	for _, c := range []struct {
 		text string
 		of   reflect.Type
 	}{
 		{deployment, reflect.TypeFor[tpmessage.Config]()},
 		{node, reflect.TypeFor[tpnode.Settings]()},
+		{relay, reflect.TypeFor[tprelaynode.Settings]()},
 	} {
 		want := make(map[string]string)
 		fields("", c.of, want)
