--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -55,7 +55,7 @@
 }
 
 func heartbeatToWire(hb tpmessage.Heartbeat) *tpwire.HeartbeatMessage {
-	m := &tpwire.HeartbeatMessage{Generation: hb.Generation}
+	m := &tpwire.HeartbeatMessage{Generation: hb.Generation, Brief: hb.Brief}
 	for _, b := range hb.Members {
 		m.Members = append(m.Members, &tpwire.Member{
 			Name: b.Member.Name, Address: b.Member.Address, Zone: b.Member.Zone,
@@ -89,7 +89,7 @@
 }
 
 func heartbeatFromWire(m *tpwire.HeartbeatMessage) tpmessage.Heartbeat {
-	hb := tpmessage.Heartbeat{Generation: m.GetGeneration()}
+	hb := tpmessage.Heartbeat{Generation: m.GetGeneration(), Brief: m.GetBrief()}
 	for _, b := range m.GetMembers() {
 		hb.Members = append(hb.Members, tpmessage.MemberBeat{
 			Member: tpmessage.Member{
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -30,6 +30,10 @@
 	// carry the outstanding work. With three peers a round and their answers, a
 	// node of eight hears each peer about every 300 ms.
 	heartbeatInterval = 250 * time.Millisecond
+	// fullEvery is the number of rounds of which one tells all members. The
+	// others tell the sender's load alone: among 75 nodes the list of members
+	// is ten times as long as the load.
+	fullEvery = 4
 	// memberSuspect and memberDrop are the silences after which a member counts
 	// as suspected and as gone.
 	memberSuspect = 1500 * time.Millisecond
@@ -69,6 +73,7 @@
 	client *tppeer.Client
 	own    tpmessage.NodeLoad
 	marks  []tpmessage.ViewMark
+	round  int
 	loads  map[string]tpmessage.NodeLoad // by node
 	// incarnation tells this process from an earlier one on the machine.
 	incarnation string
@@ -137,18 +142,24 @@
 	switch in.kind {
 	case memberTick:
 		r := m.table.Tick(now)
+		m.round++
+		r.Heartbeat.Brief = m.round%fullEvery != 0
 		hb := m.fill(r.Heartbeat)
 		for _, address := range r.Addresses {
 			_ = m.out.PutDropOldest(outgoing{address: address, heartbeat: hb})
 		}
 		m.publish(now)
 	case memberPush:
-		hb := m.fill(m.table.Tick(now).Heartbeat)
+		news := m.table.Tick(now).Heartbeat
+		news.Brief = true
+		hb := m.fill(news)
 		for _, member := range m.table.Members()[1:] {
 			_ = m.out.PutDropOldest(outgoing{address: member.Address, heartbeat: hb})
 		}
 	case memberReceived:
-		_ = in.reply.Put(m.fill(m.table.Receive(now, in.heartbeat)))
+		answer := m.table.Receive(now, in.heartbeat)
+		answer.Brief = in.heartbeat.Brief
+		_ = in.reply.Put(m.fill(answer))
 		m.heard(now, in.heartbeat, "")
 	case memberAnswered:
 		m.table.Answer(now, in.heartbeat)
@@ -160,7 +171,12 @@
 	}
 }
 
+// fill adds the node's load and marks, and leaves the other members out of a
+// brief heartbeat.
 func (m *members) fill(hb tpmessage.Heartbeat) tpmessage.Heartbeat {
+	if hb.Brief && len(hb.Members) > 0 {
+		hb.Members = hb.Members[:1]
+	}
 	hb.Loads = []tpmessage.NodeLoad{m.own}
 	hb.Views = m.marks
 	return hb
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -10,6 +10,8 @@
 	Leaving    []LeavingTarget
 	Loads      []NodeLoad // of the relay, the sender's alone
 	Views      []ViewMark
+	// Brief is true if only the sender's own entry is told and asked for.
+	Brief bool
 }
 
 // ViewMark tells how far a node has followed a kind of objects.
