--- a/internal/relay/tpshift/balance.go
+++ b/internal/relay/tpshift/balance.go
@@ -14,6 +14,9 @@
 	// decode engine may be missing, because runs that find no room fail, while
 	// prompts that wait are only late.
 	tolerance = 1
+	// idleDemand is the demand, in engines, below which a change takes nothing
+	// from anybody, so that the split is made exact.
+	idleDemand = 0.1
 	// rounding favours decode engines, for the same reason.
 	rounding = 0.1
 )
@@ -24,8 +27,6 @@
 	// Part is the part of the engines that read prompts; zero means
 	// DefaultPrefillPart.
 	Part float64
-
-	reached bool // the wanted split was reached once
 }
 
 var _ tprole.Policy = (*Balance)(nil)
@@ -38,9 +39,8 @@
 	}
 	want := int(part*float64(o.Split.Changeable()) + rounding)
 	off := want - o.Split.Prefill
-	if b.reached && off >= 0 && off <= tolerance {
+	if o.Demand.Prefill+o.Demand.Decode > idleDemand && off >= 0 && off <= tolerance {
 		return o.Split.Prefill
 	}
-	b.reached = b.reached || off == 0
 	return want
 }
--- a/internal/relay/tpshift/shift_test.go
+++ b/internal/relay/tpshift/shift_test.go
@@ -121,24 +121,28 @@
 // replaced, and against one that lacks an engine for runs.
 func TestBalanceTolerance(t *testing.T) {
 	b := &tpshift.Balance{Part: 0.67}
-	at := func(prefill, decode int) int {
-		return b.Want(tprole.Observation{At: epoch, Split: tprole.Split{Prefill: prefill, Decode: decode}})
+	at := func(demand float64, prefill, decode int) int {
+		return b.Want(tprole.Observation{
+			At: epoch, Demand: tprole.Demand{Prefill: demand}, Split: tprole.Split{Prefill: prefill, Decode: decode},
+		})
 	}
 	for _, test := range []struct {
 		name                  string
+		demand                float64
 		prefill, decode, want int
 	}{
-		{"before the split is reached", 6, 12, 12},
-		{"reached", 12, 6, 12},
-		{"a prefill engine is missing", 11, 7, 11},
-		{"two are missing", 10, 8, 12},
-		{"reached again", 12, 6, 12},
-		{"a decode engine is missing", 12, 5, 11},
-		// Without the tolerance in this state, engines were ordered to and fro
-		// after a crash.
-		{"a prefill engine is missing after that", 11, 7, 11},
+		{"before traffic", 0, 6, 12, 12},
+		// With the tolerance here, a site began its day with 11 of 18 engines.
+		{"before traffic, one is missing", 0, 11, 7, 12},
+		{"as wanted", 5, 12, 6, 12},
+		{"a prefill engine is missing", 5, 11, 7, 11},
+		{"two are missing", 5, 10, 8, 12},
+		{"a decode engine is missing", 5, 12, 5, 11},
+		// Without the tolerance here, engines were ordered to and fro after a
+		// crash.
+		{"a prefill engine is missing after that", 5, 11, 7, 11},
 	} {
-		if got := at(test.prefill, test.decode); got != test.want {
+		if got := at(test.demand, test.prefill, test.decode); got != test.want {
 			t.Errorf("%s: got %d, want %d", test.name, got, test.want)
 		}
 	}
