--- /dev/null
+++ b/internal/edge/tppeer/members_test.go
@@ -0,0 +1,78 @@
+package tppeer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"teaselpin.example/teaselpin/internal/membership/tpmember"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// fullHeartbeat returns a heartbeat of a node of a region, with the load of a
+// busy node and its marks.
+func fullHeartbeat(members, busyTargets int) tpmessage.Heartbeat {
+	rng := rand.New(rand.NewPCG(1, 1))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	hb := tpmessage.Heartbeat{Generation: 400}
+	for i := range members {
+		m := tpmessage.Member{Incarnation: tpmember.Incarnation(start, rng), Generation: 400, Watching: i < 4}
+		if i == 0 {
+			m.Name, m.Address, m.Zone = "front-cz-central-a-1", "10.1.0.38:8144", "cz-central-a"
+		}
+		hb.Members = append(hb.Members, tpmessage.MemberBeat{Member: m, Beat: 1000})
+	}
+	load := tpmessage.NodeLoad{Node: "front-cz-central-a-1", PrefillRate: 25000, DecodeRate: 1200}
+	for i := range busyTargets {
+		load.Loads = append(load.Loads, tpmessage.TargetLoad{
+			Target: fmt.Sprintf("i-%010x", i), Prefill: 12000, Runs: 3, Tokens: 51000,
+		})
+		load.Prefixes = append(load.Prefixes, tpmessage.HeldPrefix{Prefix: uint64(i), Target: fmt.Sprintf("i-%010x", i)})
+	}
+	hb.Loads = []tpmessage.NodeLoad{load}
+	for _, kind := range []string{"config", "servers"} {
+		hb.Views = append(hb.Views, tpmessage.ViewMark{Kind: kind, Version: 3000, Digest: 1 << 60})
+	}
+	return hb
+}
+
+// Guards against a part of a heartbeat that is lost on the way to a peer.
+func TestHeartbeatRoundTrip(t *testing.T) {
+	want := fullHeartbeat(3, 4)
+	want.Brief = true
+	want.Loads[0].Changing = []string{"i-1"}
+	want.Views[0].Disturbed = true
+	want.Suspects = []tpmessage.Suspect{{Fingerprint: 7, Targets: []string{"a"}}}
+	want.Leaving = []tpmessage.LeavingTarget{{Name: "a", Age: time.Second}}
+	want.Usage = []tpmessage.Usage{{Node: "n", Organisation: "o", PrefillPieces: 1, DecodePieces: 2}}
+	got := heartbeatFromWire(heartbeatToWire(want))
+	if got, want := fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", want); got != want {
+		t.Errorf("heartbeat: got\n%s\nwant\n%s", got, want)
+	}
+}
+
+// BenchmarkHeartbeat measures the bytes and the encoding of heartbeats.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, members := range []int{8, 24, 75, 370} {
+		for _, brief := range []bool{false, true} {
+			b.Run(fmt.Sprintf("members=%d/brief=%v", members, brief), func(b *testing.B) {
+				hb := fullHeartbeat(members, 6)
+				if brief {
+					hb.Members = hb.Members[:1]
+				}
+				size := 0
+				for b.Loop() {
+					data, err := proto.Marshal(heartbeatToWire(hb))
+					if err != nil {
+						b.Fatal(err)
+					}
+					size = len(data)
+				}
+				b.ReportMetric(float64(size), "bytes")
+			})
+		}
+	}
+}
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// Guards against a configuration that reverts, because an answer that was
+// under way for long is older than what is known.
+func TestOlderViewIsIgnored(t *testing.T) {
+	f := follower(t, view(9, object("a", 8)))
+	if f.Audited(view(7, object("a", 3)), nil) || f.Peer(view(7, object("a", 3)), nil) || f.Viewed(epoch, view(7, object("a", 3)), nil) {
+		t.Error("an older view is taken for a change")
+	}
+	if got, _ := f.View(); got.Version != 9 || got.Objects[0].Version != 8 {
+		t.Errorf("view after older ones: got %+v, want version 9 with object 8", got)
+	}
+}
+
 // Guards against a follower that goes on from a version whose history is gone.
 func TestHistoryGoneListsAgain(t *testing.T) {
 	f := follower(t, view(5))
