--- a/internal/command/tpcommand/apply_test.go
+++ b/internal/command/tpcommand/apply_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"teaselpin.example/teaselpin/internal/command/tpcommand"
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/internal/rollout/tprollout"
 	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
 )
@@ -65,7 +66,7 @@
 		{"race", []string{"--base", exampleBase, "--expect", "1"}, tpcommand.ExitRace, 2, "changed by others, now generation 2:\n~ routes[/v1/language].timeout: 30s -> 31s"},
 		{"race in a dry run", []string{"--base", exampleBase, "--expect", "1", "--dry-run"}, tpcommand.ExitRace, 2, "expected generation 1, found 2"},
 		{"unknown option", []string{"--base", exampleBase, "--force"}, tpcommand.ExitUsage, 2, "force"},
-		{"platform away", []string{"--base", changed, "--platform", "http://" + closedPort(t)}, tpcommand.ExitUnavailable, 2, "nothing was changed"},
+		{"platform away", []string{"--base", changed, "--platform", "http://" + tpprocess.FreeAddress(t)}, tpcommand.ExitUnavailable, 2, "nothing was changed"},
 	} {
 		args := append([]string{"apply", "--overlay", exampleSite, "--platform", srv.URL}, c.args...)
 		status, stdout, stderr := teaselpin(args...)
@@ -82,7 +83,7 @@
 // Guards against JSON output that is missing when the command fails.
 func TestApplyJSON(t *testing.T) {
 	status, stdout, _ := teaselpin("apply", "--base", exampleBase, "--overlay", exampleSite,
-		"--platform", "http://"+closedPort(t), "--output", "json")
+		"--platform", "http://"+tpprocess.FreeAddress(t), "--output", "json")
 	var got tpcommand.ApplyResult
 	if err := json.Unmarshal([]byte(stdout), &got); err != nil {
 		t.Fatalf("output %q: %v", stdout, err)
@@ -95,7 +96,7 @@
 // Guards against a missing node or a port in use that gives more than one
 // clear error, or none.
 func TestOneClearError(t *testing.T) {
-	status, _, stderr := teaselpin("status", "--node", closedPort(t))
+	status, _, stderr := teaselpin("status", "--node", tpprocess.FreeAddress(t))
 	if status != tpcommand.ExitUnavailable || strings.Count(stderr, "\n") != 1 {
 		t.Errorf("status of no node: got status %d and %q, want %d and one line", status, stderr, tpcommand.ExitUnavailable)
 	}
@@ -133,14 +134,3 @@
 		}
 	}
 }
-
-// closedPort returns an address on which nothing listens.
-func closedPort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/internal/frame/tpduty/runner.go
+++ b/internal/frame/tpduty/runner.go
@@ -3,10 +3,12 @@
 import (
 	"expvar"
 	"sync/atomic"
+	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/zeebo/errs"
 
+	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
@@ -70,6 +72,28 @@
 	})
 }
 
+// Timer starts a duty that calls f until the clean-up function is called, each
+// time after the delay that the last call returned.
+func Timer(r *Runner, name string, clock tpclock.Clock, f func() time.Duration) (cleanup func(), err error) {
+	stop := make(chan struct{})
+	wait, err := r.Go(name, func() {
+		for {
+			select {
+			case <-clock.After(f()):
+			case <-stop:
+				return
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func() {
+		close(stop)
+		wait()
+	}, nil
+}
+
 // Filter starts a duty that takes values from in until it is closed and
 // drained, and passes each to handle. The returned clean-up function closes
 // in and waits for the duty's end.
--- a/internal/node/tpnode/membership.go
+++ b/internal/node/tpnode/membership.go
@@ -10,6 +10,7 @@
 
 	"teaselpin.example/teaselpin/internal/edge/tppeer"
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
+	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
@@ -173,23 +174,11 @@
 // startTimer starts a duty that calls f until the node stops, each time after
 // the delay that the last call returned.
 func (n *Node) startTimer(name string, f func() time.Duration) error {
-	stop := make(chan struct{})
-	wait, err := n.duties.Go(name, func() {
-		for {
-			select {
-			case <-n.clock.After(f()):
-			case <-stop:
-				return
-			}
-		}
-	})
+	cleanup, err := tpduty.Timer(n.duties, name, n.clock, f)
 	if err != nil {
 		return err
 	}
-	n.onStop(func() {
-		close(stop)
-		wait()
-	})
+	n.onStop(cleanup)
 	return nil
 }
 
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -137,23 +137,11 @@
 // startTimer starts a duty that calls f until the node stops, each time after
 // the delay that the last call returned.
 func (n *Node) startTimer(name string, f func() time.Duration) error {
-	stop := make(chan struct{})
-	wait, err := n.deps.Duties.Go(name, func() {
-		for {
-			select {
-			case <-n.clock.After(f()):
-			case <-stop:
-				return
-			}
-		}
-	})
+	cleanup, err := tpduty.Timer(n.deps.Duties, name, n.clock, f)
 	if err != nil {
 		return err
 	}
-	n.onStop(func() {
-		close(stop)
-		wait()
-	})
+	n.onStop(cleanup)
 	return nil
 }
 
--- a/internal/node/tprelaynode/node_test.go
+++ b/internal/node/tprelaynode/node_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"regexp"
 	"strconv"
@@ -18,6 +16,7 @@
 
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/node/tprelaynode"
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
 	"teaselpin.example/teaselpin/pkg/tpring"
 	"teaselpin.example/teaselpin/platform/tpguest"
@@ -38,7 +37,7 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{}
-	s.address = listen(t, &s.store)
+	s.address = tpguestfake.Listen(t, &s.store)
 	for i, stage := range []string{"prefill", "prefill", "decode", "decode"} {
 		s.register(t, &tpguestfake.Server{ID: fmt.Sprint("e", i), Stage: stage, Events: 5}, "llm")
 	}
@@ -47,21 +46,11 @@
 	return s
 }
 
-func listen(t *testing.T, h http.Handler) string {
-	t.Helper()
-	srv := httptest.NewServer(h)
-	t.Cleanup(func() {
-		srv.CloseClientConnections()
-		srv.Close()
-	})
-	return strings.TrimPrefix(srv.URL, "http://")
-}
-
 func (s *site) register(t *testing.T, server *tpguestfake.Server, service string) {
 	t.Helper()
 	s.servers = append(s.servers, server)
 	s.store.Set("servers", server.ID, map[string]any{
-		"service": service, "address": listen(t, server), "zone": "z", "slots": 64, "state": "ready",
+		"service": service, "address": tpguestfake.Listen(t, server), "zone": "z", "slots": 64, "state": "ready",
 		"stage": server.Stage, "born": 1,
 	})
 }
@@ -101,21 +90,11 @@
 	rings        *tpring.Group
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // start starts a node. The first seed, if any, is the address of another node
 // for peers.
 func (s *site) start(t *testing.T, name, peers string, seeds ...string) *node {
 	t.Helper()
-	n := &node{front: freeAddress(t), ready: freeAddress(t), rings: &tpring.Group{}}
+	n := &node{front: tpprocess.FreeAddress(t), ready: tpprocess.FreeAddress(t), rings: &tpring.Group{}}
 	duties, stopDuties := tpduty.NewRunner(tpduty.Settings{})
 	store, closeStore := tpguest.NewStore(s.address)
 	upstream, closeUpstream := tpguest.NewUpstream()
@@ -213,7 +192,7 @@
 // call that may not be repeated runs once.
 func TestPath(t *testing.T) {
 	s := newSite(t)
-	n := s.start(t, "node-0", freeAddress(t))
+	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
 	n.untilReady(t)
 	long := map[string]string{"X-Teaselpin-Token-Counts": "9000,80", "X-Teaselpin-Prefix-Hash": "a1:8000,b2:1000"}
 	if got := n.ask(t.Context(), "1", "/draft/x", long); got.status != 200 || got.body != wholeStream {
@@ -252,9 +231,9 @@
 // client would not come back.
 func TestWithoutConfiguration(t *testing.T) {
 	s := &site{}
-	s.address = listen(t, &s.store)
+	s.address = tpguestfake.Listen(t, &s.store)
 	s.store.Refuse("", 503)
-	n := s.start(t, "node-0", freeAddress(t))
+	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
 	if n.Ready() {
 		t.Error("a node without a configuration is ready")
 	}
@@ -267,9 +246,9 @@
 // and against one that waits at the store do not report.
 func TestConfigurationReachesAllNodes(t *testing.T) {
 	s := newSite(t)
-	first := freeAddress(t)
+	first := tpprocess.FreeAddress(t)
 	a := s.start(t, "node-a", first)
-	b := s.start(t, "node-b", freeAddress(t), first)
+	b := s.start(t, "node-b", tpprocess.FreeAddress(t), first)
 	a.untilReady(t)
 	b.untilReady(t)
 	in := func(n *node, version int) string {
@@ -294,7 +273,7 @@
 	s.store.Deafen(false)
 	// A node that starts while the store is away learns from the others.
 	s.store.Refuse("", 503)
-	c := s.start(t, "node-c", freeAddress(t), first)
+	c := s.start(t, "node-c", tpprocess.FreeAddress(t), first)
 	eventually(t, func() string { return in(c, 3) })
 }
 
@@ -302,7 +281,7 @@
 // is away.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	s := newSite(t)
-	n := s.start(t, "node-0", freeAddress(t))
+	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
 	n.untilReady(t)
 	eventually(t, func() string {
 		if got := n.ask(t.Context(), "before", "/swap/x", nil); got.status != 200 {
@@ -324,7 +303,7 @@
 	s := newSite(t)
 	release := make(chan struct{})
 	s.servers[4].Waiting = release
-	n := s.start(t, "node-0", freeAddress(t))
+	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
 	n.untilReady(t)
 	got := make(chan answer, 1)
 	go func() { got <- n.ask(context.Background(), "1", "/swap/x", nil) }()
@@ -363,7 +342,7 @@
 		documented[row[1]], _ = strconv.Atoi(row[2])
 	}
 	s := newSite(t)
-	wired := s.start(t, "node-0", freeAddress(t)).rings.Stats()
+	wired := s.start(t, "node-0", tpprocess.FreeAddress(t)).rings.Stats()
 	for name, stats := range wired {
 		if got, want := documented[name], stats.Capacity; got != want {
 			t.Errorf("capacity of ring %q on the page: got %d, want %d", name, got, want)
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -32,31 +30,10 @@
 	front, ready string
 }
 
-func listenOn(t *testing.T, h http.Handler) string {
-	t.Helper()
-	srv := httptest.NewServer(h)
-	t.Cleanup(func() {
-		srv.CloseClientConnections()
-		srv.Close()
-	})
-	return strings.TrimPrefix(srv.URL, "http://")
-}
-
-// freePort returns an address on which nothing listens.
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func newRelaySite(t *testing.T, nodes int) *relaySite {
 	t.Helper()
 	s := &relaySite{}
-	s.address = listenOn(t, &s.store)
+	s.address = tpguestfake.Listen(t, &s.store)
 	for i, stage := range []string{"prefill", "decode", "decode", "", ""} {
 		server := &tpguestfake.Server{ID: fmt.Sprint("s", i), Stage: stage}
 		service := "app"
@@ -65,7 +42,7 @@
 		}
 		s.servers = append(s.servers, server)
 		s.store.Set("servers", server.ID, map[string]any{
-			"service": service, "address": listenOn(t, server), "zone": "z", "slots": 64, "state": "ready",
+			"service": service, "address": tpguestfake.Listen(t, server), "zone": "z", "slots": 64, "state": "ready",
 			"stage": stage, "born": 1,
 		})
 	}
@@ -86,7 +63,7 @@
 	})
 	peers := make([]string, nodes)
 	for i := range peers {
-		peers[i] = freePort(t)
+		peers[i] = tpprocess.FreeAddress(t)
 	}
 	for i := range nodes {
 		s.nodes = append(s.nodes, s.startNode(t, i, peers))
@@ -96,7 +73,7 @@
 
 func (s *relaySite) startNode(t *testing.T, i int, peers []string) *relayNode {
 	t.Helper()
-	n := &relayNode{front: freePort(t), ready: freePort(t)}
+	n := &relayNode{front: tpprocess.FreeAddress(t), ready: tpprocess.FreeAddress(t)}
 	settings := fmt.Sprintf("name: node-%d\nregion: r\nzone: z\nfront: %s\nready: %s\npeers: %s\nseeds: [%q]\nstore: %s\n"+
 		"stopDelay: 1s\nprefillPart: 0.34\nbudget:\n  ratio: 0.2\n  slack: 50\n  window: 10s\n",
 		i, n.front, n.ready, peers[i], peers[0], s.address)
--- a/internal/proof/tpprocess/wait.go
+++ b/internal/proof/tpprocess/wait.go
@@ -1,6 +1,7 @@
 package tpprocess
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -22,6 +23,17 @@
 	}
 }
 
+// FreeAddress returns an address on which nothing listens.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // WaitReady waits until a node has a configuration in force.
 func WaitReady(t testing.TB, node *Process) {
 	t.Helper()
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -77,7 +77,6 @@
 // Done tells how a granted step ended.
 type Done struct {
 	Charge  Charge
-	Prefix  uint64 // of the prompt that the target has read, or zero
 	Outcome Outcome
 }
 
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -113,8 +113,7 @@
 	started := t.r.Clock.Now()
 	h, res := t.r.Upstream.Prefill(t.ctx, s)
 	now := t.r.Clock.Now()
-	_, prefix := t.req.SharedTokens()
-	t.done(res, prefix)
+	t.done(res)
 	action := t.plan.Prefilled(now, t.grant.Target.Name, res.End)
 	t.logStep(res, now.Sub(started))
 	if res.End == EndWhole {
@@ -149,7 +148,7 @@
 	if res.End == EndWhole || res.End == EndCut || res.End == EndSilent {
 		t.handle = Handle{} // taken
 	}
-	t.done(res, 0)
+	t.done(res)
 	if len(failure) > 0 || res.End == EndWhole {
 		t.fail = failure
 	}
@@ -242,7 +241,7 @@
 }
 
 // done reports the end of a step to the placement.
-func (t *task) done(res Result, prefix uint64) {
+func (t *task) done(res Result) {
 	outcome := tpplace.OutcomeServed
 	switch res.End {
 	case EndWhole:
@@ -261,7 +260,7 @@
 		outcome = tpplace.OutcomeAbandoned
 	}
 	t.r.Place(tpplace.Input{Kind: tpplace.InputDone, Done: tpplace.Done{
-		Charge: t.grant.Charge, Prefix: prefix, Outcome: outcome,
+		Charge: t.grant.Charge, Outcome: outcome,
 	}})
 }
 
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -40,26 +40,20 @@
 
 // RelayPool is a set of targets that serve the same routes.
 type RelayPool struct {
-	Name       string
-	HealthPath string
-	MaxConns   int
-	Engine     *EngineTraits // nil for a plain service
+	Name   string
+	Engine *EngineTraits // nil for a plain service
 }
 
 // EngineTraits describes the model engines of a pool.
 type EngineTraits struct {
-	Slots      int // requests in one batch
-	KVTokens   int // tokens that the memory holds
-	HandleTTL  time.Duration
+	Slots      int           // requests in one batch
+	KVTokens   int           // tokens that the memory holds
 	RoleSwitch time.Duration // that a change of role takes
 }
 
 // RelayLimits bound what a client may send.
 type RelayLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // RelayConfig is a whole configuration of routes and pools.
