--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -27,10 +28,15 @@
 
 type relayNode struct {
 	process      *tpprocess.Process
+	name         string
+	settings     string // path
 	front, ready string
+	faulty       atomic.Bool // a fault has the process
 }
 
-func newRelaySite(t *testing.T, nodes int) *relaySite {
+// newPlatform returns a platform without nodes. Through returns the address
+// under which a server registers.
+func newPlatform(t *testing.T, through func(address string) string) *relaySite {
 	t.Helper()
 	s := &relaySite{}
 	s.address = tpguestfake.Listen(t, &s.store)
@@ -42,10 +48,16 @@
 		}
 		s.servers = append(s.servers, server)
 		s.store.Set("servers", server.ID, map[string]any{
-			"service": service, "address": tpguestfake.Listen(t, server), "zone": "z", "slots": 64, "state": "ready",
+			"service": service, "address": through(tpguestfake.Listen(t, server)), "zone": "z", "slots": 64, "state": "ready",
 			"stage": stage, "born": 1,
 		})
 	}
+	s.configure(1)
+	return s
+}
+
+// configure writes a configuration with a route that only this version has.
+func (s *relaySite) configure(version int) {
 	route := func(name, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "one.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service,
@@ -53,38 +65,57 @@
 		}
 	}
 	s.store.Set("config", "main", map[string]any{
-		"version": 1,
-		"routes":  []any{route("draft", "stream", "llm", true), route("swap", "unsafe", "app", false), route("view", "safe", "app", false)},
+		"version": version,
+		"routes": []any{
+			route("draft", "stream", "llm", true), route("swap", "unsafe", "app", false),
+			route("view", "safe", "app", false), route(fmt.Sprint("v", version), "safe", "app", false),
+		},
 		"services": []any{
 			map[string]any{"name": "llm", "engine": map[string]any{"slots": 64, "kv_capacity": 400000, "role_switch_s": 3}},
 			map[string]any{"name": "app"},
 		},
 		"limits": map[string]any{"max_body_bytes": 1 << 20},
 	})
+}
+
+func newRelaySite(t *testing.T, nodes int) *relaySite {
+	t.Helper()
+	s := newPlatform(t, func(address string) string { return address })
 	peers := make([]string, nodes)
 	for i := range peers {
 		peers[i] = tpprocess.FreeAddress(t)
 	}
 	for i := range nodes {
-		s.nodes = append(s.nodes, s.startNode(t, i, peers))
+		s.nodes = append(s.nodes, s.startNode(t, i, peers, s.address))
 	}
 	return s
 }
 
-func (s *relaySite) startNode(t *testing.T, i int, peers []string) *relayNode {
+func (s *relaySite) startNode(t *testing.T, i int, peers []string, store string) *relayNode {
 	t.Helper()
-	n := &relayNode{front: tpprocess.FreeAddress(t), ready: tpprocess.FreeAddress(t)}
+	n := &relayNode{name: fmt.Sprint("node-", i), front: tpprocess.FreeAddress(t), ready: tpprocess.FreeAddress(t)}
 	settings := fmt.Sprintf("name: node-%d\nregion: r\nzone: z\nfront: %s\nready: %s\npeers: %s\nseeds: [%q]\nstore: %s\n"+
 		"stopDelay: 1s\nprefillPart: 0.34\nbudget:\n  ratio: 0.2\n  slack: 50\n  window: 10s\n",
-		i, n.front, n.ready, peers[i], peers[0], s.address)
-	path := filepath.Join(t.TempDir(), fmt.Sprintf("node-%d.yaml", i))
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		i, n.front, n.ready, peers[i], peers[0], store)
+	n.settings = filepath.Join(t.TempDir(), fmt.Sprintf("node-%d.yaml", i))
+	if err := os.WriteFile(n.settings, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n.process = tpprocess.Start(t, fmt.Sprint("node-", i), tpprocess.Teaselpin, "relay", "--settings", path)
+	n.restart(t)
 	return n
 }
 
+// restart starts the node's process at its addresses.
+func (n *relayNode) restart(t *testing.T) {
+	t.Helper()
+	n.process = tpprocess.Start(t, n.name, tpprocess.Teaselpin, "relay", "--settings", n.settings)
+}
+
+// claim reports whether no other fault has the node, and takes it.
+func (n *relayNode) claim() bool { return n.faulty.CompareAndSwap(false, true) }
+
+func (n *relayNode) release() { n.faulty.Store(false) }
+
 // isReady asks a node as the platform's balancer does.
 func (n *relayNode) isReady() bool {
 	client := http.Client{Timeout: time.Second}
@@ -165,9 +196,8 @@
 	return out
 }
 
-// check holds what clients and servers saw against the promises.
-func (s *relaySite) check(t *testing.T, calls []relayCall, killed map[int]bool) {
-	t.Helper()
+// runs returns how often servers began to work on each request.
+func (s *relaySite) runs() map[string]int {
 	runs := make(map[string]int)
 	for _, server := range s.servers {
 		for _, a := range server.Arrivals() {
@@ -176,6 +206,30 @@
 			}
 		}
 	}
+	return runs
+}
+
+// wholeDraft is the whole answer of an engine of these tests.
+var wholeDraft = func() string {
+	var b strings.Builder
+	for i := range 8 {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}()
+
+// whole reports whether the body is the whole answer to the request.
+func (c *relayCall) whole() bool {
+	if c.kind == "draft" {
+		return c.body == wholeDraft
+	}
+	return c.body == "answer to "+c.id
+}
+
+// check holds what clients and servers saw against the promises.
+func (s *relaySite) check(t *testing.T, calls []relayCall, killed map[int]bool) {
+	t.Helper()
+	runs := s.runs()
 	whole := 0
 	for _, c := range calls {
 		if c.kind == "swap" && runs[c.id] > 1 {
@@ -186,7 +240,7 @@
 		}
 		if c.status == 200 && c.err == nil {
 			whole++
-			if c.kind == "draft" && strings.Count(c.body, "\n\n") != 8 || c.kind != "draft" && c.body != "answer to "+c.id {
+			if !c.whole() {
 				t.Errorf("answer to %s: got %q", c.id, c.body)
 			}
 			continue
