--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -123,24 +123,10 @@
 }
 
 func (t *task) generate() Action {
+	t.countRun()
 	s := t.sending()
 	s.Handle = t.handle
-	switch {
-	case t.grant.Step == tpplace.StepCall:
-		t.r.Counters.Calls.Add(1)
-		if t.req.Route.Idempotent {
-			s.FirstWithin = callPatience * t.req.Route.Goal
-		}
-	case t.req.Route.Resumable:
-		s.FirstWithin = firstPatience + t.grant.Wait + t.grant.Read
-		s.NextWithin = gapFactor * t.req.Route.GapGoal
-		fallthrough
-	default:
-		t.r.Counters.Runs.Add(1)
-	}
-	if t.begun {
-		t.r.Counters.Resumes.Add(1)
-	}
+	s.FirstWithin, s.NextWithin = t.patience()
 	started := t.r.Clock.Now()
 	t.whole, t.size = nil, 0
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
@@ -157,6 +143,30 @@
 	return action
 }
 
+func (t *task) countRun() {
+	if t.grant.Step == tpplace.StepCall {
+		t.r.Counters.Calls.Add(1)
+		return
+	}
+	t.r.Counters.Runs.Add(1)
+	if t.begun {
+		t.r.Counters.Resumes.Add(1)
+	}
+}
+
+// patience returns the silences after which another target is tried. A request
+// that may not run again waits until its time is over.
+func (t *task) patience() (first, next time.Duration) {
+	route := &t.req.Route
+	switch {
+	case !route.Repeatable():
+		return 0, 0
+	case route.Stream:
+		return firstPatience + t.grant.Wait + t.grant.Read, gapFactor * route.GapGoal
+	}
+	return callPatience * route.Goal, 0
+}
+
 // deliver takes a part of a successful answer. A stream's head waits for its
 // first event, and the answer of a plain service for its end, so that another
 // attempt can still replace them.
--- a/internal/standin/tpguestfake/proxy.go
+++ b/internal/standin/tpguestfake/proxy.go
@@ -1,6 +1,7 @@
 package tpguestfake
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -64,8 +65,7 @@
 		return
 	}
 	for c := range p.conns {
-		_ = c.SetLinger(0)
-		c.Close()
+		reset(c)
 	}
 	clear(p.conns)
 }
@@ -83,10 +83,9 @@
 func (p *Proxy) serve(client *net.TCPConn) {
 	c, err := net.Dial("tcp", p.backend)
 	if err != nil || !p.add(client, c.(*net.TCPConn)) {
-		_ = client.SetLinger(0)
-		client.Close()
+		reset(client)
 		if err == nil {
-			c.Close()
+			_ = c.Close() // the client sees the reset
 		}
 		return
 	}
@@ -147,9 +146,16 @@
 	defer p.mu.Unlock()
 	delete(p.conns, to)
 	delete(p.conns, from)
-	if err != io.EOF { //nolint:errorlint // Read returns io.EOF itself at a plain end
-		_ = to.SetLinger(0)
+	if !errors.Is(err, io.EOF) {
+		reset(to)
 	}
-	to.Close()
-	from.Close()
+	// The other direction may have closed both already.
+	_ = to.Close()
+	_ = from.Close()
+}
+
+// reset closes a connection so that its peer sees a reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
 }
