--- a/internal/command/tpcommand/apply_test.go
+++ b/internal/command/tpcommand/apply_test.go
@@ -134,3 +134,23 @@
 		}
 	}
 }
+
+// Guards against a relay node that starts with settings that it misread.
+func TestRelayFaultySettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "relay.yaml")
+	for settings, want := range map[string]string{
+		"name: a\nbudget:\n  window: 10\nspeed: 1\n": path + ":3:11: budget.window: want a duration with a unit (ns, us, ms, s, m, h) such as 30s, found \"10\"\n" +
+			path + ":4:1: unknown field \"speed\"\n",
+		"front: here\nready: 10.0.0.1:1\npeers: 10.0.0.1:2\nstore: 10.0.0.1:3\nseeds: [b]\nprefillPart: 2\nbudget:\n  ratio: -1\n": "name: a value is required\n" +
+			"front: want host:port, found \"here\"\nseeds[0]: want host:port, found \"b\"\n" +
+			"budget: ratio and slack must not be negative\nprefillPart: want 0 to 1, found 2\n",
+	} {
+		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		status, _, stderr := teaselpin("relay", "--settings", path)
+		if status != tpcommand.ExitInvalid || !strings.HasSuffix(stderr, want) {
+			t.Errorf("got status %d and\n%s\nwant status %d and\n%s", status, stderr, tpcommand.ExitInvalid, want)
+		}
+	}
+}
