--- a/internal/proof/relay_soak_test.go
+++ b/internal/proof/relay_soak_test.go
@@ -102,6 +102,9 @@
 	mode := []tpguestfake.Mode{tpguestfake.ModeDelay, tpguestfake.ModeSilent, tpguestfake.ModeReset}[s.rng.IntN(3)]
 	kind := s.rng.IntN(8)
 	s.log = append(s.log, fmt.Sprintf("%s fault %d node %d server %d mode %d", time.Now().Format("05.000"), kind, i, server, mode))
+	// Faulty answers come with every other fault: without them the check caught
+	// neither a second run nor an answer of another request.
+	s.failServer(server)
 	switch kind {
 	case 0:
 		if n.claim() {
@@ -122,12 +125,8 @@
 		s.stores[i].Set(mode)
 		s.later(3*time.Second, func() { s.stores[i].Set(tpguestfake.ModePass) })
 	case 5:
-		faults := []tpguestfake.Fault{
-			tpguestfake.FaultShed, tpguestfake.FaultCut, tpguestfake.FaultLost, tpguestfake.FaultForeign,
-			tpguestfake.FaultError, tpguestfake.FaultBare,
-		}
-		for range 1 + s.rng.IntN(4) {
-			s.relaySite.servers[server].Fail(faults[s.rng.IntN(len(faults))])
+		for i := range s.servers {
+			s.failServer(i)
 		}
 	case 6:
 		s.version++
@@ -139,6 +138,17 @@
 	}
 }
 
+// failServer draws what a server does wrong with its next requests.
+func (s *soak) failServer(server int) {
+	faults := []tpguestfake.Fault{
+		tpguestfake.FaultShed, tpguestfake.FaultCut, tpguestfake.FaultLost, tpguestfake.FaultForeign,
+		tpguestfake.FaultError, tpguestfake.FaultBare,
+	}
+	for range 1 + s.rng.IntN(4) {
+		s.relaySite.servers[server].Fail(faults[s.rng.IntN(len(faults))])
+	}
+}
+
 // replace ends a node, by SIGKILL or as planned, and starts it again.
 func (s *soak) replace(i int, n *relayNode, kill bool) {
 	defer n.release()
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -142,7 +142,7 @@
 	s.mu.Unlock()
 	id := r.Header.Get("X-Teaselpin-Request-Id")
 	if fault == FaultForeign {
-		id = "another"
+		id, body = "another", []byte("another")
 	}
 	w.Header().Set("X-Teaselpin-Request-Id", id)
 	switch {
