Count suspensions in the lease, and the retry budget by the steady clock

A suspended machine's steady clock stands still, so a holder that wakes would give orders for up to a second under a lease that has passed on. Buckets of the retry budget were counted by the time of day, which jumps. Ruled out: a check of the store before each order, which costs a call and still leaves the time between the answer and the order. Change: the lease and the role filter read a clock that includes suspensions; buckets are counted from the first instant seen.

--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -45,14 +45,16 @@
 	Targets string // kind that holds the registrations
 }
 
-// Deps are the parts that speak to the outside. Clock and Log may be zero.
+// Deps are the parts that speak to the outside. The clocks and Log may be zero.
 type Deps struct {
-	Clock    tpclock.Clock
-	Log      zerolog.Logger
-	Store    tpobject.Store
-	Viewer   tpobject.Viewer
-	Upstream tprelay.Upstream
-	Engines  tpshift.Engines
+	Clock tpclock.Clock
+	// LeaseClock counts the time for which the machine was suspended.
+	LeaseClock tpclock.Clock
+	Log        zerolog.Logger
+	Store      tpobject.Store
+	Viewer     tpobject.Viewer
+	Upstream   tprelay.Upstream
+	Engines    tpshift.Engines
 	// Kinds names the kinds to follow.
 	Kinds Kind
 	// DecodeConfig and DecodeTargets decode what the kinds hold.
@@ -69,14 +71,16 @@
 
 // Node is one running node that relays.
 type Node struct {
-	cfg     Settings
-	deps    Deps
-	clock   tpclock.Clock
-	log     zerolog.Logger
-	table   atomic.Pointer[tproute.Table]
-	leaving atomic.Bool
-	stopBy  time.Time // requests in progress are cut then
-	random  *rand.Rand
+	cfg   Settings
+	deps  Deps
+	clock tpclock.Clock
+	// leaseClock is read where authority is compared with its end.
+	leaseClock tpclock.Clock
+	log        zerolog.Logger
+	table      atomic.Pointer[tproute.Table]
+	leaving    atomic.Bool
+	stopBy     time.Time // requests in progress are cut then
+	random     *rand.Rand
 
 	place   *placement
 	follow  *following
@@ -96,6 +100,10 @@
 	if n.clock == nil {
 		n.clock = tpclock.System{}
 	}
+	n.leaseClock = deps.LeaseClock
+	if n.leaseClock == nil {
+		n.leaseClock = &tpclock.Boot{}
+	}
 	n.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if err := n.start(); err != nil {
 		n.stop()
--- a/internal/node/tprelaynode/shift.go
+++ b/internal/node/tprelaynode/shift.go
@@ -92,7 +92,7 @@
 		Incarnation: n.members.incarnation,
 	}, trust)
 	duty.Store = n.deps.Store
-	duty.Clock = n.clock
+	duty.Clock = n.leaseClock
 	duty.Rank = n.members.rank
 	held, fencing := false, uint64(0)
 	duty.Sink = func(a tpmessage.Authority) {
@@ -117,7 +117,7 @@
 }
 
 func (s *shifting) handle(in shiftInput) {
-	now := s.node.clock.Now()
+	now := s.node.leaseClock.Now()
 	if loads, err := s.loads.TryTake(); err == nil {
 		byNode := make(map[string]tpmessage.NodeLoad, len(loads))
 		for _, l := range loads {
@@ -164,7 +164,7 @@
 	case err != nil || state.Busy:
 	case state.Role == o.Role:
 		answer = tpshift.AnswerHolds
-	case n.clock.Now().Before(o.Until):
+	case n.leaseClock.Now().Before(o.Until):
 		answer, err = n.deps.Engines.Give(ctx, o, state.Orders)
 	}
 	n.log.Info().Str("event", "order").Str("target", o.Target.Name).Str("role", string(o.Role)).
--- a/internal/relay/stage2/tpplace/budget.go
+++ b/internal/relay/stage2/tpplace/budget.go
@@ -19,15 +19,20 @@
 
 // budget counts a node's sends to one pool.
 type budget struct {
-	cfg      BudgetSettings
+	cfg BudgetSettings
+	// start is the first instant seen. Buckets are counted from it by the
+	// steady clock, since the time of day may jump.
+	start    time.Time
 	requests [buckets]float64
 	extra    [buckets]float64
 	last     int64 // number of the newest bucket
 }
 
 func (b *budget) advance(now time.Time) int {
-	width := b.cfg.Window / buckets
-	number := now.UnixNano() / int64(width)
+	if b.start.IsZero() {
+		b.start = now
+	}
+	number := int64(now.Sub(b.start) / (b.cfg.Window / buckets))
 	for n := max(b.last+1, number-buckets+1); n <= number; n++ {
 		b.requests[n%buckets], b.extra[n%buckets] = 0, 0
 	}
