Weigh the affinity of a prompt by the size of its shared prefix

A target that was only taken to keep a prefix read it again. Change: another target costs four times the reading of the shared tokens, at most 1.2 s as before; a target other than the home always fetches.

--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -300,7 +300,7 @@
 	case StepPrefill:
 		at := p.policy.Prefill(&p.view, req)
 		t := candidates[at]
-		if p.view.source >= 0 && !p.view.holds[at] {
+		if p.view.source >= 0 && p.view.source != at {
 			g.Fetch = candidates[p.view.source].Address
 		}
 		g.Charge.Prefill = p.view.unread[at]
@@ -330,11 +330,12 @@
 func (p *Placer[P]) look(now time.Time, req *tpmessage.RelayRequest, candidates []*target) {
 	v := &p.view
 	v.holds, v.unread = v.holds[:0], v.unread[:0]
-	v.home, v.source = -1, -1
+	v.home, v.source, v.shared = -1, -1, 0
 	if req.Pool.Engine == nil {
 		return
 	}
 	shared, prefix := req.SharedTokens()
+	v.shared = shared
 	v.home = home(prefix, candidates)
 	for i, t := range candidates {
 		holds := p.prefixes.holds(now, prefix, t.Name)
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -18,7 +18,8 @@
 	// affinityMs is how much longer a request waits for the target that keeps
 	// its prefix, before another one fetches the prefix. A fetched copy takes
 	// cache memory from other prefixes.
-	affinityMs = 1200.0
+	affinityMs   = 1200.0
+	spreadFactor = 4.0
 	// zoneRuns is the number of runs by which a target of the node's zone may
 	// be busier than another, since traffic between zones is priced.
 	zoneRuns = 2.0
@@ -43,6 +44,7 @@
 	home    int    // place of the prefix's home among the targets, or -1
 	source  int    // place of a target that keeps the prefix, or -1
 	holds   []bool // for each target, whether it keeps the prefix
+	shared  int    // tokens of the shared prefix
 	unread  []int  // for each target, the tokens of the prompt that it has to read
 }
 
@@ -56,7 +58,7 @@
 	for i, t := range v.targets {
 		cost := float64(t.totalPrefill()+v.unread[i]) / PrefillTokensPerMs
 		if i != v.home {
-			cost += affinityMs
+			cost += min(affinityMs, spreadFactor*float64(v.shared)/PrefillTokensPerMs)
 		}
 		if i == 0 || cost < least {
 			best, least = i, cost
