Let prompts that cannot be on time come after those that can

The backlog that a node saw was that of all priorities, although engines read urgent prompts first. Change: the placement gives the priority: by the route's rank while the prompt can be read within the route's goal, else behind all that can. Loads are told by priority, and waits are those behind prompts of the same or a higher one.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -167,12 +167,32 @@
 	}
 	for _, t := range n.Loads {
 		out.Targets = append(out.Targets, &tpwire.TargetLoad{
-			Target: t.Target, Prefill: uint32(t.Prefill), Runs: uint32(t.Runs), Tokens: uint32(t.Tokens), Failing: t.Failing,
+			Target: t.Target, Prefill: prefillToWire(t.Prefill), Runs: uint32(t.Runs), Tokens: uint32(t.Tokens), Failing: t.Failing,
 		})
 	}
 	return out
 }
 
+// prefillToWire leaves out the zeros at the end.
+func prefillToWire(tokens [tpmessage.Priorities]int) []uint32 {
+	n := len(tokens)
+	for n > 0 && tokens[n-1] == 0 {
+		n--
+	}
+	out := make([]uint32, n)
+	for i := range out {
+		out[i] = uint32(tokens[i])
+	}
+	return out
+}
+
+func prefillFromWire(tokens []uint32) (out [tpmessage.Priorities]int) {
+	for i := range min(len(tokens), len(out)) {
+		out[i] = int(tokens[i])
+	}
+	return out
+}
+
 func loadFromWire(n *tpwire.NodeLoad) tpmessage.NodeLoad {
 	out := tpmessage.NodeLoad{
 		Node: n.GetNode(), PrefillRate: n.GetPrefillRate(), DecodeRate: n.GetDecodeRate(), Changing: n.GetChanging(),
@@ -182,7 +202,7 @@
 	}
 	for _, t := range n.GetTargets() {
 		out.Loads = append(out.Loads, tpmessage.TargetLoad{
-			Target: t.GetTarget(), Prefill: int(t.GetPrefill()), Runs: int(t.GetRuns()), Tokens: int(t.GetTokens()), Failing: t.GetFailing(),
+			Target: t.GetTarget(), Prefill: prefillFromWire(t.GetPrefill()), Runs: int(t.GetRuns()), Tokens: int(t.GetTokens()), Failing: t.GetFailing(),
 		})
 	}
 	return out
--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -28,7 +28,7 @@
 	load := tpmessage.NodeLoad{Node: "front-cz-central-a-1", PrefillRate: 25000, DecodeRate: 1200}
 	for i := range busyTargets {
 		load.Loads = append(load.Loads, tpmessage.TargetLoad{
-			Target: fmt.Sprintf("i-%010x", i), Prefill: 12000, Runs: 3, Tokens: 51000,
+			Target: fmt.Sprintf("i-%010x", i), Prefill: [tpmessage.Priorities]int{2: 9000, 4: 3000}, Runs: 3, Tokens: 51000,
 		})
 		load.Prefixes = append(load.Prefixes, tpmessage.HeldPrefix{Prefix: uint64(i), Target: fmt.Sprintf("i-%010x", i)})
 	}
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -45,10 +45,11 @@
 
 // Charge is the work that a grant has counted at a target.
 type Charge struct {
-	Target  string
-	Prefill int // tokens to be read
-	Runs    int
-	Tokens  int // memory, in tokens
+	Target   string
+	Priority int
+	Prefill  int // tokens to be read
+	Runs     int
+	Tokens   int // memory, in tokens
 }
 
 // Grant is the answer to an Ask: a target, or a refusal.
@@ -56,7 +57,7 @@
 	Work    tpmessage.RelayWork
 	Step    Step
 	Target  tpmessage.RelayTarget
-	Charge  Charge
+	Charge  Charge // with the priority under which the target gets the request
 	Basis   Basis
 	Fetch   string        // address of a target that keeps the shared prefix, if another
 	Wait    time.Duration // expected until the target begins
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// DirectTokens is the longest unread prompt that a generating target reads
-	// by itself. Reading it there costs less than a second target's queue.
-	DirectTokens = 800
 	// minRetryAfter is the least advice given with a refusal.
 	minRetryAfter = 200 * time.Millisecond
 	// maxRetryAfter keeps the advice within what clients accept, a third of
@@ -51,7 +48,10 @@
 	prefixes prefixes
 	prefill  rate
 	decode   rate
-	view     View // scratch
+	// view and source are scratch of one ask. Source is a target that keeps the
+	// prefix of the request.
+	view   View
+	source *target
 }
 
 // New returns a placer without targets.
@@ -100,7 +100,7 @@
 			if t.failing && !now.Before(t.avoid) {
 				t.failing = false
 			}
-			if l := t.load(); l.Prefill > 0 || l.Runs > 0 || l.Failing {
+			if l := t.load(); l.Runs > 0 || l.Failing || l.Prefill != [tpmessage.Priorities]int{} {
 				n.Loads = append(n.Loads, l)
 			}
 		}
@@ -152,7 +152,9 @@
 			if !ok {
 				continue
 			}
-			t.peers.Prefill += l.Prefill
+			for i, tokens := range l.Prefill {
+				t.peers.Prefill[i] += tokens
+			}
 			t.peers.Runs += l.Runs
 			t.peers.Tokens += l.Tokens
 			t.peers.Failing = t.peers.Failing || l.Failing
@@ -181,37 +183,33 @@
 func (p *Placer[P]) ask(now time.Time, a *Ask) Grant {
 	req := a.Work.Request
 	g := Grant{Work: a.Work, Step: a.Step}
-	if a.Step == StepFirst {
-		if !a.Extra {
-			p.arrived(now, req)
-		}
-		g.Step = p.firstStep(req)
+	if a.Step == StepFirst && !a.Extra {
+		p.arrived(now, req)
 	}
-	b := p.budget(req.Pool.Name)
-	candidates := p.candidates(now, a, g.Step)
-	if len(candidates) == 0 {
+	best, found := p.choose(now, a)
+	if !found {
 		g.Refusal = refuse("no target of pool "+req.Pool.Name+" takes new work", minRetryAfter)
 		return g
 	}
-	if a.Extra && !b.take(now, p.nodes) {
+	if a.Extra && !p.budget(req.Pool.Name).take(now, p.nodes) {
 		g.Refusal = refuse("the retry budget of pool "+req.Pool.Name+" is used up", maxRetryAfter)
 		return g
 	}
-	t := p.choose(now, a, &g, candidates)
+	t := best.target
+	g.Step, g.Charge, g.Fetch, g.Wait, g.Read = best.step, best.charge, best.fetch, best.wait, best.read
 	if ref := p.tooLate(now, req, &g); ref != nil {
 		g.Refusal = ref
 		return g
 	}
 	g.Target = t.RelayTarget
 	g.Basis = Basis{
-		Candidates: len(candidates), Rank: t.rank(now), Runs: t.totalRuns(), Prefill: t.totalPrefill(),
+		Candidates: best.candidates, Rank: t.rank(now), Runs: t.totalRuns(), Prefill: t.totalPrefill(),
 		Nodes: p.heardNodes,
 	}
 	if p.heardNodes > 0 {
 		g.Basis.OldestLoad = now.Sub(p.oldestLoad)
 	}
-	g.Charge.Target = t.Name
-	t.prefill += g.Charge.Prefill
+	t.prefill[g.Charge.Priority] += g.Charge.Prefill
 	t.runs += g.Charge.Runs
 	t.tokens += g.Charge.Tokens
 	if g.Step != StepCall {
@@ -231,24 +229,6 @@
 	}
 }
 
-// firstStep reads long prompts apart from the generation, if there are targets
-// for both.
-func (p *Placer[P]) firstStep(req *tpmessage.RelayRequest) Step {
-	if req.Pool.Engine == nil {
-		return StepCall
-	}
-	shared, _ := req.SharedTokens()
-	if req.Prompt-shared <= DirectTokens && shared <= DirectTokens {
-		return StepRun
-	}
-	for _, t := range p.pools[req.Pool.Name] {
-		if t.Role == tpmessage.RolePrefill && !t.Draining {
-			return StepPrefill
-		}
-	}
-	return StepRun
-}
-
 // candidates returns the targets of the best rank that can do a step.
 func (p *Placer[P]) candidates(now time.Time, a *Ask, step Step) []*target {
 	best := -1
@@ -291,66 +271,159 @@
 	return true
 }
 
-// choose sets the charge and the expectations of a grant.
-func (p *Placer[P]) choose(now time.Time, a *Ask, g *Grant, candidates []*target) *target {
+// option is a target for a step, with what the step takes there.
+type option struct {
+	target     *target
+	step       Step
+	charge     Charge
+	candidates int
+	cost       float64 // by the policy
+	fetch      string
+	wait, read time.Duration
+}
+
+// choose returns the best option for an ask, and false if no target is left.
+func (p *Placer[P]) choose(now time.Time, a *Ask) (option, bool) {
 	req := a.Work.Request
-	p.view.Zone = p.cfg.Zone
-	p.look(now, req, candidates)
-	switch g.Step {
+	p.view.Priority = priority(req, true)
+	switch {
+	case req.Pool.Engine == nil:
+		return p.call(now, a)
+	case a.Loaded:
+		return p.run(now, a)
+	}
+	best, found := p.read(now, a)
+	if !found || now.Add(best.wait+best.read).Before(req.Arrived.Add(req.Route.Goal)) {
+		return best, found
+	}
+	p.view.Priority = priority(req, false)
+	return p.read(now, a)
+}
+
+// read chooses the target that reads a prompt.
+func (p *Placer[P]) read(now time.Time, a *Ask) (option, bool) {
+	switch a.Step {
 	case StepPrefill:
-		at := p.policy.Prefill(&p.view, req)
-		t := candidates[at]
-		if p.view.source >= 0 && p.view.source != at {
-			g.Fetch = candidates[p.view.source].Address
-		}
-		g.Charge.Prefill = p.view.unread[at]
-		g.Wait = millis(float64(t.totalPrefill()) / PrefillTokensPerMs)
-		g.Read = millis(float64(g.Charge.Prefill) / PrefillTokensPerMs)
-		return t
+		return p.prefillOption(now, a)
 	case StepRun:
-		at := p.policy.Run(&p.view, req, a.Loaded)
-		t := candidates[at]
-		g.Charge.Runs = 1
-		g.Charge.Tokens = req.Prompt + req.MaxOutput
-		if !a.Loaded {
-			g.Charge.Prefill = req.Prompt
-			if p.view.holds[at] {
-				g.Charge.Prefill = p.view.unread[at]
-			}
-			g.Wait = millis(float64(t.totalPrefill()) / DecodeReadTokensPerMs)
-			g.Read = millis(float64(g.Charge.Prefill) / DecodeReadTokensPerMs)
-		}
-		return t
+		return p.direct(now, a)
+	}
+	apart, found := p.prefillOption(now, a)
+	if !found {
+		return p.direct(now, a)
+	}
+	direct, found := p.direct(now, a)
+	if found && direct.cost < apart.cost {
+		return direct, true
 	}
-	g.Charge.Runs = 1
-	return candidates[p.policy.Run(&p.view, req, true)]
+	return apart, true
 }
 
-// look fills the view with what is known of a request's prefix.
-func (p *Placer[P]) look(now time.Time, req *tpmessage.RelayRequest, candidates []*target) {
+// call chooses a plain service.
+func (p *Placer[P]) call(now time.Time, a *Ask) (option, bool) {
+	if !p.see(now, a, StepCall) {
+		return option{}, false
+	}
+	t := p.view.targets[p.policy.Run(&p.view, a.Work.Request)]
+	return option{
+		target: t, step: StepCall, charge: Charge{Target: t.Name, Runs: 1}, candidates: len(p.view.targets),
+	}, true
+}
+
+// prefillOption chooses a target that reads a prompt for another one.
+func (p *Placer[P]) prefillOption(now time.Time, a *Ask) (option, bool) {
+	if !p.see(now, a, StepPrefill) {
+		return option{}, false
+	}
+	at, cost := p.policy.Prefill(&p.view, a.Work.Request)
+	return p.reading(a, StepPrefill, at, cost, 1), true
+}
+
+// direct chooses a target that reads a prompt and generates.
+func (p *Placer[P]) direct(now time.Time, a *Ask) (option, bool) {
+	if !p.see(now, a, StepRun) {
+		return option{}, false
+	}
+	req := a.Work.Request
+	at, cost := p.policy.Direct(&p.view, req)
+	o := p.reading(a, StepRun, at, cost, decodeSlowdown)
+	o.charge.Runs, o.charge.Tokens = 1, req.Prompt+req.MaxOutput
+	return o, true
+}
+
+// run chooses a target that generates from a prompt that was read elsewhere.
+func (p *Placer[P]) run(now time.Time, a *Ask) (option, bool) {
+	if !p.see(now, a, StepRun) {
+		return option{}, false
+	}
+	req := a.Work.Request
+	t := p.view.targets[p.policy.Run(&p.view, req)]
+	return option{
+		target: t, step: StepRun, candidates: len(p.view.targets),
+		charge: Charge{Target: t.Name, Priority: p.view.Priority, Runs: 1, Tokens: req.Prompt + req.MaxOutput},
+	}, true
+}
+
+// reading returns the option that a target reads a prompt.
+func (p *Placer[P]) reading(a *Ask, step Step, at int, cost, slowdown float64) option {
+	t := p.view.targets[at]
+	o := option{target: t, step: step, cost: cost, candidates: len(p.view.targets)}
+	o.charge = Charge{Target: t.Name, Priority: p.view.Priority, Prefill: p.view.unread[at]}
+	if p.source != nil && p.source != t {
+		o.fetch = p.source.Address
+	}
+	o.wait = millis(slowdown * p.view.waitMs(t))
+	o.read = millis(slowdown * readMs(o.charge.Prefill, a.Work.Request.Prompt))
+	return o
+}
+
+// see fills the view with the candidates for a step and with what is known of
+// the request's prefix. It returns false if there are none.
+func (p *Placer[P]) see(now time.Time, a *Ask, step Step) bool {
 	v := &p.view
+	v.Zone, v.home, v.shared = p.cfg.Zone, -1, 0
 	v.holds, v.unread = v.holds[:0], v.unread[:0]
-	v.home, v.source, v.shared = -1, -1, 0
-	if req.Pool.Engine == nil {
-		return
+	p.source = nil
+	candidates := p.candidates(now, a, step)
+	req := a.Work.Request
+	if len(candidates) == 0 || req.Pool.Engine == nil || a.Loaded {
+		return len(candidates) > 0
 	}
 	shared, prefix := req.SharedTokens()
 	v.shared = shared
 	v.home = home(prefix, candidates)
-	for i, t := range candidates {
+	p.source = p.prefixSource(now, prefix, req.Pool.Name)
+	unread := req.Prompt
+	if p.source != nil {
+		unread -= shared
+	}
+	for _, t := range candidates {
 		holds := p.prefixes.holds(now, prefix, t.Name)
 		v.holds = append(v.holds, holds)
-		if holds && (v.source < 0 || i == v.home) {
-			v.source = i
+		left := unread
+		if holds {
+			left = req.Prompt - shared
 		}
+		v.unread = append(v.unread, left)
 	}
-	unread := req.Prompt
-	if v.source >= 0 {
-		unread -= shared
-	}
-	for range candidates {
-		v.unread = append(v.unread, unread)
+	return true
+}
+
+// prefixSource returns the target from which others fetch a prefix, or nil: the
+// home if it keeps the prefix, else the reading target that used it last.
+func (p *Placer[P]) prefixSource(now time.Time, prefix uint64, pool string) *target {
+	var source *target
+	var weight, most uint64
+	for _, h := range p.prefixes.holders[prefix] {
+		t, ok := p.targets[h.target]
+		if !ok || t.Pool != pool || t.Role != tpmessage.RolePrefill || now.Sub(h.at) >= prefixLife || t.rank(now) > 1 {
+			continue
+		}
+		if weight = homeWeight(prefix, t); source == nil || weight > most {
+			source, most = t, weight
+		}
 	}
+	return source
 }
 
 // tooLate refuses a request that has no chance to be served in its time.
--- a/internal/relay/stage2/tpplace/target.go
+++ b/internal/relay/stage2/tpplace/target.go
@@ -30,7 +30,7 @@
 // target is what a node knows of a registered target.
 type target struct {
 	tpmessage.RelayTarget
-	prefill  int // outstanding work of this node
+	prefill  [tpmessage.Priorities]int // outstanding work of this node, by priority
 	runs     int
 	tokens   int
 	peers    tpmessage.TargetLoad // sum over the other nodes
@@ -43,7 +43,7 @@
 }
 
 func (t *target) settle(now time.Time, d *Done) {
-	t.prefill = max(0, t.prefill-d.Charge.Prefill)
+	t.prefill[d.Charge.Priority] = max(0, t.prefill[d.Charge.Priority]-d.Charge.Prefill)
 	t.runs = max(0, t.runs-d.Charge.Runs)
 	t.tokens = max(0, t.tokens-d.Charge.Tokens)
 	switch d.Outcome {
@@ -88,6 +88,18 @@
 	}
 }
 
-func (t *target) totalPrefill() int { return t.prefill + t.peers.Prefill }
-func (t *target) totalRuns() int    { return t.runs + t.peers.Runs }
-func (t *target) totalTokens() int  { return t.tokens + t.peers.Tokens }
+// totalPrefill returns the tokens to be read of all priorities.
+func (t *target) totalPrefill() int { return t.prefillUpTo(tpmessage.Priorities - 1) }
+
+// prefillUpTo returns the tokens to be read of a priority and the more urgent
+// ones.
+func (t *target) prefillUpTo(priority int) int {
+	sum := 0
+	for i := range priority + 1 {
+		sum += t.prefill[i] + t.peers.Prefill[i]
+	}
+	return sum
+}
+
+func (t *target) totalRuns() int   { return t.runs + t.peers.Runs }
+func (t *target) totalTokens() int { return t.tokens + t.peers.Tokens }
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -26,11 +26,6 @@
 	callPatience = 4
 	// freeTimeout bounds the call that gives up a handle.
 	freeTimeout = 500 * time.Millisecond
-	// firstPriority is the priority of the most urgent route. The levels above
-	// it are left for work that the system itself needs.
-	firstPriority = 3
-	// lastPriority is the least urgent one that targets know.
-	lastPriority = 9
 	// maxWhole is the largest answer of a plain service that is held until it
 	// is complete. A longer one is passed on as it comes.
 	maxWhole = 256 << 10
@@ -101,7 +96,7 @@
 func (t *task) sending() *Sending {
 	return &Sending{
 		Request: t.req, Target: t.grant.Target, Deadline: t.req.Deadline, Fetch: t.grant.Fetch,
-		Priority:    min(firstPriority+t.req.Route.Priority, lastPriority),
+		Priority:    t.grant.Charge.Priority,
 		ResumeAfter: t.last,
 	}
 }
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -149,12 +149,16 @@
 	RetryAfter time.Duration // zero if none is advised
 }
 
+// Priorities is the number of priorities that engines know. Priority 0 is the
+// most urgent.
+const Priorities = 10
+
 // TargetLoad is the work that one node has outstanding at a target.
 type TargetLoad struct {
 	Target  string
-	Prefill int // tokens to be read
-	Runs    int // requests that run or wait
-	Tokens  int // memory of the runs, in tokens
+	Prefill [Priorities]int // tokens to be read, by priority
+	Runs    int             // requests that run or wait
+	Tokens  int             // memory of the runs, in tokens
 	// Failing is true while the node avoids the target after failures.
 	Failing bool
 }
