Choose the split of roles by the demand, at speeds that nodes learn

The part and the speeds were constants from two sheets. Ruled out: the number of running requests as a measure of the demand, which grows without bound when generating engines are full. Change: nodes learn the speed of reading and generating from steps at idle engines, and the output of each route from finished runs. The log line of an order has the demand.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -160,7 +160,7 @@
 
 func loadToWire(n tpmessage.NodeLoad) *tpwire.NodeLoad {
 	out := &tpwire.NodeLoad{
-		Node: n.Node, PrefillRate: n.PrefillRate, DecodeRate: n.DecodeRate, Changing: n.Changing,
+		Node: n.Node, PrefillDemand: n.PrefillDemand, DecodeDemand: n.DecodeDemand, Changing: n.Changing,
 	}
 	for _, p := range n.Prefixes {
 		out.Prefixes = append(out.Prefixes, &tpwire.HeldPrefix{Prefix: p.Prefix, Target: p.Target})
@@ -195,7 +195,7 @@
 
 func loadFromWire(n *tpwire.NodeLoad) tpmessage.NodeLoad {
 	out := tpmessage.NodeLoad{
-		Node: n.GetNode(), PrefillRate: n.GetPrefillRate(), DecodeRate: n.GetDecodeRate(), Changing: n.GetChanging(),
+		Node: n.GetNode(), PrefillDemand: n.GetPrefillDemand(), DecodeDemand: n.GetDecodeDemand(), Changing: n.GetChanging(),
 	}
 	for _, p := range n.GetPrefixes() {
 		out.Prefixes = append(out.Prefixes, tpmessage.HeldPrefix{Prefix: p.GetPrefix(), Target: p.GetTarget()})
--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -25,7 +25,7 @@
 		}
 		hb.Members = append(hb.Members, tpmessage.MemberBeat{Member: m, Beat: 1000})
 	}
-	load := tpmessage.NodeLoad{Node: "front-cz-central-a-1", PrefillRate: 25000, DecodeRate: 1200}
+	load := tpmessage.NodeLoad{Node: "front-cz-central-a-1", PrefillDemand: 1.1, DecodeDemand: 0.3}
 	for i := range busyTargets {
 		load.Loads = append(load.Loads, tpmessage.TargetLoad{
 			Target: fmt.Sprintf("i-%010x", i), Prefill: [tpmessage.Priorities]int{2: 9000, 4: 3000}, Runs: 3, Tokens: 51000,
--- a/internal/node/tprelaynode/shift.go
+++ b/internal/node/tprelaynode/shift.go
@@ -55,7 +55,7 @@
 		orders: tpring.New[tpshift.Order](tpring.Settings{Capacity: orderSlots}),
 		loads:  tpring.New[[]tpmessage.NodeLoad](tpring.Settings{Capacity: 1}),
 		shift: tpshift.New(tpshift.Settings{Node: n.cfg.Name, Guard: n.cfg.LeaseGuard},
-			func() *tpshift.Balance { return &tpshift.Balance{Part: n.cfg.PrefillPart} }),
+			func(first bool) *tpshift.Balance { return &tpshift.Balance{Part: n.cfg.PrefillPart, Adopt: !first} }),
 	}
 	n.deps.Rings.Add("shift", s.in)
 	n.deps.Rings.Add("orders", s.orders)
@@ -169,6 +169,7 @@
 	}
 	n.log.Info().Str("event", "order").Str("target", o.Target.Name).Str("role", string(o.Role)).
 		Uint64("fencing", o.Fencing).Uint64("orders", state.Orders).Bool("busy", state.Busy).
+		Float64("prefillDemand", o.Demand.Prefill).Float64("decodeDemand", o.Demand.Decode).
 		Uint64("revision", o.Target.Revision).Str("answer", answer.String()).Err(err).Send()
 	if ctx.Err() == nil {
 		_ = s.in.Put(shiftInput{order: o, answer: &answer})
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -50,6 +50,10 @@
 	Prefill  int // tokens to be read
 	Runs     int
 	Tokens   int // memory, in tokens
+	// Alone tells that no other prompt was known to be read at the target.
+	Alone bool
+	Read  time.Duration // for reading the prompt at the reference speed
+	Batch int           // runs at the target with this one
 }
 
 // Grant is the answer to an Ask: a target, or a refusal.
@@ -79,6 +83,12 @@
 type Done struct {
 	Charge  Charge
 	Outcome Outcome
+	Route   string
+	Took    time.Duration // of a prompt that was read for another target
+	// Events, of EventTokens each, came within Streamed after the first one.
+	Events      int
+	EventTokens int
+	Streamed    time.Duration
 }
 
 // Outcome is what the end of a step says about its target.
--- /dev/null
+++ b/internal/relay/stage2/tpplace/pace_test.go
@@ -0,0 +1,88 @@
+package tpplace_test
+
+import (
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
+)
+
+// Guards against prompts that are taken for readable in their time by engines
+// that are slower than the reference, and against one slow answer that makes
+// all engines look slow.
+func TestSpeedIsLearned(t *testing.T) {
+	expected := func(slowdown float64, odd int) time.Duration {
+		p := placer(tpplace.Affinity{}, fleet(2, 1))
+		now := epoch
+		for i := range 40 {
+			now = now.Add(time.Second)
+			req := request(uint64(i+1), 0, 9600)
+			req.Arrived, req.Deadline = now, now.Add(20*time.Second)
+			g := must(t, p, now, ask(req, tpplace.StepPrefill))
+			took := time.Duration(slowdown * float64(g.Charge.Read))
+			if odd > 0 && i%odd == 0 {
+				took *= 5
+			}
+			p.Step(now, tpplace.Input{Kind: tpplace.InputDone, Done: tpplace.Done{Charge: g.Charge, Took: took}})
+		}
+		req := request(99, 0, 9600)
+		req.Arrived, req.Deadline = now, now.Add(20*time.Second)
+		return must(t, p, now, ask(req, tpplace.StepPrefill)).Read
+	}
+	usual := expected(1.1, 0)
+	if got := expected(2.2, 0); got < usual*18/10 || got > usual*22/10 {
+		t.Errorf("time for reading at half the speed: got %v, want about %v", got, 2*usual)
+	}
+	if got := expected(1.1, 3); got > usual*12/10 {
+		t.Errorf("time for reading with every third answer late: got %v, want about %v", got, usual)
+	}
+}
+
+// Guards against a demand that leaves out the work of answers, by which the
+// roles of engines are chosen.
+func TestDemandCountsAnswers(t *testing.T) {
+	demand := func(events int) float64 {
+		p := placer(tpplace.Affinity{}, fleet(2, 2))
+		now := epoch
+		for range 200 {
+			now = now.Add(50 * time.Millisecond)
+			req := request(0, 0, 400)
+			req.Route.Name, req.Arrived, req.Deadline = "r", now, now.Add(5*time.Second)
+			g := must(t, p, now, ask(req, tpplace.StepFirst))
+			p.Step(now, tpplace.Input{Kind: tpplace.InputDone, Done: tpplace.Done{
+				Charge: g.Charge, Route: "r", Events: events, EventTokens: 10,
+			}})
+		}
+		return p.Load(now).DecodeDemand
+	}
+	short, long := demand(2), demand(100)
+	// 20 answers a second of 1,000 tokens at 0.185 ms a token are 3.7 engines.
+	if long < 3 || long > 4.5 || short > 1 {
+		t.Errorf("engines that answers of 20 and of 1,000 tokens keep busy: got %.2f and %.2f, want below 1 and about 3.7", short, long)
+	}
+}
+
+// Guards against a prompt that cannot be on time and delays those that can,
+// and against urgent prompts that wait for others in the choice of their engine.
+func TestLatePromptsComeLast(t *testing.T) {
+	p := placer(tpplace.Affinity{}, fleet(1, 1))
+	prompt := func(rank int, own int) tpplace.Grant {
+		req := request(0, 0, own)
+		req.Route.Goal, req.Route.Priority = 800*time.Millisecond, rank
+		return must(t, p, epoch, ask(req, tpplace.StepPrefill))
+	}
+	first := prompt(2, 20000)
+	second := prompt(2, 20000) // begins after some 470 ms and takes as long
+	if first.Charge.Priority >= second.Charge.Priority {
+		t.Errorf("priorities of a prompt in time and a late one: got %d and %d", first.Charge.Priority, second.Charge.Priority)
+	}
+	if got := prompt(2, 3000); got.Charge.Priority != first.Charge.Priority || got.Wait > 600*time.Millisecond {
+		t.Errorf("a short prompt behind a late one: got priority %d and a wait of %v", got.Charge.Priority, got.Wait)
+	}
+	if got := prompt(0, 3000); got.Charge.Priority >= first.Charge.Priority || got.Wait > 100*time.Millisecond {
+		t.Errorf("an urgent prompt: got priority %d and a wait of %v", got.Charge.Priority, got.Wait)
+	}
+	if load := p.Load(epoch).Loads[0].Prefill; load[first.Charge.Priority] != 23000 || load[second.Charge.Priority] != 20000 {
+		t.Errorf("load told to peers: got %v", load)
+	}
+}
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -46,8 +46,11 @@
 	// changing names the targets that this node has ordered to another role.
 	changing []string
 	prefixes prefixes
-	prefill  rate
-	decode   rate
+	// prefill and decode are the work that arrives, in milliseconds of an
+	// engine, and the paces the speeds at which the engines do it.
+	prefill, decode         rate
+	prefillPace, decodePace pace
+	outputs                 map[string]float64 // mean tokens of an answer, by route
 	// view and source are scratch of one ask. Source is a target that keeps the
 	// prefix of the request.
 	view   View
@@ -64,6 +67,7 @@
 		targets: make(map[string]*target),
 		pools:   make(map[string][]*target),
 		budgets: make(map[string]*budget),
+		outputs: make(map[string]float64),
 	}
 }
 
@@ -76,6 +80,7 @@
 		if t, ok := p.targets[in.Done.Charge.Target]; ok {
 			t.settle(now, &in.Done)
 		}
+		p.learn(&in.Done)
 	case InputTargets:
 		p.setTargets(in.Targets)
 	case InputLoads:
@@ -93,7 +98,7 @@
 func (p *Placer[P]) Load(now time.Time) tpmessage.NodeLoad {
 	n := tpmessage.NodeLoad{
 		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.sweep(now),
-		PrefillRate: p.prefill.value(now), DecodeRate: p.decode.value(now),
+		PrefillDemand: p.prefill.value(now) / 1000, DecodeDemand: p.decode.value(now) / 1000,
 	}
 	for _, pool := range p.pools {
 		for _, t := range pool {
@@ -184,7 +189,7 @@
 	req := a.Work.Request
 	g := Grant{Work: a.Work, Step: a.Step}
 	if a.Step == StepFirst && !a.Extra {
-		p.arrived(now, req)
+		p.budget(req.Pool.Name).request(now)
 	}
 	best, found := p.choose(now, a)
 	if !found {
@@ -195,6 +200,9 @@
 		g.Refusal = refuse("the retry budget of pool "+req.Pool.Name+" is used up", maxRetryAfter)
 		return g
 	}
+	if a.Step == StepFirst && !a.Extra && req.Pool.Engine != nil {
+		p.demand(now, req, &best)
+	}
 	t := best.target
 	g.Step, g.Charge, g.Fetch, g.Wait, g.Read = best.step, best.charge, best.fetch, best.wait, best.read
 	if ref := p.tooLate(now, req, &g); ref != nil {
@@ -219,16 +227,6 @@
 	return g
 }
 
-// arrived counts a new request.
-func (p *Placer[P]) arrived(now time.Time, req *tpmessage.RelayRequest) {
-	p.budget(req.Pool.Name).request(now)
-	if req.Pool.Engine != nil {
-		shared, _ := req.SharedTokens()
-		p.prefill.add(now, float64(req.Prompt-shared))
-		p.decode.add(now, float64(req.MaxOutput))
-	}
-}
-
 // candidates returns the targets of the best rank that can do a step.
 func (p *Placer[P]) candidates(now time.Time, a *Ask, step Step) []*target {
 	best := -1
@@ -285,7 +283,7 @@
 // choose returns the best option for an ask, and false if no target is left.
 func (p *Placer[P]) choose(now time.Time, a *Ask) (option, bool) {
 	req := a.Work.Request
-	p.view.Priority = priority(req, true)
+	p.view.Priority, p.view.pace = priority(req, true), p.prefillPace.value()
 	switch {
 	case req.Pool.Engine == nil:
 		return p.call(now, a)
@@ -360,7 +358,9 @@
 	t := p.view.targets[p.policy.Run(&p.view, req)]
 	return option{
 		target: t, step: StepRun, candidates: len(p.view.targets),
-		charge: Charge{Target: t.Name, Priority: p.view.Priority, Runs: 1, Tokens: req.Prompt + req.MaxOutput},
+		charge: Charge{
+			Target: t.Name, Priority: p.view.Priority, Runs: 1, Tokens: req.Prompt + req.MaxOutput, Batch: t.totalRuns() + 1,
+		},
 	}, true
 }
 
@@ -368,12 +368,17 @@
 func (p *Placer[P]) reading(a *Ask, step Step, at int, cost, slowdown float64) option {
 	t := p.view.targets[at]
 	o := option{target: t, step: step, cost: cost, candidates: len(p.view.targets)}
-	o.charge = Charge{Target: t.Name, Priority: p.view.Priority, Prefill: p.view.unread[at]}
+	o.charge = Charge{
+		Target: t.Name, Priority: p.view.Priority, Prefill: p.view.unread[at],
+		Alone: step == StepPrefill && t.totalPrefill() == 0, Batch: t.totalRuns() + 1,
+	}
 	if p.source != nil && p.source != t {
 		o.fetch = p.source.Address
 	}
 	o.wait = millis(slowdown * p.view.waitMs(t))
-	o.read = millis(slowdown * readMs(o.charge.Prefill, a.Work.Request.Prompt))
+	o.read = millis(slowdown * p.view.pace * readMs(o.charge.Prefill, a.Work.Request.Prompt))
+	// The observed time is compared with that at the reference speed.
+	o.charge.Read = millis(slowdown * readMs(o.charge.Prefill, a.Work.Request.Prompt))
 	return o
 }
 
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -12,6 +12,12 @@
 	// PrefillTokensPerMs is the speed at which an engine with the prefill role
 	// reads prompts, as the deployments' sheets state it.
 	PrefillTokensPerMs = 48.0
+	// stepMs and stepMsPerRun are the times that a generating engine takes for
+	// one token of each run, as the deployments' sheets and days state it.
+	stepMs, stepMsPerRun = 2.6, 0.12
+	// tokenMs is the time of an engine for one token in a batch of 40, above
+	// which pauses between events grow long.
+	tokenMs = (stepMs + stepMsPerRun*40) / 40
 	// msPerPair is the time that attention takes for one pair of tokens.
 	msPerPair = 0.25e-6
 	// decodeSlowdown is how much slower an engine with the decode role reads
@@ -75,11 +81,13 @@
 	Zone string
 	// Priority is that of the request; targets read more urgent prompts first.
 	Priority int
-	targets  []*target
-	home     int    // place of the prefix's home among the targets, or -1
-	shared   int    // tokens of the shared prefix
-	holds    []bool // for each target, whether it keeps the prefix
-	unread   []int  // for each target, the tokens of the prompt that it has to read
+	// pace is the time that the engines take to read, by the reference speed.
+	pace    float64
+	targets []*target
+	home    int    // place of the prefix's home among the targets, or -1
+	shared  int    // tokens of the shared prefix
+	holds   []bool // for each target, whether it keeps the prefix
+	unread  []int  // for each target, the tokens of the prompt that it has to read
 }
 
 // Affinity places prompts where their shared prefix is kept, unless that
@@ -90,9 +98,9 @@
 func (Affinity) Prefill(v *View, req *tpmessage.RelayRequest) (int, float64) {
 	best, least := 0, 0.0
 	for i, t := range v.targets {
-		cost := handOver + v.waitMs(t) + readMs(v.unread[i], req.Prompt)
+		cost := handOver + v.waitMs(t) + v.pace*readMs(v.unread[i], req.Prompt)
 		if i != v.home {
-			cost += min(affinityMs, spreadFactor*float64(v.shared)/PrefillTokensPerMs)
+			cost += min(affinityMs, spreadFactor*v.pace*float64(v.shared)/PrefillTokensPerMs)
 		}
 		if i == 0 || cost < least {
 			best, least = i, cost
@@ -105,7 +113,7 @@
 func (Affinity) Direct(v *View, req *tpmessage.RelayRequest) (int, float64) {
 	best, least := 0, 0.0
 	for i, t := range v.targets {
-		cost := disturbance + decodeSlowdown*(v.waitMs(t)+readMs(v.unread[i], req.Prompt))
+		cost := disturbance + decodeSlowdown*(v.waitMs(t)+v.pace*readMs(v.unread[i], req.Prompt))
 		if v.unread[i] > directTokens || v.shared > directTokens || t.totalPrefill()+v.unread[i] > directBacklog {
 			cost += overBacklog
 		}
@@ -144,17 +152,17 @@
 
 // Prefill implements Policy.
 func (LeastLoaded) Prefill(v *View, _ *tpmessage.RelayRequest) (int, float64) {
-	best := leastRead(v)
+	best := leastBacklog(v)
 	return best, v.waitMs(v.targets[best])
 }
 
 // Direct implements Policy.
 func (LeastLoaded) Direct(v *View, _ *tpmessage.RelayRequest) (int, float64) {
-	best := leastRead(v)
+	best := leastBacklog(v)
 	return best, decodeSlowdown * v.waitMs(v.targets[best])
 }
 
-func leastRead(v *View) int {
+func leastBacklog(v *View) int {
 	best := 0
 	for i, t := range v.targets {
 		if t.totalPrefill() < v.targets[best].totalPrefill() {
@@ -183,7 +191,7 @@
 	if t.totalPrefill() > before {
 		ms += pieceWait
 	}
-	return ms
+	return v.pace * ms
 }
 
 // priority returns the priority of a request. Requests that cannot be on time
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -50,7 +50,10 @@
 	size  int
 	fail  []tpmessage.AnswerPart // answer of a target that failed
 	sent  int
-	first time.Duration // from the arrival to the first event of a stream
+	// events of this run, and when the first and the last one came
+	events          int
+	firstAt, lastAt time.Time
+	first           time.Duration // from the arrival to the first event of a stream
 }
 
 func newTask(r *Relay, g tpplace.Grant) *task {
@@ -108,7 +111,7 @@
 	started := t.r.Clock.Now()
 	h, res := t.r.Upstream.Prefill(t.ctx, s)
 	now := t.r.Clock.Now()
-	t.done(res)
+	t.done(res, now.Sub(started))
 	action := t.plan.Prefilled(now, t.grant.Target.Name, res.End)
 	t.logStep(res, now.Sub(started))
 	if res.End == EndWhole {
@@ -123,13 +126,13 @@
 	s.Handle = t.handle
 	s.FirstWithin, s.NextWithin = t.patience()
 	started := t.r.Clock.Now()
-	t.whole, t.size = nil, 0
+	t.whole, t.size, t.events = nil, 0, 0
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
 	now := t.r.Clock.Now()
 	if res.End == EndWhole || res.End == EndCut || res.End == EndSilent {
 		t.handle = Handle{} // taken
 	}
-	t.done(res)
+	t.done(res, 0)
 	if len(failure) > 0 || res.End == EndWhole {
 		t.fail = failure
 	}
@@ -183,6 +186,11 @@
 			return nil
 		}
 		t.last = part.Event
+		t.lastAt = t.r.Clock.Now()
+		if t.events == 0 {
+			t.firstAt = t.lastAt
+		}
+		t.events++
 	}
 	if !t.begun {
 		part.Head = t.head
@@ -246,7 +254,7 @@
 }
 
 // done reports the end of a step to the placement.
-func (t *task) done(res Result) {
+func (t *task) done(res Result, took time.Duration) {
 	outcome := tpplace.OutcomeServed
 	switch res.End {
 	case EndWhole:
@@ -265,10 +273,18 @@
 		outcome = tpplace.OutcomeAbandoned
 	}
 	t.r.Place(tpplace.Input{Kind: tpplace.InputDone, Done: tpplace.Done{
-		Charge: t.grant.Charge, Outcome: outcome,
+		Charge: t.grant.Charge, Outcome: outcome, Route: t.req.Route.Name, Took: took,
+		Events: t.events, EventTokens: t.eventTokens(), Streamed: t.lastAt.Sub(t.firstAt),
 	}})
 }
 
+func (t *task) eventTokens() int {
+	if e := t.req.Pool.Engine; e != nil {
+		return e.EventTokens
+	}
+	return 0
+}
+
 // finish gives the client its end.
 func (t *task) finish(action Action) {
 	if t.handle.ID != "" {
--- a/internal/relay/tpshift/shift.go
+++ b/internal/relay/tpshift/shift.go
@@ -22,11 +22,6 @@
 	// leaseReserve is the part of the authority that an order needs, so that
 	// it does not arrive after the lease has passed on.
 	leaseReserve = 700 * time.Millisecond
-	// prefillRate and decodeRate are the tokens that one engine reads and
-	// generates in a second, by the deployments' sheets, the latter with a
-	// dozen requests in its batch.
-	prefillRate = 48000.0
-	decodeRate  = 3000.0
 )
 
 // Order asks one engine for a role.
@@ -36,6 +31,7 @@
 	Holder  string
 	Fencing uint64
 	Until   time.Time // the order is not given from then on
+	Demand  tprole.Demand
 }
 
 // EngineState is what an engine says of itself.
@@ -90,7 +86,7 @@
 // Shift decides about the roles of all engine pools. It belongs to one filter.
 type Shift[P tprole.Policy] struct {
 	cfg       Settings
-	policy    func() P
+	policy    func(first bool) P
 	roles     map[string]*tprole.Roles[P]
 	pools     map[string]tpmessage.RelayPool
 	targets   []tpmessage.RelayTarget
@@ -100,8 +96,9 @@
 	loads     map[string]tpmessage.NodeLoad
 }
 
-// New returns a decision without targets. Policy returns the policy of a pool.
-func New[P tprole.Policy](cfg Settings, policy func() P) *Shift[P] {
+// New returns a decision without targets. Policy returns the policy of a pool
+// for the first holder of the lease or a later one.
+func New[P tprole.Policy](cfg Settings, policy func(first bool) P) *Shift[P] {
 	return &Shift[P]{
 		cfg: cfg, policy: policy,
 		roles:   make(map[string]*tprole.Roles[P]),
@@ -114,6 +111,8 @@
 // lease has no holder before it, so it needs no guard.
 func (s *Shift[P]) SetAuthority(now time.Time, a tpmessage.Authority) {
 	if a.Held && (!s.authority.Held || a.Fencing != s.authority.Fencing) {
+		// Another holder may have changed roles since.
+		clear(s.roles)
 		s.since = now
 		if a.Fencing > 1 {
 			s.since = now.Add(s.cfg.Guard)
@@ -187,13 +186,13 @@
 	}
 	roles, ok := s.roles[name]
 	if !ok {
-		roles = tprole.New(tprole.Settings{}, s.policy())
+		roles = tprole.New(tprole.Settings{}, s.policy(s.authority.Fencing <= 1))
 		s.roles[name] = roles
 	}
 	var orders []Order
-	for _, c := range roles.Step(tprole.Observation{At: now, Demand: s.demand()}, engines) {
+	for _, c := range roles.Step(tprole.Observation{At: now, Demand: s.Demand()}, engines) {
 		t := byName[c.Engine]
-		orders = append(orders, Order{Target: t, Role: c.Role, Holder: s.cfg.Node, Fencing: s.authority.Fencing, Until: s.authority.Until.Add(-leaseReserve)})
+		orders = append(orders, Order{Target: t, Role: c.Role, Holder: s.cfg.Node, Fencing: s.authority.Fencing, Until: s.authority.Until.Add(-leaseReserve), Demand: s.Demand()})
 		s.pending[t.Name] = pending{role: c.Role, from: t.Role, born: t.Born, until: now.Add(p.Engine.RoleSwitch + switchSlack)}
 	}
 	return orders
@@ -241,12 +240,12 @@
 	return float64(sum)
 }
 
-// demand returns the work of all nodes in engines.
-func (s *Shift[P]) demand() tprole.Demand {
+// Demand returns the work of all nodes in engines.
+func (s *Shift[P]) Demand() tprole.Demand {
 	var d tprole.Demand
 	for _, n := range s.loads {
-		d.Prefill += n.PrefillRate / prefillRate
-		d.Decode += n.DecodeRate / decodeRate
+		d.Prefill += n.PrefillDemand
+		d.Decode += n.DecodeDemand
 	}
 	return d
 }
--- a/internal/relay/tpshift/shift_test.go
+++ b/internal/relay/tpshift/shift_test.go
@@ -28,7 +28,7 @@
 
 func shift(part float64, list []tpmessage.RelayTarget) *tpshift.Shift[*tpshift.Balance] {
 	s := tpshift.New(tpshift.Settings{Node: "node-0", Guard: 3 * time.Second},
-		func() *tpshift.Balance { return &tpshift.Balance{Part: part} })
+		func(bool) *tpshift.Balance { return &tpshift.Balance{Part: part} })
 	s.SetConfig(&tpmessage.RelayConfig{Pools: []tpmessage.RelayPool{
 		{Name: "llm", Engine: &tpmessage.EngineTraits{RoleSwitch: 3 * time.Second}}, {Name: "app"},
 	}})
@@ -147,3 +147,44 @@
 		}
 	}
 }
+
+// observe feeds a policy with a demand each half second and returns what it
+// wants at the end. Engines take the wanted roles at once.
+func observe(b *tpshift.Balance, from time.Time, d tprole.Demand, prefill, engines int, length time.Duration) int {
+	for at := time.Duration(0); at <= length; at += 500 * time.Millisecond {
+		prefill = b.Want(tprole.Observation{
+			At: from.Add(at), Demand: d, Split: tprole.Split{Prefill: prefill, Decode: engines - prefill},
+		})
+	}
+	return prefill
+}
+
+// Guards against a split that stays when answers grow long and prompts short,
+// so that the generating engines are overloaded beside idle ones, and against
+// one that follows a burst of seconds, which is over before the change is.
+func TestBalanceFollowsDemand(t *testing.T) {
+	usual, output := tprole.Demand{Prefill: 9, Decode: 2}, tprole.Demand{Prefill: 4, Decode: 9}
+	b := &tpshift.Balance{Part: 0.67}
+	if got, want := observe(b, epoch, usual, 12, 18, 20*time.Second), 12; got != want {
+		t.Errorf("prefill engines at the usual demand: got %d, want %d", got, want)
+	}
+	if got, want := observe(b, epoch.Add(21*time.Second), output, 12, 18, 2500*time.Millisecond), 12; got != want {
+		t.Errorf("prefill engines in a burst of 2.5 s: got %d, want %d", got, want)
+	}
+	// 4 engines of reading and 9 of generating leave 5 to divide.
+	if got := observe(b, epoch.Add(24*time.Second), output, 12, 18, 30*time.Second); got < 5 || got > 8 {
+		t.Errorf("prefill engines after 30 s of long answers: got %d, want 5 to 8", got)
+	}
+	prompts := tprole.Demand{Prefill: 14, Decode: 1}
+	if got := observe(b, epoch.Add(60*time.Second), prompts, 6, 18, 30*time.Second); got < 14 {
+		t.Errorf("prefill engines after 30 s of long prompts: got %d, want 14 or more", got)
+	}
+}
+
+// Guards against a new holder that takes back the changes of the one before it.
+func TestLaterHolderKeepsTheSplit(t *testing.T) {
+	b := &tpshift.Balance{Part: 0.67, Adopt: true}
+	if got, want := observe(b, epoch, tprole.Demand{Prefill: 4, Decode: 9}, 6, 18, 10*time.Second), 6; got != want {
+		t.Errorf("prefill engines of a later holder: got %d, want %d", got, want)
+	}
+}
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -49,6 +49,8 @@
 	Slots      int           // requests in one batch
 	KVTokens   int           // tokens that the memory holds
 	RoleSwitch time.Duration // that a change of role takes
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
 }
 
 // RelayLimits bound what a client may send.
@@ -178,11 +180,11 @@
 	Changing []string
 	// Prefixes are those that targets have lately been given by the node.
 	Prefixes []HeldPrefix
-	// PrefillRate and DecodeRate are the tokens that arrived at the node in a
-	// second, without those that caches hold.
-	PrefillRate float64
-	DecodeRate  float64
-	At          time.Time // when it was received
+	// PrefillDemand and DecodeDemand are the work that arrives at the node, in
+	// engines that it keeps busy.
+	PrefillDemand float64
+	DecodeDemand  float64
+	At            time.Time // when it was received
 }
 
 // Statuses of the system's own answers to relayed requests.
