--- a/internal/membership/tpmember/region_test.go
+++ b/internal/membership/tpmember/region_test.go
@@ -269,3 +269,36 @@
 	}
 	r.agree(t)
 }
+
+// Guards against rounds that leave the zone more often than they have to, and
+// against zones that never hear of each other.
+func TestNearPeers(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1_700_000_000, 0)
+	zone := func(i int) string { return fmt.Sprint("zone-", i%3) }
+	table := tpmember.NewTable(tpmember.Settings{
+		Self: tpmessage.Member{Name: name(0), Address: name(0), Zone: zone(0)}, Random: rng, Near: 2,
+	})
+	table.Join(name(0))
+	hb := tpmessage.Heartbeat{}
+	for i := 1; i < 30; i++ {
+		hb.Members = append(hb.Members, tpmessage.MemberBeat{Beat: 1, Member: tpmessage.Member{
+			Name: name(i), Address: name(i), Zone: zone(i), Incarnation: tpmember.Incarnation(now, rng),
+		}})
+	}
+	table.Receive(now, hb)
+	near, far := 0, 0
+	for range 100 {
+		for _, address := range table.Tick(now).Addresses {
+			if zone(index(address)) == zone(0) {
+				near++
+			} else {
+				far++
+			}
+		}
+	}
+	// Of 300 peers, 200 are near, and 100 are any of 29 members, 9 of them near.
+	if near+far != 300 || near < 210 || far < 45 {
+		t.Errorf("peers of 100 rounds: got %d near and %d far, want about 230 and 70", near, far)
+	}
+}
