Limit batches by the time left, and read no prompt without room for its run

Change: beyond half of the slots a batch takes a run only if it is expected to end in its time; a prompt is read only while a generating target has room.

--- a/internal/relay/stage2/tpplace/pace.go
+++ b/internal/relay/stage2/tpplace/pace.go
@@ -25,6 +25,8 @@
 	// outputWeight is the weight of one finished run in the mean output of its
 	// route.
 	outputWeight = 0.1
+	// longOutput is the length of a long answer in mean outputs of its route.
+	longOutput = 1.5
 	// firstOutput is the output in tokens that is assumed before a run of a
 	// route has finished, unless its request allows less.
 	firstOutput = 128
--- a/internal/relay/stage2/tpplace/pace_test.go
+++ b/internal/relay/stage2/tpplace/pace_test.go
@@ -86,3 +86,28 @@
 		t.Errorf("load told to peers: got %v", load)
 	}
 }
+
+// Guards against batches so large that no long answer ends in its time, and
+// against prompts that are read although no target can go on with them.
+func TestBatchLeavesTimeForAnswers(t *testing.T) {
+	p := placer(tpplace.Affinity{}, fleet(1, 1))
+	g := must(t, p, epoch, ask(request(0, 0, 100), tpplace.StepRun))
+	// 100 events of 10 tokens take 2.7 s alone and 5.7 s beside 25 others.
+	p.Step(epoch, tpplace.Input{Kind: tpplace.InputDone, Done: tpplace.Done{Charge: g.Charge, Events: 100, EventTokens: 10}})
+	granted := 0
+	for range 64 {
+		in := ask(request(0, 0, 100), tpplace.StepRun)
+		if g, _ := p.Step(epoch, in); g.Refusal == nil {
+			granted++
+		}
+	}
+	if got, want := granted, 32; got != want {
+		t.Errorf("long answers in one batch of 64: got %d, want %d", got, want)
+	}
+	if g, _ := p.Step(epoch, ask(request(0, 0, 20000), tpplace.StepFirst)); g.Refusal == nil {
+		t.Errorf("a prompt is read at %s although no target can go on with it", g.Target.Name)
+	}
+	short := request(0, 0, 100)
+	short.Route.Name = "short"
+	must(t, p, epoch, ask(short, tpplace.StepRun))
+}
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -232,7 +232,7 @@
 	best := -1
 	p.view.targets = p.view.targets[:0]
 	for _, t := range p.pools[a.Work.Request.Pool.Name] {
-		if t.Draining || !fits(t, a, step) || slices.Contains(a.Exclude, t.Name) {
+		if t.Draining || !p.fits(now, t, a, step) || slices.Contains(a.Exclude, t.Name) {
 			continue
 		}
 		rank := t.rank(now)
@@ -248,8 +248,8 @@
 	return p.view.targets
 }
 
-// fits reports whether a target's role and memory allow a step.
-func fits(t *target, a *Ask, step Step) bool {
+// fits reports whether a target's role, memory and batch allow a step.
+func (p *Placer[P]) fits(now time.Time, t *target, a *Ask, step Step) bool {
 	req := a.Work.Request
 	switch step {
 	case StepPrefill:
@@ -264,11 +264,24 @@
 		}
 		need := req.Prompt + req.MaxOutput
 		room := int(kvUse * float64(e.KVTokens))
-		return t.totalRuns() == 0 || t.totalRuns() < e.Slots && t.totalTokens()+need <= room
+		return t.totalRuns() == 0 || t.totalRuns() < min(e.Slots, p.largestBatch(now, req)) && t.totalTokens()+need <= room
 	}
 	return true
 }
 
+// largestBatch returns the number of runs up to which one more is expected to
+// end in its time, since each token takes longer in a larger batch. Half of the
+// slots are always used: the lengths of answers are a guess.
+func (p *Placer[P]) largestBatch(now time.Time, req *tpmessage.RelayRequest) int {
+	output, known := p.outputs[req.Route.Name]
+	if !known {
+		return req.Pool.Engine.Slots
+	}
+	left := req.Deadline.Sub(now).Seconds() * 1000
+	step := left / (longOutput * output * p.decodePace.value())
+	return max(req.Pool.Engine.Slots/2, int((step-stepMs)/stepMsPerRun))
+}
+
 // option is a target for a step, with what the step takes there.
 type option struct {
 	target     *target
@@ -306,12 +319,13 @@
 	case StepRun:
 		return p.direct(now, a)
 	}
-	apart, found := p.prefillOption(now, a)
+	direct, found := p.direct(now, a)
 	if !found {
-		return p.direct(now, a)
+		// A prompt that no target can go on with would be read in vain.
+		return option{}, false
 	}
-	direct, found := p.direct(now, a)
-	if found && direct.cost < apart.cost {
+	apart, found := p.prefillOption(now, a)
+	if !found || direct.cost < apart.cost {
 		return direct, true
 	}
 	return apart, true
