Let answers that have begun end within a grace, and admit by the clients' patience

Ruled out: faulty servers; the logs show 'context deadline exceeded' after 'whole' prompts, and servers at work. Change: an answer that has begun by the timeout may end 200 ms after it, within the client's time. Admission counts the time of generation and how long clients wait for a first event. A node waits for changes only once it knows the members.

--- a/internal/node/tprelaynode/follow.go
+++ b/internal/node/tprelaynode/follow.go
@@ -31,6 +31,9 @@
 	// the platform. Each wait is a call that is paid for; the others hear of
 	// changes from them.
 	watchers = 4
+	// settleTime is the time after the start in which a node with seeds waits for
+	// no changes: until the members know each other, all of them would.
+	settleTime = 1500 * time.Millisecond
 	// watchRole names the task in the ranking of the nodes.
 	watchRole = "watch"
 )
@@ -72,6 +75,7 @@
 	failures     atomic.Uint64
 	faults       map[string]uint64 // versions of unreadable registrations that were logged
 	disturbed    map[string]bool
+	started      time.Time
 }
 
 func newFollowing(n *Node) *following {
@@ -84,6 +88,7 @@
 		views:     make(map[string]*atomic.Pointer[tpobject.View]),
 		faults:    make(map[string]uint64),
 		disturbed: make(map[string]bool),
+		started:   n.clock.Now(),
 	}
 	n.deps.Rings.Add("follow", f.in)
 	n.deps.Rings.Add("peerCalls", f.peerCalls)
@@ -148,7 +153,8 @@
 
 func (f *following) handle(in followInput) {
 	now := f.node.clock.Now()
-	passive := f.node.members.watchersBefore() >= watchers
+	settling := len(f.node.cfg.Seeds) > 0 && now.Sub(f.started) < settleTime
+	passive := settling || f.node.members.watchersBefore() >= watchers
 	serving := true
 	for _, w := range f.followers {
 		f.take(now, w, &in)
--- a/internal/node/tprelaynode/place.go
+++ b/internal/node/tprelaynode/place.go
@@ -21,6 +21,9 @@
 	// answerMargin is taken off a client's time, so that the last answer
 	// reaches it before it gives up.
 	answerMargin = 25 * time.Millisecond
+	// endGrace is how long an answer that has begun may go on past its route's
+	// timeout. A quarter of a second is allowed.
+	endGrace = 200 * time.Millisecond
 	// defaultTime is the time of a request whose client and route name none.
 	defaultTime = 30 * time.Second
 	// startRetry is the advice of a node that knows no configuration yet.
@@ -136,10 +139,11 @@
 	if route.Timeout > 0 {
 		limit = route.Timeout
 	}
+	latest := limit + endGrace
 	if timeLeft > 0 {
-		limit = min(limit, timeLeft)
+		limit, latest = min(limit, timeLeft), min(latest, timeLeft)
 	}
-	req.Deadline = req.Arrived.Add(limit - answerMargin)
+	req.Deadline, req.Latest = req.Arrived.Add(limit-answerMargin), req.Arrived.Add(latest-answerMargin)
 	in := tpplace.Input{Kind: tpplace.InputAsk, Ask: tpplace.Ask{Work: *work}}
 	if err := n.place.in.TryPutBelow(in, arrivals); err != nil {
 		return n.turnAway(req, tpmessage.StatusUnavailable, err.Error())
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -18,6 +18,9 @@
 	// finishTime is the least time that a request needs after its prompt is
 	// read to bring its first event to the client.
 	finishTime = 40 * time.Millisecond
+	// usualOutput is the part of the mean output of a route that an answer needs
+	// time for before it is refused: most answers are shorter than the mean.
+	usualOutput = 0.6
 	// loadLife is how long a peer's word of its load counts.
 	loadLife = 2 * time.Second
 	// rateTime is the time over which the arriving tokens are averaged.
@@ -450,13 +453,24 @@
 	if req.Pool.Engine == nil {
 		return nil
 	}
-	left := req.Deadline.Sub(now)
+	left := min(req.Latest.Sub(now)-p.generation(req, g), req.Deadline.Sub(now))
+	if patience := req.Route.FirstEventPatience(); patience > 0 {
+		left = min(left, req.Arrived.Add(patience).Sub(now))
+	}
 	if g.Wait+g.Read+finishTime <= left {
 		return nil
 	}
 	return refuse(fmt.Sprintf("the prompt cannot be read within %v", left.Round(time.Millisecond)), g.Wait)
 }
 
+// generation returns the time in which most of the answers of a request's route
+// are generated.
+func (p *Placer[P]) generation(req *tpmessage.RelayRequest, g *Grant) time.Duration {
+	output := p.outputs[req.Route.Name]
+	step := stepMs + stepMsPerRun*float64(max(1, g.Charge.Batch))
+	return millis(usualOutput * output * step * p.decodePace.value())
+}
+
 func refuse(reason string, wait time.Duration) *tpmessage.RelayRefusal {
 	return &tpmessage.RelayRefusal{
 		Status: tpmessage.StatusUnavailable, Reason: reason,
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -63,7 +63,7 @@
 		reply: tpring.New[tpplace.Grant](tpring.Settings{Capacity: 1}),
 		last:  req.ResumeAfter,
 	}
-	t.ctx, t.cancel = context.WithDeadline(g.Work.Ctx, req.Deadline)
+	t.ctx, t.cancel = context.WithDeadline(g.Work.Ctx, req.Latest)
 	return t
 }
 
@@ -98,7 +98,7 @@
 
 func (t *task) sending() *Sending {
 	return &Sending{
-		Request: t.req, Target: t.grant.Target, Deadline: t.req.Deadline, Fetch: t.grant.Fetch,
+		Request: t.req, Target: t.grant.Target, Deadline: t.req.Latest, Fetch: t.grant.Fetch,
 		Priority:    t.grant.Charge.Priority,
 		ResumeAfter: t.last,
 	}
@@ -107,10 +107,11 @@
 func (t *task) prefill() Action {
 	t.r.Counters.Prefills.Add(1)
 	s := t.sending()
-	s.FirstWithin = prefillPatience + t.grant.Wait + t.grant.Read
 	started := t.r.Clock.Now()
+	s.FirstWithin = t.beforeDeadline(started, prefillPatience+t.grant.Wait+t.grant.Read)
 	h, res := t.r.Upstream.Prefill(t.ctx, s)
 	now := t.r.Clock.Now()
+	res = t.atDeadline(now, res)
 	t.done(res, now.Sub(started))
 	action := t.plan.Prefilled(now, t.grant.Target.Name, res.End)
 	t.logStep(res, now.Sub(started))
@@ -124,11 +125,15 @@
 	t.countRun()
 	s := t.sending()
 	s.Handle = t.handle
-	s.FirstWithin, s.NextWithin = t.patience()
 	started := t.r.Clock.Now()
+	s.FirstWithin, s.NextWithin = t.patience()
+	if !t.begun {
+		s.FirstWithin = t.beforeDeadline(started, s.FirstWithin)
+	}
 	t.whole, t.size, t.events = nil, 0, 0
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
 	now := t.r.Clock.Now()
+	res = t.atDeadline(now, res)
 	if res.End == EndWhole || res.End == EndCut || res.End == EndSilent {
 		t.handle = Handle{} // taken
 	}
@@ -152,6 +157,24 @@
 	}
 }
 
+// beforeDeadline bounds the silence allowed before an answer begins, zero for
+// any, by the request's deadline.
+func (t *task) beforeDeadline(now time.Time, within time.Duration) time.Duration {
+	left := max(time.Millisecond, t.req.Deadline.Sub(now))
+	if within <= 0 {
+		return left
+	}
+	return min(within, left)
+}
+
+// atDeadline tells the end of the request's time from a silent target.
+func (t *task) atDeadline(now time.Time, res Result) Result {
+	if res.End == EndSilent && !now.Before(t.req.Deadline) {
+		res.End = EndStopped
+	}
+	return res
+}
+
 // patience returns the silences after which another target is tried. A request
 // that may not run again waits until its time is over.
 func (t *task) patience() (first, next time.Duration) {
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -32,6 +32,16 @@
 	return r.Idempotent
 }
 
+// FirstEventPatience returns how long clients of the route wait for the first
+// event of a stream before they leave, by the platform's description of them.
+// It is zero for other answers.
+func (r *RelayRoute) FirstEventPatience() time.Duration {
+	if !r.Stream {
+		return 0
+	}
+	return max(2*time.Second, 4*r.Goal, 8*r.GapGoal)
+}
+
 // WeightedPool is a pool that takes a part of a route's requests.
 type WeightedPool struct {
 	Pool   string
@@ -101,6 +111,8 @@
 	ResumeAfter int // last event that the client has, or -1
 	Arrived     time.Time
 	Deadline    time.Time
+	// Latest is the end for an answer that has begun by the Deadline.
+	Latest time.Time
 }
 
 // SharedTokens returns the tokens of the parts that other requests may share,
