--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -168,6 +168,9 @@
 			t.peers.Failing = t.peers.Failing || l.Failing
 		}
 	}
+	for _, t := range p.targets {
+		t.count()
+	}
 }
 
 // markChanging marks targets that refuse all work while they change their role.
@@ -221,6 +224,7 @@
 		g.Basis.OldestLoad = now.Sub(p.oldestLoad)
 	}
 	t.prefill[g.Charge.Priority] += g.Charge.Prefill
+	t.count()
 	t.runs += g.Charge.Runs
 	t.tokens += g.Charge.Tokens
 	if g.Step != StepCall {
@@ -419,8 +423,9 @@
 	if p.source != nil {
 		unread -= shared
 	}
+	holders := p.prefixes.holders[prefix]
 	for _, t := range candidates {
-		holds := p.prefixes.holds(now, prefix, t.Name)
+		holds := holds(now, holders, t.Name)
 		v.holds = append(v.holds, holds)
 		left := unread
 		if holds {
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -186,7 +186,7 @@
 // waitMs returns the milliseconds until a target has read the prompts that come
 // before one of the view's priority, at the speed of the prefill role.
 func (v *View) waitMs(t *target) float64 {
-	before := t.prefillUpTo(v.Priority)
+	before := t.upTo[v.Priority]
 	ms := float64(before) / PrefillTokensPerMs
 	if t.totalPrefill() > before {
 		ms += pieceWait
--- a/internal/relay/stage2/tpplace/prefix.go
+++ b/internal/relay/stage2/tpplace/prefix.go
@@ -69,11 +69,14 @@
 	return &list[i]
 }
 
-// holds reports whether a target is taken to keep a prefix.
-func (p *prefixes) holds(now time.Time, prefix uint64, target string) bool {
-	return slices.ContainsFunc(p.holders[prefix], func(h holder) bool {
-		return h.target == target && now.Sub(h.at) < prefixLife
-	})
+// holds reports whether a target is among those that are taken to keep a prefix.
+func holds(now time.Time, holders []holder, target string) bool {
+	for i := range holders {
+		if holders[i].target == target && now.Sub(holders[i].at) < prefixLife {
+			return true
+		}
+	}
+	return false
 }
 
 // forget drops what a target kept, because its process has ended.
--- a/internal/relay/stage2/tpplace/target.go
+++ b/internal/relay/stage2/tpplace/target.go
@@ -31,6 +31,7 @@
 type target struct {
 	tpmessage.RelayTarget
 	prefill  [tpmessage.Priorities]int // outstanding work of this node, by priority
+	upTo     [tpmessage.Priorities]int // of all nodes, of a priority and the more urgent ones
 	runs     int
 	tokens   int
 	peers    tpmessage.TargetLoad // sum over the other nodes
@@ -44,6 +45,7 @@
 
 func (t *target) settle(now time.Time, d *Done) {
 	t.prefill[d.Charge.Priority] = max(0, t.prefill[d.Charge.Priority]-d.Charge.Prefill)
+	t.count()
 	t.runs = max(0, t.runs-d.Charge.Runs)
 	t.tokens = max(0, t.tokens-d.Charge.Tokens)
 	switch d.Outcome {
@@ -89,16 +91,15 @@
 }
 
 // totalPrefill returns the tokens to be read of all priorities.
-func (t *target) totalPrefill() int { return t.prefillUpTo(tpmessage.Priorities - 1) }
+func (t *target) totalPrefill() int { return t.upTo[tpmessage.Priorities-1] }
 
-// prefillUpTo returns the tokens to be read of a priority and the more urgent
-// ones.
-func (t *target) prefillUpTo(priority int) int {
+// count adds up the tokens to be read after one of its terms has changed.
+func (t *target) count() {
 	sum := 0
-	for i := range priority + 1 {
+	for i := range t.upTo {
 		sum += t.prefill[i] + t.peers.Prefill[i]
+		t.upTo[i] = sum
 	}
-	return sum
 }
 
 func (t *target) totalRuns() int   { return t.runs + t.peers.Runs }
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -372,7 +372,7 @@
 		Int("send", t.sent).Str("target", t.grant.Target.Name).Str("end", res.End.String()).
 		Int64("tookMs", took.Milliseconds()).Int64("waitMs", t.grant.Wait.Milliseconds()).
 		Int64("readMs", t.grant.Read.Milliseconds()).Int("candidates", t.grant.Basis.Candidates).
-		Int("rank", t.grant.Basis.Rank).Int("runs", t.grant.Basis.Runs).Int("prefill", t.grant.Basis.Prefill).
+		Int("priority", t.grant.Charge.Priority).Int("rank", t.grant.Basis.Rank).Int("runs", t.grant.Basis.Runs).Int("prefill", t.grant.Basis.Prefill).
 		Int("nodes", t.grant.Basis.Nodes).Int64("loadAgeMs", t.grant.Basis.OldestLoad.Milliseconds()).
 		Uint64("registration", t.grant.Target.Revision)
 	if t.grant.Fetch != "" {
--- /dev/null
+++ b/internal/relay/tpcollect/bench_test.go
@@ -0,0 +1,48 @@
+package tpcollect_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/relay/tpcollect"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+// BenchmarkAnswer measures what a collector does for one report.
+func BenchmarkAnswer(b *testing.B) {
+	for _, size := range []struct{ nodes, targets int }{{3, 21}, {25, 63}, {14, 1333}} {
+		b.Run(fmt.Sprintf("nodes=%d/targets=%d", size.nodes, size.targets), func(b *testing.B) {
+			var members []tpmessage.Member
+			for i := range size.nodes {
+				members = append(members, tpmessage.Member{Name: fmt.Sprint("n", i), Address: fmt.Sprint("n", i), Zone: "z"})
+			}
+			var c *tpcollect.Collector
+			for _, m := range members {
+				c = tpcollect.New(m)
+				c.SetMembers(members)
+				if c.Collects() {
+					break
+				}
+			}
+			now := epoch
+			loads := make([]tpmessage.NodeLoad, size.nodes)
+			for i, m := range members {
+				loads[i] = tpmessage.NodeLoad{Node: m.Name, Report: true}
+				// Each node has work at a sixth of the targets.
+				for t := i; t < size.targets; t += 6 {
+					loads[i].Loads = append(loads[i].Loads, tpmessage.TargetLoad{Target: fmt.Sprint("t", t), Runs: 1})
+				}
+				c.Hear(now, loads[i])
+			}
+			i := 0
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				l := loads[i%len(loads)]
+				c.Hear(now, l)
+				c.Answer(now, tpmessage.NodeLoad{}, l)
+				i++
+			}
+		})
+	}
+}
