--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -194,8 +195,9 @@
 
 // report sends the reports that are due, one at a time to each address.
 func (m *members) report(now time.Time) {
+	maps.DeleteFunc(m.reporting, func(_ string, until time.Time) bool { return !now.Before(until) })
 	for _, address := range m.collect.Reports(now) {
-		if now.Before(m.reporting[address]) {
+		if _, waiting := m.reporting[address]; waiting {
 			continue
 		}
 		m.reporting[address] = now.Add(tppeer.HeartbeatTimeout)
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -22,6 +22,8 @@
 	// sumLife is how long a sum counts. After that, what nodes told directly
 	// counts instead.
 	sumLife = time.Second
+	// nodeLife is how long the last report of a node counts at its collector.
+	nodeLife = 2 * time.Second
 	// timerSlack is how much too early a tick may be that is meant for a report.
 	timerSlack = 20 * time.Millisecond
 	// task names the collection in the ranking of the nodes.
@@ -176,7 +178,7 @@
 	s := newSum()
 	s.add(own)
 	for name, l := range c.nodes {
-		if name != without && c.members[name].Zone == c.self.Zone && now.Sub(l.At) < 2*sumLife {
+		if name != without && c.members[name].Zone == c.self.Zone && now.Sub(l.At) < nodeLife {
 			s.add(l)
 		}
 	}
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -32,14 +32,21 @@
 	return r.Idempotent
 }
 
+// The patience of clients with a stream, by the platform's description of them:
+// the longest of a fixed time, of some goals, and of some pauses that are on time.
+const (
+	leastPatience = 2 * time.Second
+	goalPatience  = 4
+	gapPatience   = 8
+)
+
 // FirstEventPatience returns how long clients of the route wait for the first
-// event of a stream before they leave, by the platform's description of them.
-// It is zero for other answers.
+// event of a stream before they leave. It is zero for other answers.
 func (r *RelayRoute) FirstEventPatience() time.Duration {
 	if !r.Stream {
 		return 0
 	}
-	return max(2*time.Second, 4*r.Goal, 8*r.GapGoal)
+	return max(leastPatience, goalPatience*r.Goal, gapPatience*r.GapGoal)
 }
 
 // WeightedPool is a pool that takes a part of a route's requests.
