Let runs wait for a slot of a decode engine instead of refusing them

Besides, the demand counted a generated token as on an engine with a batch of 40 runs, whatever the slots, so that the split left too few decode engines in pools of 12 slots.

Change: runs beyond the slots are granted as long as they are expected to start within 0.3 of the remaining time, and their wait counts in the refusal of late requests and in the timeouts. The decode demand follows the slots.

--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -92,6 +92,7 @@
 	req := r.Work.Request
 	index, cost := p.policy.Direct(&p.view, req)
 	pl := p.promptPlacement(r, StepRun, index, cost, decodeSlowdown)
+	pl.queueDelay += p.slotWait(pl.target, req)
 	pl.reservation.Runs, pl.reservation.Tokens = 1, req.PromptTokens+req.MaxOutputTokens
 	return pl, true
 }
@@ -105,7 +106,7 @@
 	req := r.Work.Request
 	t := p.view.targets[p.policy.Run(&p.view, req)]
 	return placement{
-		target: t, step: StepRun, candidates: len(p.view.targets),
+		target: t, step: StepRun, candidates: len(p.view.targets), queueDelay: p.slotWait(t, req),
 		reservation: Reservation{
 			Target: t.Name, Priority: p.view.Priority, Runs: 1, Tokens: req.PromptTokens + req.MaxOutputTokens, BatchSize: t.totalRuns() + 1,
 		},
@@ -220,11 +221,47 @@
 		}
 		need := req.PromptTokens + req.MaxOutputTokens
 		limit := int(maxKVUtilisation * float64(e.KVTokens))
-		return t.totalRuns() == 0 || t.totalRuns() < min(e.Slots, p.maxBatchSize(now, req)) && t.totalTokens()+need <= limit
+		return t.totalRuns() == 0 || t.totalRuns() < p.maxRuns(now, req) && t.totalTokens()+need <= limit
 	}
 	return true
 }
 
+// maxRuns returns the number of runs below which a decode target may get one
+// more run. While the batch limit is below the slots of the engine, it is that
+// limit, because a larger batch would be too slow for the request. Otherwise
+// further runs wait at the engine for a slot, as many as are expected to start
+// within maxSlotWaitFraction of the remaining time.
+func (p *Placer[P]) maxRuns(now time.Time, req *tpmessage.RelayRequest) int {
+	slots := req.Pool.Engine.Slots
+	if batch := p.maxBatchSize(now, req); batch < slots {
+		return batch
+	}
+	runTime := p.fullBatchRunTime(req)
+	if runTime <= 0 {
+		return slots
+	}
+	wait := maxSlotWaitFraction * req.Deadline.Sub(now).Seconds()
+	waiting := int(wait / runTime.Seconds() * float64(slots))
+	return slots + min(max(waiting, 0), maxWaitingPerSlot*slots)
+}
+
+// slotWait returns the time that one more run waits for a slot of a decode
+// target.
+func (p *Placer[P]) slotWait(t *target, req *tpmessage.RelayRequest) time.Duration {
+	slots := req.Pool.Engine.Slots
+	if slots <= 0 || t.totalRuns() < slots {
+		return 0
+	}
+	return p.fullBatchRunTime(req) * time.Duration(t.totalRuns()-slots+1) / time.Duration(slots)
+}
+
+// fullBatchRunTime returns the expected time that a run of the request's route
+// takes in a full batch. It returns zero if no run of the route has finished.
+func (p *Placer[P]) fullBatchRunTime(req *tpmessage.RelayRequest) time.Duration {
+	step := stepMs + stepMsPerRun*float64(req.Pool.Engine.Slots)
+	return millis(p.meanOutputs[req.Route.Name] * step * p.decodeTimeFactor.value())
+}
+
 // maxBatchSize returns the number of runs below which one more run is expected
 // to finish before its deadline. Each token takes longer in a larger batch. The
 // result is at least half of the slots, because the expected length of an
@@ -236,5 +273,5 @@
 	}
 	remainingMs := req.Deadline.Sub(now).Seconds() * 1000
 	tokenMs := remainingMs / (longOutputFactor * output * p.decodeTimeFactor.value())
-	return max(req.Pool.Engine.Slots/2, int((tokenMs-stepMs)/stepMsPerRun))
+	return min(req.Pool.Engine.Slots, max(req.Pool.Engine.Slots/2, int((tokenMs-stepMs)/stepMsPerRun)))
 }
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -16,9 +16,16 @@
 	// A generating engine takes stepMs plus stepMsPerRun for each run in its
 	// batch to generate one token of every run.
 	stepMs, stepMsPerRun = 2.6, 0.12
-	// decodeTokenMs is the engine time for one token in a batch of 40 runs. In
-	// larger batches the pauses between events become long.
-	decodeTokenMs = (stepMs + stepMsPerRun*40) / 40
+	// In batches of more than maxDecodeBatch runs, the pauses between events
+	// become long. An engine with few slots is full in a burst if its mean batch
+	// is above maxSlotUtilisation of them.
+	maxDecodeBatch, maxSlotUtilisation = 40.0, 0.7
+	// maxSlotWaitFraction is the part of the remaining time of a request for
+	// which its run may wait for a slot. The generation needs the rest.
+	maxSlotWaitFraction = 0.3
+	// maxWaitingPerSlot is the number of waiting runs for each slot of an
+	// engine. Engines refuse more than three.
+	maxWaitingPerSlot = 2
 	// attentionMsPerPair is the time that attention takes for one pair of
 	// tokens. It is rounded: the engines of both deployments take 0.248 ms for
 	// a million pairs.
@@ -254,4 +261,11 @@
 
 func homeWeight(prefix uint64, t *target) uint64 { return xxh3.HashStringSeed(t.Name, prefix) }
 
+// decodeTokenMs returns the engine time, in milliseconds at the reference speed,
+// that one generated token takes on an engine with a sustainable batch.
+func decodeTokenMs(slots int) float64 {
+	batch := max(1, min(maxDecodeBatch, maxSlotUtilisation*float64(slots)))
+	return (stepMs + stepMsPerRun*batch) / batch
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
