Choose among a random sample of targets, and adapt the split sooner

Cause: all nodes chose the least loaded of all targets from loads that are 0.2 to 0.6 s old at 70 nodes, and therefore the same ones until the next loads came. The demand took 3 s to rise to its value and the split 12 s to follow.

Change: the best of a few random targets, at least two in the node's zone and two elsewhere, together with the home of the prefix and its holders; all targets while few requests of other nodes are unknown. The initial split follows the slots. Rates have no warm-up, and an overloaded role changes the split after 1.5 s.

--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -57,8 +57,8 @@
 		orders: tpring.New[tprolecontrol.Order](tpring.Settings{Capacity: orderRingCapacity}),
 		loads:  tpring.New[[]tpmessage.NodeLoad](tpring.Settings{Capacity: 1}),
 		controller: tprolecontrol.New(tprolecontrol.Settings{Node: n.cfg.Name, Guard: n.cfg.LeaseGuard},
-			func(first bool) *tprolecontrol.Balance {
-				return &tprolecontrol.Balance{PrefillFraction: n.cfg.InitialPrefillFraction, Adopt: !first}
+			func(pool tpmessage.RelayPool, first bool) *tprolecontrol.Balance {
+				return &tprolecontrol.Balance{PrefillFraction: n.cfg.InitialPrefillFraction, Slots: pool.Engine.Slots, Adopt: !first}
 			}),
 	}
 	n.deps.Rings.Add("shift", s.in)
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -70,7 +70,7 @@
 	}
 	t := p.view.targets[p.policy.Run(&p.view, r.Work.Request)]
 	return placement{
-		target: t, step: StepCall, reservation: Reservation{Target: t.Name, Runs: 1}, candidates: len(p.view.targets),
+		target: t, step: StepCall, reservation: Reservation{Target: t.Name, Runs: 1}, candidates: p.view.candidates,
 	}, true
 }
 
@@ -106,7 +106,7 @@
 	req := r.Work.Request
 	t := p.view.targets[p.policy.Run(&p.view, req)]
 	return placement{
-		target: t, step: StepRun, candidates: len(p.view.targets), queueDelay: p.slotWait(t, req),
+		target: t, step: StepRun, candidates: p.view.candidates, queueDelay: p.slotWait(t, req),
 		reservation: Reservation{
 			Target: t.Name, Priority: p.view.Priority, Runs: 1, Tokens: req.PromptTokens + req.MaxOutputTokens, BatchSize: t.totalRuns() + 1,
 		},
@@ -118,7 +118,7 @@
 // prefill role.
 func (p *Placer[P]) promptPlacement(r *TargetRequest, step Step, index int, cost, slowdown float64) placement {
 	t := p.view.targets[index]
-	pl := placement{target: t, step: step, cost: cost, candidates: len(p.view.targets)}
+	pl := placement{target: t, step: step, cost: cost, candidates: p.view.candidates}
 	pl.reservation = Reservation{
 		Target: t.Name, Priority: p.view.Priority, Prefill: p.view.unreadTokens[index],
 		NoBacklog: step == StepPrefill && t.totalPrefill() == 0, BatchSize: t.totalRuns() + 1,
@@ -143,18 +143,24 @@
 	p.fetchSource = nil
 	candidates := p.candidates(now, r, step)
 	req := r.Work.Request
+	v.candidates = len(candidates)
 	if len(candidates) == 0 || req.Pool.Engine == nil || r.HasHandle {
+		p.sample(now, candidates, func(*target) bool { return false })
 		return len(candidates) > 0
 	}
 	sharedTokens, prefix := req.SharedTokens()
 	v.sharedTokens = sharedTokens
-	v.home = home(prefix, candidates)
+	homeTarget := home(prefix, candidates)
+	holders := p.prefixes.holders[prefix]
+	candidates = p.sample(now, candidates, func(t *target) bool {
+		return t == homeTarget || holds(now, holders, t.Name)
+	})
+	v.home = slices.Index(candidates, homeTarget)
 	p.fetchSource = p.prefixSource(now, prefix, req.Pool.Name)
 	unreadTokens := req.PromptTokens
 	if p.fetchSource != nil {
 		unreadTokens -= sharedTokens
 	}
-	holders := p.prefixes.holders[prefix]
 	for _, t := range candidates {
 		tokens := unreadTokens
 		if holds(now, holders, t.Name) {
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
@@ -54,6 +57,8 @@
 	// changing names the targets that this node has ordered to another role.
 	changing []string
 	prefixes prefixes
+	random   *rand.Rand // chooses samples of the targets
+	arrivals rate       // of target requests at this node
 	// The demands are the rates at which work arrives, in milliseconds of
 	// engine time per second. The time factors estimate the speed of the
 	// engines for each kind of work.
@@ -75,6 +80,7 @@
 	}
 	return &Placer[P]{
 		cfg: cfg, policy: policy, nodes: 1,
+		random:      rand.New(rand.NewPCG(xxh3.HashString(cfg.Node), 0)),
 		targets:     make(map[string]*target),
 		pools:       make(map[string][]*target),
 		budgets:     make(map[string]*budget),
@@ -206,6 +212,7 @@
 func (p *Placer[P]) grant(now time.Time, r *TargetRequest) Grant {
 	req := r.Work.Request
 	g := Grant{Work: r.Work, Step: r.Step}
+	p.arrivals.add(now, 1)
 	if r.Step == StepFirst && !r.IsRetry {
 		p.budget(req.Pool.Name).countRequest(now)
 	}
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -112,6 +112,7 @@
 	// timeFactor is the time that engines take to read prompts, relative to the
 	// reference speed.
 	timeFactor   float64
+	candidates   int // number of targets before sampling
 	targets      []*target
 	home         int   // index of the prefix's home target, or -1
 	sharedTokens int   // tokens of the shared prefix
@@ -242,28 +243,29 @@
 	return float64(unread)/PrefillTokensPerMs + pairs*attentionMsPerPair
 }
 
-// home returns the index of the home target of a prefix, which is the target
-// with the highest rendezvous weight, or -1 if prefix is 0. All nodes with the
-// same candidates compute the same home. When a target leaves, only its own
-// prefixes get another home.
-func home(prefix uint64, targets []*target) int {
+// home returns the home target of a prefix, which is the target with the highest
+// rendezvous weight, or nil if prefix is 0. All nodes with the same candidates
+// compute the same home. When a target leaves, only its own prefixes get another
+// home.
+func home(prefix uint64, targets []*target) *target {
 	if prefix == 0 {
-		return -1
+		return nil
 	}
-	bestIndex, maxWeight := -1, uint64(0)
-	for i, t := range targets {
-		if weight := homeWeight(prefix, t); bestIndex < 0 || weight > maxWeight {
-			bestIndex, maxWeight = i, weight
+	var best *target
+	maxWeight := uint64(0)
+	for _, t := range targets {
+		if weight := homeWeight(prefix, t); best == nil || weight > maxWeight {
+			best, maxWeight = t, weight
 		}
 	}
-	return bestIndex
+	return best
 }
 
 func homeWeight(prefix uint64, t *target) uint64 { return xxh3.HashStringSeed(t.Name, prefix) }
 
-// decodeTokenMs returns the engine time, in milliseconds at the reference speed,
+// DecodeTokenMs returns the engine time, in milliseconds at the reference speed,
 // that one generated token takes on an engine with a sustainable batch.
-func decodeTokenMs(slots int) float64 {
+func DecodeTokenMs(slots int) float64 {
 	batch := max(1, min(maxDecodeBatch, maxSlotUtilisation*float64(slots)))
 	return (stepMs + stepMsPerRun*batch) / batch
 }
--- a/internal/relay/stage2/tpplace/timefactor.go
+++ b/internal/relay/stage2/tpplace/timefactor.go
@@ -92,7 +92,7 @@
 	if !known {
 		output = float64(min(req.MaxOutputTokens, initialOutputTokens))
 	}
-	decodeDemand := output * decodeTokenMs(req.Pool.Engine.Slots) * p.decodeTimeFactor.value()
+	decodeDemand := output * DecodeTokenMs(req.Pool.Engine.Slots) * p.decodeTimeFactor.value()
 	if pl.step == StepPrefill {
 		p.prefillDemand.add(now, pl.read.Seconds()*1000)
 	} else {
--- a/internal/relay/tprolecontrol/balance.go
+++ b/internal/relay/tprolecontrol/balance.go
@@ -5,14 +5,17 @@
 	"time"
 
 	"teaselpin.example/teaselpin/internal/order/stage1/tprole"
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 )
 
 const (
 	// DefaultPrefillFraction is the fraction of the engines that have the
-	// prefill role before there is demand, if the settings name none. It is 13
-	// of 18 engines, which suits the request mix of both deployments: 9 to 12
-	// are too few for the prompts, and 14 are too many on some days.
+	// prefill role before there is demand, if the settings name none and the
+	// engines have referenceSlots slots. It is 13 of 18 engines, which suits the
+	// request mix of the smaller deployments: 9 to 12 are too few for the
+	// prompts, and 14 are too many on some days.
 	DefaultPrefillFraction = 0.73
+	referenceSlots         = 64
 	// prefillTolerance is the number of missing prefill engines that causes no
 	// change of role while there is demand, because each change takes an engine
 	// out of service for seconds. A missing decode engine is always replaced:
@@ -39,6 +42,11 @@
 	// delay. A smaller gain does not outweigh the time for which changes take
 	// engines out of service.
 	minGain = 0.4
+	// overloadGain is the fraction of the expected delay from which a role counts
+	// as overloaded. The split then changes after overloadPeriod, because
+	// requests fail meanwhile.
+	overloadGain   = 0.8
+	overloadPeriod = 1500 * time.Millisecond
 	// decodeDelayWeight is the weight of the delay of a token relative to the
 	// delay of a prompt. Every token of an answer is delayed, and a growing
 	// batch slows down gradually.
@@ -53,8 +61,11 @@
 // longer than a burst. It is a tprole.Policy.
 type Balance struct {
 	// PrefillFraction is the initial fraction of the engines with the prefill
-	// role. Zero means the default fraction.
+	// role. Zero means the default fraction for engines with Slots slots.
 	PrefillFraction float64
+	// Slots is the number of requests in one batch of an engine. Zero means
+	// referenceSlots.
+	Slots int
 	// Adopt replaces PrefillFraction by the split of the first observation.
 	// Later holders of the lease set it, because an earlier holder may have
 	// adapted the split to the demand.
@@ -79,7 +90,7 @@
 		b.PrefillFraction, b.Adopt = float64(o.Split.Prefill)/float64(n), false
 	}
 	if b.PrefillFraction <= 0 {
-		b.PrefillFraction = DefaultPrefillFraction
+		b.PrefillFraction = defaultFraction(b.Slots)
 	}
 	busy := o.Demand.Prefill+o.Demand.Decode > idleDemandEngines
 	b.updateFraction(o, busy)
@@ -104,7 +115,9 @@
 		b.demandSince, b.demand = o.At, o.Demand
 		return
 	}
-	weight := 1 - math.Exp(-elapsed.Seconds()/smoothingTimeConstant.Seconds())
+	// Until the average has a history, all observations count the same.
+	weight := max(-math.Expm1(-elapsed.Seconds()/smoothingTimeConstant.Seconds()),
+		elapsed.Seconds()/max(o.At.Sub(b.demandSince), elapsed).Seconds())
 	b.demand.Prefill += weight * (o.Demand.Prefill - b.demand.Prefill)
 	b.demand.Decode += weight * (o.Demand.Decode - b.demand.Decode)
 	n := o.Split.Changeable()
@@ -122,11 +135,24 @@
 	if b.betterSince.IsZero() {
 		b.betterSince = o.At
 	}
-	if o.At.Sub(b.demandSince) >= initialPeriod && o.At.Sub(b.betterSince) >= stablePeriod {
+	demandAge, betterFor := o.At.Sub(b.demandSince), o.At.Sub(b.betterSince)
+	overloaded := currentDelay-minDelay >= overloadGain*currentDelay
+	if demandAge >= initialPeriod && betterFor >= stablePeriod || overloaded && betterFor >= overloadPeriod {
 		b.PrefillFraction, b.betterSince = float64(bestPrefill)/float64(n), time.Time{}
 	}
 }
 
+// defaultFraction returns the initial fraction of the engines with the prefill
+// role. Engines with fewer slots generate fewer tokens per second, so that the
+// same requests need more engines with the decode role.
+func defaultFraction(slots int) float64 {
+	if slots <= 0 {
+		slots = referenceSlots
+	}
+	decode := (1 - DefaultPrefillFraction) * tpplace.DecodeTokenMs(slots) / tpplace.DecodeTokenMs(referenceSlots)
+	return DefaultPrefillFraction / (DefaultPrefillFraction + decode)
+}
+
 // prefillEngines returns how many of n engines have the prefill role. Each role
 // has at least one engine.
 func prefillEngines(fraction float64, n int) int {
--- a/internal/relay/tprolecontrol/controller.go
+++ b/internal/relay/tprolecontrol/controller.go
@@ -92,7 +92,7 @@
 // filter.
 type Controller[P tprole.Policy] struct {
 	cfg        Settings
-	policy     func(first bool) P
+	policy     func(pool tpmessage.RelayPool, first bool) P
 	roles      map[string]*tprole.Assigner[P] // by pool name
 	pools      map[string]tpmessage.RelayPool // by name
 	targets    []tpmessage.RelayTarget
@@ -104,7 +104,7 @@
 
 // New returns a controller without targets. The function policy returns a new
 // policy for a pool; first is true for the first holder of the lease.
-func New[P tprole.Policy](cfg Settings, policy func(first bool) P) *Controller[P] {
+func New[P tprole.Policy](cfg Settings, policy func(pool tpmessage.RelayPool, first bool) P) *Controller[P] {
 	return &Controller[P]{
 		cfg: cfg, policy: policy,
 		roles:    make(map[string]*tprole.Assigner[P]),
@@ -194,7 +194,7 @@
 	}
 	roles, ok := c.roles[name]
 	if !ok {
-		roles = tprole.New(tprole.Settings{}, c.policy(c.authority.Fencing <= 1))
+		roles = tprole.New(tprole.Settings{}, c.policy(p, c.authority.Fencing <= 1))
 		c.roles[name] = roles
 	}
 	var orders []Order
--- a/internal/relay/tprolecontrol/controller_test.go
+++ b/internal/relay/tprolecontrol/controller_test.go
@@ -28,7 +28,9 @@
 
 func newController(fraction float64, list []tpmessage.RelayTarget) *tprolecontrol.Controller[*tprolecontrol.Balance] {
 	s := tprolecontrol.New(tprolecontrol.Settings{Node: "node-0", Guard: 3 * time.Second},
-		func(bool) *tprolecontrol.Balance { return &tprolecontrol.Balance{PrefillFraction: fraction} })
+		func(tpmessage.RelayPool, bool) *tprolecontrol.Balance {
+			return &tprolecontrol.Balance{PrefillFraction: fraction}
+		})
 	s.SetConfig(&tpmessage.RelayConfig{Pools: []tpmessage.RelayPool{
 		{Name: "llm", Engine: &tpmessage.EngineTraits{RoleSwitchTime: 3 * time.Second}}, {Name: "app"},
 	}})
@@ -193,3 +195,37 @@
 		t.Errorf("prefill engines of a later holder: got %d, want %d", got, want)
 	}
 }
+
+// Guards against an overloaded role that waits for the time in which a split
+// proves better on ordinary days: with 40 prefill and 16 decode engines and a
+// demand of 18 and 24, requests failed for the first 7 s of the day.
+func TestOverloadChangesTheSplitEarly(t *testing.T) {
+	b := &tprolecontrol.Balance{PrefillFraction: 0.72}
+	at := func(after time.Duration) int {
+		return b.PrefillEngines(tprole.Observation{
+			At: epoch.Add(after), Demand: tprole.Demand{Prefill: 18, Decode: 24}, Split: tprole.Split{Prefill: 40, Decode: 16},
+		})
+	}
+	want := 40
+	for after := time.Duration(0); after <= 2500*time.Millisecond; after += 500 * time.Millisecond {
+		want = at(after)
+	}
+	if want < 20 || want > 30 {
+		t.Errorf("prefill engines after 2.5 s of overload: got %d, want 20 to 30 of 56", want)
+	}
+}
+
+// Guards against pools of engines with few slots that begin a day with too few
+// decode engines for the same requests.
+func TestInitialSplitFollowsSlots(t *testing.T) {
+	idle := func(slots int) int {
+		b := &tprolecontrol.Balance{Slots: slots}
+		return b.PrefillEngines(tprole.Observation{At: epoch, Split: tprole.Split{Prefill: 20, Decode: 36}})
+	}
+	if got, want := idle(64), 40; got != want {
+		t.Errorf("prefill engines of 56 with 64 slots: got %d, want %d", got, want)
+	}
+	if got := idle(12); got < 26 || got > 32 {
+		t.Errorf("prefill engines of 56 with 12 slots: got %d, want 26 to 32", got)
+	}
+}
