Do not report full targets as failing

Cause: a refusal for want of a slot marked a target as failing for all nodes.

Change: only the node that was refused avoids the target.

--- a/internal/relay/stage2/tpplace/target.go
+++ b/internal/relay/stage2/tpplace/target.go
@@ -42,7 +42,7 @@
 	refusals          int                          // consecutive refusals
 	changing          bool                         // ordered to another role
 	avoidUntil        time.Time                    // until then used only if no other target is left
-	failing           bool                         // avoidUntil was set by a loss, a refusal or repeated failures
+	failing           bool                         // avoidUntil was set by a loss or by repeated failures
 }
 
 func (t *target) applyResult(now time.Time, r *StepResult) {
@@ -64,7 +64,9 @@
 		t.losses++
 		t.avoidUntil, t.failing = now.Add(pause), true
 	case OutcomeRefused:
-		t.avoidUntil, t.failing = now.Add(min(refusedBackoff<<min(t.refusals, 4), maxRefusedBackoff)), true
+		// A full target is not failing. If all nodes avoided it, the remaining
+		// targets would be full next.
+		t.avoidUntil = now.Add(min(refusedBackoff<<min(t.refusals, 4), maxRefusedBackoff))
 		t.refusals++
 	case OutcomeMisdirected:
 		t.avoidUntil = now.Add(misdirectedBackoff)
