Let the nodes of a region call the store in turn

Cause: every node read the lease, tried to write it, read all objects and then watched them when it started, because no member was known as a watcher yet. Each change that the remaining four watch cost four calls, also in bursts.

Change: nodes other than the seeds make no call in the first 1.5 s and learn the objects from the seeds. From rank 8 on, a candidate for the lease makes no call. A watch that returns in a burst pauses for 100 ms; lapsed registrations are kept 50 ms shorter for it.

--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -85,6 +86,7 @@
 	log          zerolog.Logger
 	table        atomic.Pointer[tproute.Table]
 	leaving      atomic.Bool
+	started      time.Time
 	stopDeadline time.Time // servers close requests in progress at this time
 	random       *rand.Rand
 
@@ -111,6 +113,7 @@
 		n.leaseClock = &tpclock.BootTime{}
 	}
 	n.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.started = n.clock.Now()
 	if err := n.start(); err != nil {
 		n.stop()
 		return nil, nil, err
@@ -165,6 +168,13 @@
 	return !n.leaving.Load() && n.table.Load() != nil && n.objects.targetsKnown.Load()
 }
 
+// joining reports whether the node has just started and may not know most of
+// the members yet. The seeds know their rank no better, but the other nodes
+// learn the objects of the platform from them.
+func (n *Node) joining(now time.Time) bool {
+	return len(n.cfg.Seeds) > 0 && !slices.Contains(n.cfg.Seeds, n.cfg.Peers) && now.Sub(n.started) < firstContactDelay
+}
+
 // Closing reports whether the planned stop has begun.
 func (n *Node) Closing() bool { return n.leaving.Load() }
 
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -28,14 +28,10 @@
 	auditInterval = 700 * time.Millisecond
 	// maxAuditors is the number of watching nodes that also audit.
 	maxAuditors = 2
-	// maxWatchers is the number of nodes of the region that watch the platform
-	// for changes. The platform charges for each watch; the other nodes receive
-	// the changes from these.
-	maxWatchers = 4
-	// watchStartDelay is the time after its start in which a node with seeds
-	// does not watch the platform. Until the members know each other, all of
-	// them would watch.
-	watchStartDelay = 1500 * time.Millisecond
+	// firstContactDelay is the time after its start in which a node that is not
+	// a seed leaves all calls to the platform to others. Until the members know
+	// each other, every node ranks first.
+	firstContactDelay = 1500 * time.Millisecond
 	// watchTask is the task name that the ranking of the watchers hashes.
 	watchTask = "watch"
 )
@@ -78,7 +74,7 @@
 	failures          atomic.Uint64
 	decodeErrors      map[string]uint64 // store version by text of each logged decoding error
 	callsFailing      map[string]bool
-	started           time.Time
+	turns             tpfollow.Turns
 }
 
 func newObjectFilter(n *Node) *objectFilter {
@@ -91,7 +87,6 @@
 		views:        make(map[string]*atomic.Pointer[tpobject.View]),
 		decodeErrors: make(map[string]uint64),
 		callsFailing: make(map[string]bool),
-		started:      n.clock.Now(),
 	}
 	n.deps.Rings.Add("follow", f.in)
 	n.deps.Rings.Add("peerCalls", f.peerCalls)
@@ -157,13 +152,17 @@
 
 func (f *objectFilter) handle(in followInput) {
 	now := f.node.clock.Now()
-	starting := len(f.node.cfg.Seeds) > 0 && now.Sub(f.started) < watchStartDelay
-	passive := starting || f.node.members.watchersAhead() >= maxWatchers
+	passive := f.node.joining(now) || f.turns.Passive(now, tpfollow.Standing{
+		Ahead: f.node.members.rank(watchTask, ""), WatchersAhead: f.node.members.watchersAhead(),
+	})
 	serving := true
 	for _, follower := range f.followers {
 		f.deliver(now, follower, &in)
 		follower.SetPassive(passive)
-		f.startCalls(now, follower)
+		if !passive {
+			f.startPlatformCall(follower)
+		}
+		f.startPeerCall(now, follower)
 		serving = serving && follower.Serving()
 	}
 	f.serving.Store(serving)
@@ -227,11 +226,17 @@
 	e.Str("kind", follower.Kind).Uint64("version", v.Version).Send()
 }
 
-// startCalls passes the calls that a follower asks for to the calls duties.
-func (f *objectFilter) startCalls(now time.Time, follower *tpfollow.Follower) {
+// startPlatformCall passes the call to the platform that a follower asks for to
+// the calls duty.
+func (f *objectFilter) startPlatformCall(follower *tpfollow.Follower) {
 	if a := follower.Next(); a.Kind != tpfollow.ActionNone {
 		_ = f.calls[follower.Kind].Put(fetch{kind: follower.Kind, action: a}) // the ring is empty while no call is in progress
 	}
+}
+
+// startPeerCall passes the call to a peer that a follower asks for to the peer
+// calls duty.
+func (f *objectFilter) startPeerCall(now time.Time, follower *tpfollow.Follower) {
 	if a := follower.NextPeer(now); a.Kind != tpfollow.ActionNone {
 		if err := f.peerCalls.TryPut(fetch{kind: follower.Kind, action: a}); err != nil {
 			follower.Peer(tpobject.View{}, err)
--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -98,7 +98,12 @@
 	}, policy)
 	duty.Store = n.deps.Store
 	duty.Clock = n.leaseClock
-	duty.Rank = n.members.rank
+	duty.Rank = func(task, holder string) int {
+		if n.joining(n.clock.Now()) {
+			return tplease.MaxCandidates
+		}
+		return n.members.rank(task, holder)
+	}
 	lastHeld, lastFencing := false, uint64(0)
 	duty.Sink = func(a tpmessage.Authority) {
 		if a.Held == lastHeld && a.Fencing == lastFencing {
--- a/internal/order/stage2/tplease/lease.go
+++ b/internal/order/stage2/tplease/lease.go
@@ -26,6 +26,10 @@
 // that all of them in a region together read less often than the first one.
 const maxPollShift = 6
 
+// MaxCandidates is the rank from which a candidate makes no call. It becomes a
+// candidate when enough of those that take precedence are gone.
+const MaxCandidates = 8
+
 // Settings configures a Lease. A duration that is zero or negative takes its
 // default.
 type Settings struct {
@@ -161,6 +165,8 @@
 		return Action{Kind: ActionEnd}
 	case now.Before(l.retryAt):
 		return Action{Kind: ActionWait, At: l.retryAt}
+	case !l.held && l.pending == nil && !l.releasing && l.rank >= MaxCandidates:
+		return Action{Kind: ActionWait, At: now.Add(l.cfg.RenewInterval / retryDivisor)}
 	case !l.snapshotCurrent:
 		return Action{Kind: ActionRead}
 	case l.held:
--- a/internal/order/stage2/tplease/lease_test.go
+++ b/internal/order/stage2/tplease/lease_test.go
@@ -246,3 +246,19 @@
 		l.Wrote(now, uint64(i+1), nil)
 	}
 }
+
+// Guards against a region whose nodes all read and write the lease when they
+// start, and against a candidate that does not step in after those before it
+// are gone.
+func TestOnlyFirstCandidatesCall(t *testing.T) {
+	l := tplease.New(settings(1), tplease.Strict{})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l.SetRank(tplease.MaxCandidates)
+	if got, want := l.Next(now).Kind, tplease.ActionWait; got != want {
+		t.Errorf("action with %d candidates before: got %v, want %v", tplease.MaxCandidates, got, want)
+	}
+	l.SetRank(tplease.MaxCandidates - 1)
+	if got, want := l.Next(now).Kind, tplease.ActionRead; got != want {
+		t.Errorf("action with %d candidates before: got %v, want %v", tplease.MaxCandidates-1, got, want)
+	}
+}
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -20,6 +20,9 @@
 	// maxRetryBackoff bounds the doubled retryBackoff. A configuration must be
 	// in force two seconds after the platform serves this node again.
 	maxRetryBackoff = 800 * time.Millisecond
+	// minWatchInterval is the pause between two watches in a burst of changes,
+	// so that one result holds several of them.
+	minWatchInterval = 100 * time.Millisecond
 	// peerDelay is the time between the first report of other content at a peer
 	// and the call to that peer. The platform usually notifies this node of the
 	// change within that time, so that no call is needed.
@@ -57,16 +60,18 @@
 
 	view                tpobject.View
 	digest              uint64
-	known               bool      // a view has been received
-	passive             bool      // other nodes watch the platform for this one
-	platformCallPending bool      // a call to the platform is in progress
-	canWatch            bool      // a watch can start from view.Version
-	failures            int       // consecutive failed calls
-	failedAt            time.Time // last failure, or zero
-	peerCallPending     bool      // a call to a peer is in progress
-	newerPeer           string    // address of the peer with the newest other content, or empty
-	newerPeerAt         time.Time // when newerPeer was first set
-	newerPeerVersion    uint64    // version of the content of newerPeer
+	known               bool          // a view has been received
+	passive             bool          // other nodes watch the platform for this one
+	platformCallPending bool          // a call to the platform is in progress
+	canWatch            bool          // a watch can start from view.Version
+	failures            int           // consecutive failed calls
+	failedAt            time.Time     // last failure, or zero
+	watchedAt           time.Time     // last result of a watch, or zero
+	watchPause          time.Duration // delay of the next watch
+	peerCallPending     bool          // a call to a peer is in progress
+	newerPeer           string        // address of the peer with the newest other content, or empty
+	newerPeerAt         time.Time     // when newerPeer was first set
+	newerPeerVersion    uint64        // version of the content of newerPeer
 }
 
 // View returns the current view, and false if there is none yet.
@@ -101,7 +106,7 @@
 	f.platformCallPending = true
 	a := Action{Kind: ActionView}
 	if f.canWatch {
-		a = Action{Kind: ActionWatch, After: f.view.Version}
+		a = Action{Kind: ActionWatch, After: f.view.Version, Delay: f.watchPause}
 	}
 	if f.failures > 0 {
 		a.Delay = min(retryBackoff<<min(f.failures-1, 8), maxRetryBackoff)
@@ -159,6 +164,11 @@
 		return false
 	}
 	f.failures = 0
+	f.watchPause = 0
+	if now.Sub(f.watchedAt) < 2*minWatchInterval {
+		f.watchPause = minWatchInterval
+	}
+	f.watchedAt = now
 	if version < f.view.Version {
 		return false
 	}
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -167,6 +167,30 @@
 	}
 }
 
+// Guards against one call to the platform for each of many changes that come
+// within milliseconds, and against a change that waits although no other one has
+// come before it.
+func TestBurstOfChangesNeedsFewCalls(t *testing.T) {
+	f := newFollower(t, view(5))
+	calls := 0
+	for now := epoch.Add(time.Second); now.Before(epoch.Add(2 * time.Second)); {
+		a := f.Next()
+		if a.Kind != tpfollow.ActionWatch {
+			t.Fatalf("action: got %+v, want a watch", a)
+		}
+		if calls == 0 && a.Delay != 0 {
+			t.Errorf("delay of the first watch: got %v, want 0", a.Delay)
+		}
+		// Something changes every millisecond.
+		now = now.Add(a.Delay + time.Millisecond)
+		calls++
+		f.HandleWatch(now, nil, uint64(5+calls), nil)
+	}
+	if got, most := calls, 12; got > most {
+		t.Errorf("watches in 1 s of steady changes: got %d, want at most %d", got, most)
+	}
+}
+
 func target(name string, startedMs int64, draining bool) tpmessage.RelayTarget {
 	return tpmessage.RelayTarget{Target: tpmessage.Target{Name: name}, StartedMs: startedMs, Draining: draining}
 }
--- a/internal/relay/tpfollow/registry.go
+++ b/internal/relay/tpfollow/registry.go
@@ -11,8 +11,8 @@
 // LapseGrace is the grace period for a target whose registration disappeared
 // while the platform was disturbed. A live target registers again within 2 s of
 // the platform's return. A target that has left must get no new work after 2 s,
-// and the notification takes up to 0.3 s to reach a node.
-const LapseGrace = 1700 * time.Millisecond
+// and the notification takes up to 0.35 s to reach a node.
+const LapseGrace = 1650 * time.Millisecond
 
 // Registry derives the targets in use from the registrations at the platform.
 // It is owned by one filter.
