Bound what servers and peers may send, and survive panics

Calls to plain services on the own interface use a connection each. A gap timeout is at least 1.2 s, since clients wait for 2 s and engines pause streams while they read prompts. Filters and timers go on after a panic, which is logged with its input and counted; a duty that ends stops the node in order; a task's panic gives its reservation back.

--- a/internal/command/tpcommand/relay.go
+++ b/internal/command/tpcommand/relay.go
@@ -1,6 +1,7 @@
 package tpcommand
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -50,6 +51,17 @@
 	defer stopLog()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(logWriter).With().Timestamp().Logger()
+	dutyEnded := make(chan struct{}, 1)
+	duties.OnPanic(func(p tpduty.Panic) {
+		log.Error().Str("event", "panic").Str("duty", p.Duty).Str("value", p.Value).Str("input", p.Input).
+			Str("stack", p.Stack).Bool("ended", p.Ended).Send()
+		if p.Ended {
+			select {
+			case dutyEnded <- struct{}{}:
+			default: // the node is stopping already
+			}
+		}
+	})
 
 	store, closeStore := tpguest.NewStore(cfg.Store)
 	defer closeStore()
@@ -71,19 +83,26 @@
 		return err
 	}
 	fmt.Fprintf(logWriter, "listening %s %s\n", cfg.Front, cfg.Peers)
-	c.waitForStop(&log)
+	err = c.waitForStop(&log, dutyEnded)
 	cleanup()
-	return nil
+	return err
 }
 
-// waitForStop returns when the process receives a stop signal. A reload signal
+// errDutyEnded is returned after a duty of the node has ended with a panic. The
+// node stops in order, and the platform starts it again.
+var errDutyEnded = errors.New("a duty of the node ended with a panic")
+
+// waitForStop returns when the process receives a stop signal or, with an error,
+// when a duty has ended. A reload signal
 // checks the settings file and logs the result. It does not change the running
 // node, because settings are applied only at the start.
-func (c *Relay) waitForStop(log *zerolog.Logger) {
+func (c *Relay) waitForStop(log *zerolog.Logger, dutyEnded <-chan struct{}) error {
 	for {
 		select {
 		case <-c.env.Stop:
-			return
+			return nil
+		case <-dutyEnded:
+			return Error.Wrap(errDutyEnded)
 		case <-c.env.Reload:
 			var cfg tprelaynode.Settings
 			err := readSettings(c.Settings, &cfg)
--- a/internal/edge/tppeer/journal.go
+++ b/internal/edge/tppeer/journal.go
@@ -79,8 +79,8 @@
 // idle connections. The client sends an operation at most once: net/http
 // repeats a POST only if no byte of it was written.
 func NewJournalClient(events *tpevent.Recorder) (*JournalClient, func()) {
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerPeer}
-	return &JournalClient{events: events, http: &http.Client{Transport: t}}, t.CloseIdleConnections
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerPeer, MaxResponseHeaderBytes: maxHeaderBytes}
+	return &JournalClient{events: events, http: &http.Client{Transport: limitedTransport{t}}}, t.CloseIdleConnections
 }
 
 // Do implements tpjournal.Peers. It sends the operation to the node at address.
--- a/internal/edge/tpplatform/client.go
+++ b/internal/edge/tpplatform/client.go
@@ -18,6 +18,10 @@
 	// WatchTimeout is the time limit of a watch. The platform ends a watch
 	// without changes earlier.
 	WatchTimeout = 40 * time.Second
+	// maxHeaderBytes and maxBodyBytes are the maximum sizes of the header and of
+	// the body of an answer. An object has at most 1 MB.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 64 << 20
 )
 
 // Error is the class of errors of this package. Errors also match the
@@ -34,11 +38,11 @@
 // http://10.0.0.1:7000, and its clean-up function, which closes idle
 // connections.
 func NewClient(base string) (*Client, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 32}
-	c := &Client{
-		callClient:  resty.New().SetTransport(transport).SetBaseURL(base).SetTimeout(CallTimeout),
-		watchClient: resty.New().SetTransport(transport).SetBaseURL(base).SetTimeout(WatchTimeout),
+	transport := &http.Transport{MaxIdleConnsPerHost: 32, MaxResponseHeaderBytes: maxHeaderBytes}
+	newClient := func(timeout time.Duration) *resty.Client {
+		return resty.New().SetTransport(transport).SetBaseURL(base).SetTimeout(timeout).SetResponseBodyLimit(maxBodyBytes)
 	}
+	c := &Client{callClient: newClient(CallTimeout), watchClient: newClient(WatchTimeout)}
 	return c, transport.CloseIdleConnections
 }
 
--- a/internal/edge/tptarget/query.go
+++ b/internal/edge/tptarget/query.go
@@ -32,8 +32,9 @@
 // connections. pool returns the pool of a name from the configuration in
 // force, and false if there is none.
 func NewCallQuerier(pool func(name string) (tpmessage.Pool, bool)) (*CallQuerier, func()) {
-	t := &http.Transport{}
-	return &CallQuerier{pool: pool, client: resty.New().SetTransport(t).SetTimeout(QueryTimeout)}, t.CloseIdleConnections
+	t := &http.Transport{MaxResponseHeaderBytes: MaxHeaderBytes}
+	client := resty.New().SetTransport(t).SetTimeout(QueryTimeout).SetResponseBodyLimit(2 * MaxResultBytes)
+	return &CallQuerier{pool: pool, client: client}, t.CloseIdleConnections
 }
 
 // QueryCall implements tpjournal.CallQuerier. It queries the services of the
--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -58,12 +58,15 @@
 // tpsender.Transport. It sends each request once: only the sender retries.
 type Transport struct {
 	cfg Settings
-	// client reuses connections and sends idempotent requests only.
+	// client reuses connections and sends idempotent requests to engines only.
+	// The lines of their answers name the request.
 	client *http.Client
 	// unpooledClient opens a connection for each request. On a failure of a
 	// reused connection, net/http itself sends a request with an
 	// Idempotency-Key a second time, which would run a non-idempotent call
-	// twice.
+	// twice. The answer of a plain service does not name its request: on a
+	// reused connection, a second copy of an earlier answer would be taken for
+	// it.
 	unpooledClient *http.Client
 }
 
@@ -268,7 +271,7 @@
 		r.Header.Set(HeaderKey, req.Key)
 	}
 	client := t.client
-	if !req.Idempotent {
+	if !req.Idempotent || req.Kind == tpmessage.KindServiceCall {
 		client = t.unpooledClient
 	}
 	resp, err := client.Do(r)
--- a/internal/edge/tptarget/transport_test.go
+++ b/internal/edge/tptarget/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -144,3 +145,50 @@
 		t.Error("silent target: got not reachable")
 	}
 }
+
+// Guards against a second copy of an answer, late, on a connection that is used
+// again: the answer of a plain service does not name its request.
+func TestLateCopyIsNobodysAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var served atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 4096)
+				last := ""
+				for {
+					if _, err := c.Read(buf); err != nil {
+						return
+					}
+					if last != "" {
+						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(last), last)
+					}
+					last = fmt.Sprint("answer ", served.Add(1))
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(last), last)
+				}
+			}()
+		}
+	}()
+	tr, cleanup := tptarget.NewTransport(tptarget.Settings{})
+	defer cleanup()
+	for i := 1; i <= 5; i++ {
+		req := tpmessage.Request{ID: fmt.Sprint("r", i), Kind: tpmessage.KindServiceCall, Idempotent: true, Body: []byte("x")}
+		got := ""
+		res := tr.Run(t.Context(), &req, tpmessage.Target{Name: "a", Address: l.Addr().String()}, 0, func(c tpmessage.Chunk) error {
+			got = c.Text
+			return tpsender.ErrComplete
+		})
+		if want := fmt.Sprint("answer ", i); res.Outcome != tpmessage.OutcomeDone || got != want {
+			t.Errorf("call %d: got %q (%v), want %q", i, got, res.Err, want)
+		}
+	}
+}
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -191,7 +191,7 @@
 	peers := http.NewServeMux()
 	server := &tppeer.MembersServer{Receive: n.members.receive, LookupView: n.objects.heldView}
 	peers.Handle(tppeer.MembersPath, server.Handler())
-	if _, err := n.serve("peers", n.cfg.Peers, peers); err != nil {
+	if _, err := n.serve("peers", n.cfg.Peers, http.MaxBytesHandler(peers, tppeer.MaxMessageBytes)); err != nil {
 		return err
 	}
 	if n.cfg.Metrics != "" {
@@ -275,6 +275,7 @@
 			"requests": c.Requests.Load(), "prefills": c.Prefills.Load(), "runs": c.Runs.Load(),
 			"calls": c.Calls.Load(), "retries": c.Retries.Load(), "resumes": c.Resumes.Load(),
 			"refused": c.Refused.Load(), "unknown": c.Unknown.Load(), "broken": c.Broken.Load(), "left": c.Disconnected.Load(),
+			"panics": c.Panics.Load(),
 		}
 	})
 }
--- a/internal/order/stage4/tpdispatch/sender.go
+++ b/internal/order/stage4/tpdispatch/sender.go
@@ -44,6 +44,8 @@
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: tptarget.MaxHeaderBytes,
 	}
 	// Each order uses a new connection, because net/http retries a request by
 	// itself only on a connection that was used before.
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -86,7 +86,7 @@
 
 // Counters counts the operations of the stage. The zero value is ready to use.
 type Counters struct {
-	Requests, Prefills, Runs, Calls, Retries, Resumes, Refused, Unknown, Broken, Disconnected atomic.Uint64
+	Requests, Prefills, Runs, Calls, Retries, Resumes, Refused, Unknown, Broken, Disconnected, Panics atomic.Uint64
 }
 
 // Relay runs a task for each granted request. It is owned by one filter.
@@ -116,6 +116,7 @@
 	r.workers.Submit(func() {
 		t := newTask(r, g)
 		defer t.close()
+		defer t.recover()
 		t.run()
 	})
 }
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -24,6 +26,10 @@
 	// another target can take over, as a multiple of the longest gap that meets
 	// the route's goal.
 	gapTimeoutFactor = 3
+	// minGapTimeout is the shortest such timeout. An engine pauses a stream for
+	// longer than a goal of milliseconds while it reads the prompt of another
+	// request, and clients wait for 2 s.
+	minGapTimeout = 1200 * time.Millisecond
 	// callTimeoutFactor is the timeout for the answer of a plain service to a
 	// repeatable call, as a multiple of the route's goal.
 	callTimeoutFactor = 4
@@ -37,15 +43,17 @@
 
 // task executes one request.
 type task struct {
-	r      *Relay
-	req    *tpmessage.RelayRequest
-	work   tpmessage.RelayWork
-	grant  tpplace.Grant
-	plan   Plan
-	ctx    context.Context
-	cancel context.CancelFunc
-	reply  *tpring.Ring[tpplace.Grant]
-	handle Handle
+	r     *Relay
+	req   *tpmessage.RelayRequest
+	work  tpmessage.RelayWork
+	grant tpplace.Grant
+	// granted is true while the reservation of grant counts at its target.
+	granted bool
+	plan    Plan
+	ctx     context.Context
+	cancel  context.CancelFunc
+	reply   *tpring.Ring[tpplace.Grant]
+	handle  Handle
 
 	delivered     bool                   // at least one part was delivered to the client
 	pendingHead   *tpmessage.AnswerHead  // head of a stream, delivered with the first data
@@ -64,7 +72,7 @@
 func newTask(r *Relay, g tpplace.Grant) *task {
 	req := g.Work.Request
 	t := &task{
-		r: r, req: req, work: g.Work, grant: g, plan: Plan{Request: req},
+		r: r, req: req, work: g.Work, grant: g, granted: true, plan: Plan{Request: req},
 		reply:     tpring.New[tpplace.Grant](tpring.Settings{Capacity: 1}),
 		lastEvent: req.ResumeAfter,
 	}
@@ -77,6 +85,21 @@
 	t.work.Answer.Close()
 }
 
+// recover ends the request after a panic in its task. The answer is cut off,
+// because it is not known whether the request has run.
+func (t *task) recover() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	t.r.Counters.Panics.Add(1)
+	t.r.Log.Error().Str("event", "panic").Str("request", t.req.ID).Str("value", fmt.Sprint(value)).
+		Str("stack", string(debug.Stack())).Send()
+	if t.granted {
+		t.reportResult(Result{End: EndIncomplete}, 0)
+	}
+}
+
 func (t *task) run() {
 	t.r.Counters.Requests.Add(1)
 	for {
@@ -191,7 +214,7 @@
 	case !route.Retryable():
 		return 0, 0
 	case route.Stream:
-		return firstEventTimeoutMargin + t.grant.QueueDelay + t.grant.ReadTime, gapTimeoutFactor * route.EventGapGoal
+		return firstEventTimeoutMargin + t.grant.QueueDelay + t.grant.ReadTime, max(minGapTimeout, gapTimeoutFactor*route.EventGapGoal)
 	}
 	return callTimeoutFactor * route.LatencyGoal, 0
 }
@@ -283,7 +306,7 @@
 	if err != nil {
 		g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: err.Error()}
 	}
-	t.grant = g
+	t.grant, t.granted = g, g.Refusal == nil
 	if request.IsRetry && g.Refusal == nil {
 		t.plan.CountRetry()
 	}
@@ -292,6 +315,7 @@
 
 // reportResult reports the result of a step to the placer.
 func (t *task) reportResult(res Result, took time.Duration) {
+	t.granted = false
 	outcome := tpplace.OutcomeServed
 	switch res.End {
 	case EndComplete:
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -341,3 +341,29 @@
 		}
 	}
 }
+
+// Guards against a panic in one request that leaves its client without an end of
+// the answer, or its reservation at the target for good.
+func TestPanicEndsOneRequest(t *testing.T) {
+	// A run without a scripted attempt panics.
+	got, results := runScript(t, &scriptedUpstream{}, notResumable, tpplace.StepRun, 0)
+	if got.ended || got.refusal != nil || got.text != "" {
+		t.Errorf("answer: got %+v, want none", got)
+	}
+	if len(results) != 1 || results[0].Outcome != tpplace.OutcomeLost {
+		t.Errorf("results of the step: got %+v, want one lost", results)
+	}
+}
+
+// Guards against a sound stream that is cut during a pause in which the engine
+// reads the prompt of another request, and that its client would have waited
+// for.
+func TestPauseOfSoundStreamIsAllowed(t *testing.T) {
+	route := resumable
+	route.EventGapGoal = 150 * time.Millisecond
+	u := &scriptedUpstream{attempts: []attempt{{events: 2, end: tprelay.EndComplete, status: 200}}}
+	runScript(t, u, route, tpplace.StepRun, 0)
+	if got, least := u.runs[0].GapTimeout, time.Second; got < least {
+		t.Errorf("timeout between two events: got %v, want at least %v", got, least)
+	}
+}
