Wait for the fleet before the first orders

Change: an idle pool keeps its roles for a second after its size has changed.

Result: TestOrdersWaitForTheFleet failed before.

--- a/internal/frame/tpduty/runner.go
+++ b/internal/frame/tpduty/runner.go
@@ -88,13 +88,16 @@
 // goroutine of that duty.
 func (r *Runner) OnPanic(f func(Panic)) { r.onPanic.Store(&f) }
 
-// recover reports a panic of the deferring function. Input is the value that a
-// filter was handling, or nil.
+// recover ends a panic of the function that defers it, and reports it.
 func (r *Runner) recover(name string, input any, ended bool) {
-	value := recover()
-	if value == nil {
-		return
+	if value := recover(); value != nil {
+		r.report(name, value, input, ended)
 	}
+}
+
+// report counts a panic and passes it to the function of OnPanic. Input is the
+// value that a filter was handling, or nil.
+func (r *Runner) report(name string, value, input any, ended bool) {
 	r.panics.Add(1)
 	f := r.onPanic.Load()
 	if f == nil {
@@ -128,8 +131,12 @@
 func StartTimer(r *Runner, name string, clock tpclock.Clock, f func() time.Duration) (cleanup func(), err error) {
 	stop := make(chan struct{})
 	call := func() (delay time.Duration) {
-		delay = panicDelay
-		defer r.recover(name, nil, false)
+		defer func() {
+			if value := recover(); value != nil {
+				r.report(name, value, nil, false)
+				delay = panicDelay
+			}
+		}()
 		return f()
 	}
 	wait, err := r.Go(name, func() {
--- a/internal/relay/tprolecontrol/controller.go
+++ b/internal/relay/tprolecontrol/controller.go
@@ -21,6 +21,10 @@
 	// refusedBackoff is the delay before the next order to an engine that has
 	// refused one or already has the role.
 	refusedBackoff = 2 * time.Second
+	// settlePeriod is the time after a change of the fleet in which an idle pool
+	// keeps its roles. At the start of a region the engines register one after
+	// the other, and a split of the first ones would be reverted.
+	settlePeriod = time.Second
 	// leaseMargin is the time before the end of the lease at which orders stop.
 	// An order then arrives before another node can hold the lease.
 	leaseMargin = 700 * time.Millisecond
@@ -91,15 +95,19 @@
 // Controller decides on the roles in all engine pools. It is owned by one
 // filter.
 type Controller[P tprole.Policy] struct {
-	cfg        Settings
-	policy     func(pool tpmessage.RelayPool, first bool) P
-	roles      map[string]*tprole.Assigner[P] // by pool name
-	pools      map[string]tpmessage.RelayPool // by name
-	targets    []tpmessage.RelayTarget
-	inFlight   map[string]inFlight // by engine name
-	authority  tpmessage.Authority
-	ordersFrom time.Time                     // earliest time of an order under this authority
-	loads      map[string]tpmessage.NodeLoad // by node name
+	cfg     Settings
+	policy  func(pool tpmessage.RelayPool, first bool) P
+	roles   map[string]*tprole.Assigner[P] // by pool name
+	pools   map[string]tpmessage.RelayPool // by name
+	targets []tpmessage.RelayTarget
+	// fleetChanged is true after a change of the number of targets until the
+	// next step, which sets settledAt.
+	fleetChanged bool
+	settledAt    time.Time
+	inFlight     map[string]inFlight // by engine name
+	authority    tpmessage.Authority
+	ordersFrom   time.Time                     // earliest time of an order under this authority
+	loads        map[string]tpmessage.NodeLoad // by node name
 }
 
 // New returns a controller without targets. The function policy returns a new
@@ -139,6 +147,7 @@
 // SetTargets sets the registered targets. An order whose effect is registered,
 // or whose engine process has ended, is no longer in flight.
 func (c *Controller[P]) SetTargets(list []tpmessage.RelayTarget) {
+	c.fleetChanged = c.fleetChanged || len(c.targets) > 0 && len(list) != len(c.targets)
 	c.targets = list
 	for _, t := range list {
 		if p, ok := c.inFlight[t.Name]; ok && (t.Role == p.role || t.StartedMs != p.targetStartedMs) {
@@ -162,7 +171,11 @@
 			delete(c.inFlight, name)
 		}
 	}
-	if !c.MayOrder(now) {
+	if c.fleetChanged {
+		c.fleetChanged, c.settledAt = false, now.Add(settlePeriod)
+	}
+	idle := c.Demand().Prefill+c.Demand().Decode <= idleDemandEngines
+	if !c.MayOrder(now) || idle && now.Before(c.settledAt) {
 		return nil
 	}
 	var orders []Order
--- a/internal/relay/tprolecontrol/controller_test.go
+++ b/internal/relay/tprolecontrol/controller_test.go
@@ -229,3 +229,21 @@
 		t.Errorf("prefill engines of 56 with 12 slots: got %d, want 26 to 32", got)
 	}
 }
+
+// Guards against orders to the first engines of a region that are reverted when
+// the others have registered.
+func TestOrdersWaitForTheFleet(t *testing.T) {
+	s := newController(0.5, fleet(2, 0))
+	s.SetAuthority(epoch, authority(1, epoch.Add(time.Hour)))
+	s.SetTargets(fleet(2, 2))
+	if got := s.Step(epoch); got != nil {
+		t.Errorf("orders while engines register: got %v", got)
+	}
+	s.SetTargets(fleet(2, 6))
+	if got := s.Step(epoch.Add(500 * time.Millisecond)); got != nil {
+		t.Errorf("orders while engines register: got %v", got)
+	}
+	if got := s.Step(epoch.Add(1600 * time.Millisecond)); len(got) == 0 || got[0].Role != tpmessage.RolePrefill {
+		t.Errorf("orders 1.1 s after the last registration: got %v, want some to the prefill role", got)
+	}
+}
