Let a restarted node ask the store once, whatever its peers say

Cause: since nodes learn their first views from peers, a restarted node could take an old view from a peer that has lost the store, and use a server that had left.

Change: outside the first start of a region a node reads each kind from the store once; a view of a peer serves it meanwhile.

--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -28,11 +28,8 @@
 	auditInterval = 700 * time.Millisecond
 	// maxAuditors is the number of watching nodes that also audit.
 	maxAuditors = 2
-	// firstViewDelay is the time after its start from which a node that has
-	// received no view from a peer reads it from the platform, whatever its
-	// rank. The node cannot serve without it.
-	firstViewDelay = 100 * time.Millisecond
-	// bootstrapViewDelay replaces firstViewDelay when the whole region starts
+	// bootstrapViewDelay is the time for which a node waits for a view from a
+	// peer before it reads it from the platform, when the whole region starts
 	// for the first time. There are no requests yet, and the seeds may start
 	// some hundred milliseconds later than the others.
 	bootstrapViewDelay = 1500 * time.Millisecond
@@ -167,8 +164,7 @@
 	for _, follower := range f.followers {
 		f.deliver(now, follower, &in)
 		follower.SetPassive(passive)
-		_, known := follower.View()
-		if !passive || !known && now.Sub(f.node.started) >= f.firstViewDelay() {
+		if !passive || f.mustAsk(now, follower) {
 			f.startPlatformCall(follower)
 		}
 		f.startPeerCall(now, follower)
@@ -235,13 +231,15 @@
 	e.Str("kind", follower.Kind).Uint64("version", v.Version).Send()
 }
 
-// firstViewDelay returns the time after its start for which the node waits for a
-// view from a peer.
-func (f *objectFilter) firstViewDelay() time.Duration {
-	if f.node.cfg.Bootstrap {
-		return bootstrapViewDelay
-	}
-	return firstViewDelay
+// mustAsk reports whether the node calls the platform whatever its rank, because
+// it has just started. When the whole region starts, the views of the peers are
+// as new as that of the platform.
+func (f *objectFilter) mustAsk(now time.Time, follower *tpfollow.Follower) bool {
+	if !f.node.cfg.Bootstrap {
+		return follower.Joining()
+	}
+	_, known := follower.View()
+	return !known && now.Sub(f.node.started) >= bootstrapViewDelay
 }
 
 // startPlatformCall passes the call to the platform that a follower asks for to
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -62,6 +62,7 @@
 	digest              uint64
 	known               bool          // a view has been received
 	passive             bool          // other nodes watch the platform for this one
+	asked               bool          // the platform has answered or failed at least once
 	platformCallPending bool          // a call to the platform is in progress
 	canWatch            bool          // a watch can start from view.Version
 	failures            int           // consecutive failed calls
@@ -90,22 +91,28 @@
 }
 
 // SetPassive sets whether other nodes watch the platform for this one. A
-// passive follower calls the platform only until it has a first view.
+// passive follower calls the platform only until it has a view and has asked the
+// platform once: a peer that has lost the platform may send an old view to a
+// node that has just started.
 func (f *Follower) SetPassive(passive bool) { f.passive = passive }
 
 // Serving reports whether a watch is in progress and the last call to the
 // platform succeeded.
 func (f *Follower) Serving() bool { return f.canWatch && f.failures == 0 && f.platformCallPending }
 
+// Joining reports whether the follower has no view, or none that it has compared
+// with the platform.
+func (f *Follower) Joining() bool { return !f.known || !f.asked }
+
 // Next returns the call to the platform to make now. It returns no call while
 // another one is in progress.
 func (f *Follower) Next() Action {
-	if f.platformCallPending || (f.passive && f.known) {
+	if f.platformCallPending || (f.passive && f.known && f.asked) {
 		return Action{}
 	}
 	f.platformCallPending = true
 	a := Action{Kind: ActionView}
-	if f.canWatch {
+	if f.canWatch && f.asked {
 		a = Action{Kind: ActionWatch, After: f.view.Version, Delay: f.watchPause}
 	}
 	if f.failures > 0 {
@@ -131,7 +138,7 @@
 // HandleView processes the result of reading all objects. It reports whether
 // the content changed.
 func (f *Follower) HandleView(now time.Time, v tpobject.View, err error) bool {
-	f.platformCallPending = false
+	f.platformCallPending, f.asked = false, true
 	if err != nil {
 		f.recordFailure(now)
 		return false
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -149,6 +149,27 @@
 	}
 }
 
+// Guards against a node that uses a target that has left, because after a
+// restart it has its view from a peer that has lost the platform.
+func TestRestartedNodeAsksThePlatform(t *testing.T) {
+	f := &tpfollow.Follower{Kind: "servers"}
+	f.SetPassive(true)
+	f.Peer(view(5), nil)
+	if got, want := f.Next().Kind, tpfollow.ActionView; got != want {
+		t.Fatalf("action with the view of a peer: got %v, want %v", got, want)
+	}
+	newer := tpobject.View{Kind: "servers", Version: 7, Objects: []tpobject.Object{{Name: "servers/x", Version: 7}}}
+	if !f.HandleView(epoch, newer, nil) {
+		t.Error("the view of the platform changed nothing")
+	}
+	if got, _ := f.View(); got.Version != 7 {
+		t.Errorf("version: got %d, want 7", got.Version)
+	}
+	if a := f.Next(); a.Kind != tpfollow.ActionNone {
+		t.Errorf("action after that: got %+v, want none", a)
+	}
+}
+
 // Guards against a passive node that removes targets whose registrations lapsed
 // while the platform was down. Only the nodes that call the platform notice its
 // failure, and their Disturbed flag tells the passive ones.
