Bound what membership and load reports cost in a large region

Counted by size at 295 nodes, 59 of them in a zone: a collector added up all loads for each of 100 reports a second; each node built the list of all members for each report, compared its members 10 times a second, looked at all known prefixes 10 times a second, told 3 members a second about all members, and read all registrations from a peer for each change while the engines register.

Change: a collector answers from a total that is at most 100 ms old, without the asking node's own load; brief heartbeats contain no list; members are read from the table every 200 ms and loads published when new ones came; old prefixes are removed once a second; one member a second is told of all members while the collector answers; views are read from a peer every 500 ms in the first 8 s of a region's first start.

TestPeerInterval is new. Processor time at 295 nodes is being measured.

--- a/internal/membership/tpmember/table.go
+++ b/internal/membership/tpmember/table.go
@@ -147,6 +147,18 @@
 	return OutgoingHeartbeat{Heartbeat: t.heartbeat(now, nil, false), Addresses: t.choosePeers()}
 }
 
+// BriefTick is Tick for a heartbeat that contains only the entry of this node and
+// whose addresses the caller chooses.
+func (t *Table) BriefTick(now time.Time) tpmessage.Heartbeat {
+	t.extendDeadlinesAfterPause(now)
+	t.updateStatus(now)
+	t.heartbeatCounter++
+	return tpmessage.Heartbeat{
+		Generation: t.self.Generation, Brief: true,
+		Members: []tpmessage.MemberState{{Member: t.self, Beat: t.heartbeatCounter}},
+	}
+}
+
 // Leave marks this node as leaving and returns a heartbeat for every live
 // member.
 func (t *Table) Leave(now time.Time) OutgoingHeartbeat {
@@ -165,7 +177,7 @@
 // Receive merges a heartbeat and returns the answer, which contains the
 // entries that the sender lacks or has with a lower heartbeat counter. A
 // sender that was unknown, dropped or of another incarnation receives all
-// entries in full.
+// entries in full. The answer to a brief heartbeat contains only this node's.
 func (t *Table) Receive(now time.Time, hb tpmessage.Heartbeat) tpmessage.Heartbeat {
 	unknownSender := false
 	known := make(map[string]tpmessage.MemberState, len(hb.Members))
@@ -181,6 +193,12 @@
 		t.merge(now, m)
 	}
 	t.heartbeatCounter++
+	if hb.Brief {
+		return tpmessage.Heartbeat{
+			Generation: t.self.Generation, Brief: true,
+			Members: []tpmessage.MemberState{{Member: t.self, Beat: t.heartbeatCounter}},
+		}
+	}
 	return t.heartbeat(now, known, unknownSender)
 }
 
@@ -195,11 +213,14 @@
 // name of the member with its incarnation. Entries with an unknown incarnation
 // keep an empty name, and merge ignores them.
 func (t *Table) resolve(entries []tpmessage.MemberState) []tpmessage.MemberState {
+	resolved := slices.Clone(entries)
+	if !slices.ContainsFunc(resolved, func(m tpmessage.MemberState) bool { return m.Member.Name == "" }) {
+		return resolved
+	}
 	names := make(map[string]string, len(t.records))
 	for name, r := range t.records {
 		names[r.member.Incarnation] = name
 	}
-	resolved := slices.Clone(entries)
 	for i := range resolved {
 		if m := &resolved[i].Member; m.Name == "" {
 			m.Name = names[m.Incarnation]
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -38,6 +38,12 @@
 	// sameZonePeers is the number of peers in the node's own zone among the
 	// three peers of a round.
 	sameZonePeers = 2
+	// servedFanout and unservedFanout are the numbers of peers of a round, with
+	// and without a collector that answers the node's reports.
+	servedFanout, unservedFanout = 1, 3
+	// memberRefreshInterval is the time between two reads of the live members
+	// from the table, which copy all of them.
+	memberRefreshInterval = 200 * time.Millisecond
 	// reportTickInterval is the interval at which the filter checks which load
 	// reports to the collector are due. The intervals of the collection are
 	// multiples of it.
@@ -92,6 +98,8 @@
 	collector      *tpcollect.Collector
 	reportsSent    int
 	pendingReports map[string]time.Time
+	loadsChanged   bool      // since the last call of publishLoads
+	refreshedAt    time.Time // when the live members were last read from the table
 	// incarnation distinguishes this process from an earlier one on the
 	// machine.
 	incarnation string
@@ -171,22 +179,20 @@
 	case memberTick:
 		r := m.table.Tick(now)
 		hb := m.completeHeartbeat(r.Heartbeat, m.ownLoad)
-		for _, address := range r.Addresses {
+		for _, address := range r.Addresses[:min(len(r.Addresses), m.gossipFanout(now))] {
 			_ = m.out.PutDropOldest(outgoingHeartbeat{address: address, heartbeat: hb})
 		}
+		m.loadsChanged = true // old loads may have expired
 		m.publishLoads(now)
 	case memberReport:
 		m.sendReports(now)
 	case memberViewChanged:
-		update := m.table.Tick(now).Heartbeat
-		update.Brief = true
-		hb := m.completeHeartbeat(update, m.ownLoad)
+		hb := m.completeHeartbeat(m.table.BriefTick(now), m.ownLoad)
 		for _, member := range m.table.Members()[1:] {
 			_ = m.out.PutDropOldest(outgoingHeartbeat{address: member.Address, heartbeat: hb})
 		}
 	case memberHeartbeat:
 		answer := m.table.Receive(now, in.heartbeat)
-		answer.Brief = in.heartbeat.Brief
 		answerLoad := m.ownLoad
 		if len(in.heartbeat.Loads) > 0 {
 			answerLoad = m.collector.Answer(now, m.ownLoad, in.heartbeat.Loads[0])
@@ -213,9 +219,13 @@
 			continue
 		}
 		m.pendingReports[address] = now.Add(tppeer.HeartbeatTimeout)
-		update := m.table.Tick(now).Heartbeat
 		m.reportsSent++
-		update.Brief = m.reportsSent%reportsPerMemberList != 0
+		var update tpmessage.Heartbeat
+		if m.reportsSent%reportsPerMemberList == 0 {
+			update = m.table.Tick(now).Heartbeat
+		} else {
+			update = m.table.BriefTick(now)
+		}
 		load := m.collector.Report(now, m.ownLoad)
 		load.Report = true
 		_ = m.out.PutDropOldest(outgoingHeartbeat{address: address, heartbeat: m.completeHeartbeat(update, load)})
@@ -223,12 +233,18 @@
 	m.publishLoads(now)
 }
 
-// completeHeartbeat adds a load and the view versions to a heartbeat. It
-// reduces the member list of a brief heartbeat to the sender.
-func (m *members) completeHeartbeat(hb tpmessage.Heartbeat, load tpmessage.NodeLoad) tpmessage.Heartbeat {
-	if hb.Brief && len(hb.Members) > 0 {
-		hb.Members = hb.Members[:1]
+// gossipFanout returns the number of random members that a round of heartbeats
+// reaches. While the collector of the zone answers the node's reports, it
+// spreads the membership as well.
+func (m *members) gossipFanout(now time.Time) int {
+	if m.collector.Served(now) {
+		return servedFanout
 	}
+	return unservedFanout
+}
+
+// completeHeartbeat adds a load and the view versions to a heartbeat.
+func (m *members) completeHeartbeat(hb tpmessage.Heartbeat, load tpmessage.NodeLoad) tpmessage.Heartbeat {
 	hb.Loads = []tpmessage.NodeLoad{load}
 	hb.Views = m.viewVersions
 	return hb
@@ -240,6 +256,7 @@
 func (m *members) processHeartbeat(now time.Time, hb tpmessage.Heartbeat, address string) {
 	for _, l := range hb.Loads {
 		m.collector.Record(now, l)
+		m.loadsChanged = true
 	}
 	if address == "" && len(hb.Members) > 0 {
 		address = hb.Members[0].Member.Address
@@ -250,13 +267,21 @@
 }
 
 // publishLoads passes the outstanding loads of all nodes to the placement and
-// role filters.
+// role filters, if they may have changed since the last call.
 func (m *members) publishLoads(now time.Time) {
-	liveMembers := m.table.Members()
-	m.liveMembers.Store(&liveMembers)
-	m.collector.SetMembers(liveMembers)
+	if now.Sub(m.refreshedAt) >= memberRefreshInterval {
+		m.refreshedAt = now
+		liveMembers := m.table.Members()
+		m.liveMembers.Store(&liveMembers)
+		m.collector.SetMembers(liveMembers)
+	}
+	if !m.loadsChanged {
+		return
+	}
+	m.loadsChanged = false
 	loads := m.collector.Loads(now)
-	_ = m.node.placement.in.TryPutBelow(tpplace.Input{Kind: tpplace.InputLoads, Nodes: len(liveMembers), Loads: loads}, newRequestLimit)
+	in := tpplace.Input{Kind: tpplace.InputLoads, Nodes: len(*m.liveMembers.Load()), Loads: loads}
+	_ = m.node.placement.in.TryPutBelow(in, newRequestLimit)
 	ownLoad := m.ownLoad
 	ownLoad.At = now
 	_ = m.node.roles.loads.PutDropOldest(append(loads, ownLoad))
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -33,6 +33,11 @@
 	// for the first time. There are no requests yet, and the seeds may start
 	// some hundred milliseconds later than the others.
 	bootstrapViewDelay = 1500 * time.Millisecond
+	// bootstrapPeriod is the time after the first start of a region in which all
+	// engines register and many change their role, but no requests arrive. A
+	// node then reads the view of a peer only every bootstrapPeerInterval.
+	bootstrapPeriod       = 8 * time.Second
+	bootstrapPeerInterval = 500 * time.Millisecond
 	// firstContactDelay is the time after its start in which a node that is not
 	// a seed leaves all calls to the platform to others. Until the members know
 	// each other, every node ranks first.
@@ -164,6 +169,7 @@
 	for _, follower := range f.followers {
 		f.deliver(now, follower, &in)
 		follower.SetPassive(passive)
+		follower.PeerInterval = f.peerInterval(now)
 		if !passive || f.mustAsk(now, follower) {
 			f.startPlatformCall(follower)
 		}
@@ -242,6 +248,14 @@
 	return !known && now.Sub(f.node.started) >= bootstrapViewDelay
 }
 
+// peerInterval returns the shortest time between two reads of a peer's view.
+func (f *objectFilter) peerInterval(now time.Time) time.Duration {
+	if f.node.cfg.Bootstrap && now.Sub(f.node.started) < bootstrapPeriod {
+		return bootstrapPeerInterval
+	}
+	return 0
+}
+
 // startPlatformCall passes the call to the platform that a follower asks for to
 // the calls duty.
 func (f *objectFilter) startPlatformCall(follower *tpfollow.Follower) {
--- a/internal/relay/stage2/tpplace/prefix.go
+++ b/internal/relay/stage2/tpplace/prefix.go
@@ -15,6 +15,9 @@
 	// announceInterval is the time after which a repeated use is announced to
 	// the peers again.
 	announceInterval = 4 * time.Second
+	// expiryInterval is the time between two removals of old holders. A removal
+	// looks at all prefixes, of which a large region has thousands.
+	expiryInterval = time.Second
 	// announceDuration is the time for which each heartbeat repeats an
 	// announcement, because peers miss some heartbeats.
 	announceDuration = time.Second
@@ -32,6 +35,7 @@
 	holders       map[uint64][]holder
 	announcements []tpmessage.CachedPrefix
 	announcedAt   []time.Time // time of each announcement
+	expiredAt     time.Time   // last removal of old holders
 }
 
 // recordUse records that a target reads or uses a prefix.
@@ -92,15 +96,12 @@
 	}
 }
 
-// expire removes holders older than prefixTTL and returns the uses to announce
-// to the peers.
+// expire removes holders older than prefixTTL every expiryInterval. It returns
+// the uses to announce to the peers.
 func (p *prefixes) expire(now time.Time) []tpmessage.CachedPrefix {
-	for prefix, list := range p.holders {
-		list = slices.DeleteFunc(list, func(h holder) bool { return now.Sub(h.lastUse) >= prefixTTL })
-		p.holders[prefix] = list
-		if len(list) == 0 {
-			delete(p.holders, prefix)
-		}
+	if now.Sub(p.expiredAt) >= expiryInterval {
+		p.expiredAt = now
+		p.removeOld(now)
 	}
 	n := 0
 	for n < len(p.announcedAt) && now.Sub(p.announcedAt[n]) >= announceDuration {
@@ -109,3 +110,14 @@
 	p.announcements, p.announcedAt = p.announcements[n:], p.announcedAt[n:]
 	return slices.Clone(p.announcements)
 }
+
+// removeOld removes holders older than prefixTTL.
+func (p *prefixes) removeOld(now time.Time) {
+	for prefix, list := range p.holders {
+		list = slices.DeleteFunc(list, func(h holder) bool { return now.Sub(h.lastUse) >= prefixTTL })
+		p.holders[prefix] = list
+		if len(list) == 0 {
+			delete(p.holders, prefix)
+		}
+	}
+}
--- a/internal/relay/tpcollect/bench_test.go
+++ b/internal/relay/tpcollect/bench_test.go
@@ -11,7 +11,7 @@
 
 // BenchmarkAnswer measures the processing of one report by a collector.
 func BenchmarkAnswer(b *testing.B) {
-	for _, size := range []struct{ nodes, targets int }{{3, 21}, {25, 63}, {14, 1333}} {
+	for _, size := range []struct{ nodes, targets int }{{3, 21}, {25, 63}, {59, 325}, {14, 1333}} {
 		b.Run(fmt.Sprintf("nodes=%d/targets=%d", size.nodes, size.targets), func(b *testing.B) {
 			var members []tpmessage.Member
 			for i := range size.nodes {
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -23,6 +23,9 @@
 	// sumMaxAge is the age from which a sum is ignored. The loads that nodes
 	// have sent directly are used instead.
 	sumMaxAge = time.Second
+	// totalMaxAge is the age up to which a collector answers reports from the
+	// same total. The loads of all nodes and targets are added up for each total.
+	totalMaxAge = 100 * time.Millisecond
 	// nodeMaxAge is the age from which the collector ignores the report of a
 	// node.
 	nodeMaxAge = 2 * time.Second
@@ -47,6 +50,14 @@
 	othersSum  tpmessage.NodeLoad            // sum over all other nodes, as sent by the collector of this node's zone
 	nextReport time.Time                     // time of the next report or exchange
 	members    map[string]tpmessage.Member   // live nodes, by name
+	total      total                         // over all nodes
+}
+
+// total is the sum of the loads of all nodes, and the loads that it includes.
+type total struct {
+	at    time.Time
+	sum   tpmessage.NodeLoad
+	nodes map[string]tpmessage.NodeLoad // loads of the nodes of this zone, by name
 }
 
 // New returns a Collector whose only live member is self.
@@ -118,7 +129,7 @@
 // the zone if the node is its collector.
 func (c *Collector) Report(now time.Time, own tpmessage.NodeLoad) tpmessage.NodeLoad {
 	if c.IsCollector() {
-		return c.sumLoads(now, own, "", false)
+		return c.sumLoads(now, own, false)
 	}
 	return own
 }
@@ -132,13 +143,42 @@
 	case !c.IsCollector() || !received.Report:
 		return own
 	case received.Nodes > 0:
-		return c.sumLoads(now, own, "", false)
+		return c.sumLoads(now, own, false)
 	case sender.Zone == c.self.Zone:
-		return c.sumLoads(now, own, received.Node, true)
+		return c.totalWithout(now, own, received.Node)
 	}
 	return own
 }
 
+// totalWithout returns the sum over all nodes but one of this zone. It may be
+// totalMaxAge old.
+func (c *Collector) totalWithout(now time.Time, own tpmessage.NodeLoad, except string) tpmessage.NodeLoad {
+	if now.Sub(c.total.at) >= totalMaxAge {
+		c.total = total{at: now, sum: c.sumLoads(now, own, true), nodes: make(map[string]tpmessage.NodeLoad)}
+		for name, l := range c.nodeLoads {
+			if c.counts(now, name, l) {
+				c.total.nodes[name] = l
+			}
+		}
+	}
+	l, included := c.total.nodes[except]
+	if !included {
+		return c.total.sum
+	}
+	return subtract(c.total.sum, l)
+}
+
+// counts reports whether a load is part of the sum of this node's zone.
+func (c *Collector) counts(now time.Time, name string, l tpmessage.NodeLoad) bool {
+	return c.members[name].Zone == c.self.Zone && now.Sub(l.At) < nodeMaxAge
+}
+
+// Served reports whether the collector of the node's zone answers its reports,
+// or is this node itself.
+func (c *Collector) Served(now time.Time) bool {
+	return c.IsCollector() || c.othersSum.Nodes > 0 && now.Sub(c.othersSum.At) < sumMaxAge
+}
+
 // Record records a load from a report, an answer or a heartbeat.
 func (c *Collector) Record(now time.Time, l tpmessage.NodeLoad) {
 	l.At = now
@@ -158,7 +198,7 @@
 // Loads returns the known loads of all other nodes. A load may be a sum over
 // several nodes.
 func (c *Collector) Loads(now time.Time) []tpmessage.NodeLoad {
-	if !c.IsCollector() && c.othersSum.Nodes > 0 && now.Sub(c.othersSum.At) < sumMaxAge {
+	if !c.IsCollector() && c.Served(now) {
 		return []tpmessage.NodeLoad{c.othersSum}
 	}
 	list := make([]tpmessage.NodeLoad, 0, len(c.nodeLoads)+len(c.zoneSums))
@@ -185,13 +225,13 @@
 	return l, ok && now.Sub(l.At) < sumMaxAge
 }
 
-// sumLoads adds up the loads of this node's zone, except that of one node. If
-// allZones is true, it includes the sums of the other zones.
-func (c *Collector) sumLoads(now time.Time, own tpmessage.NodeLoad, except string, allZones bool) tpmessage.NodeLoad {
+// sumLoads adds up the loads of this node's zone. If allZones is true, it
+// includes the sums of the other zones.
+func (c *Collector) sumLoads(now time.Time, own tpmessage.NodeLoad, allZones bool) tpmessage.NodeLoad {
 	s := newLoadSum()
 	s.add(own)
 	for name, l := range c.nodeLoads {
-		if name != except && c.members[name].Zone == c.self.Zone && now.Sub(l.At) < nodeMaxAge {
+		if c.counts(now, name, l) {
 			s.add(l)
 		}
 	}
--- a/internal/relay/tpcollect/sum.go
+++ b/internal/relay/tpcollect/sum.go
@@ -59,3 +59,28 @@
 	})
 	return out
 }
+
+// subtract returns a sum without the load of one of its nodes. The prefixes and
+// the targets that change their role remain: another node may have named them
+// too, and the node knows its own. Targets are sorted by name in both.
+func subtract(sum, l tpmessage.NodeLoad) tpmessage.NodeLoad {
+	sum.Nodes--
+	sum.PrefillDemand -= l.PrefillDemand
+	sum.DecodeDemand -= l.DecodeDemand
+	sum.Loads = slices.Clone(sum.Loads)
+	for _, own := range l.Loads {
+		i, found := slices.BinarySearchFunc(sum.Loads, own.Target, func(t tpmessage.TargetLoad, name string) int {
+			return cmp.Compare(t.Target, name)
+		})
+		if !found {
+			continue
+		}
+		t := &sum.Loads[i]
+		for k, tokens := range own.Prefill {
+			t.Prefill[k] -= tokens
+		}
+		t.Runs -= own.Runs
+		t.Tokens -= own.Tokens
+	}
+	return sum
+}
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -57,6 +57,9 @@
 // It is owned by one filter. The zero value with Kind set is ready to use.
 type Follower struct {
 	Kind string
+	// PeerInterval is the shortest time between two reads of a peer's view by a
+	// node that has one. A view contains all objects, also the unchanged ones.
+	PeerInterval time.Duration
 
 	view                tpobject.View
 	digest              uint64
@@ -71,6 +74,7 @@
 	watchPause          time.Duration // delay of the next watch
 	peerCallPending     bool          // a call to a peer is in progress
 	newerPeer           string        // address of the peer with the newest other content, or empty
+	peerReadAt          time.Time     // last read of a peer's view
 	newerPeerAt         time.Time     // when newerPeer was first set
 	newerPeerVersion    uint64        // version of the content of newerPeer
 }
@@ -131,6 +135,10 @@
 	if f.peerCallPending || f.newerPeer == "" || now.Sub(f.newerPeerAt) < delay {
 		return Action{}
 	}
+	if f.known && now.Sub(f.peerReadAt) < f.PeerInterval {
+		return Action{}
+	}
+	f.peerReadAt = now
 	f.peerCallPending = true
 	return Action{Kind: ActionPeer, Peer: f.newerPeer}
 }
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// Guards against a node that reads all objects from a peer for each of the
+// registrations at the start of a region.
+func TestPeerInterval(t *testing.T) {
+	f := newFollower(t, view(5))
+	f.SetPassive(true)
+	f.PeerInterval = 500 * time.Millisecond
+	reads := 0
+	for i := range 100 {
+		now := epoch.Add(time.Duration(i) * 20 * time.Millisecond)
+		version := uint64(6 + i)
+		f.HandlePeerVersion(now, "peer:1", tpmessage.ViewVersion{Kind: "servers", Version: version, Digest: version})
+		if a := f.NextPeer(now); a.Kind == tpfollow.ActionPeer {
+			reads++
+			f.Peer(tpobject.View{Kind: "servers", Version: version, Objects: []tpobject.Object{{Name: "servers/x", Version: version}}}, nil)
+		}
+	}
+	if got, want := reads, 4; got != want {
+		t.Errorf("reads of a peer's view in 2 s with a change every 20 ms: got %d, want %d", got, want)
+	}
+}
+
 // Guards against a passive node that removes targets whose registrations lapsed
 // while the platform was down. Only the nodes that call the platform notice its
 // failure, and their Disturbed flag tells the passive ones.
