Fit suspicion to the size of a zone, and answer after a panic

Cause: with 60 nodes in a zone each hears a list of all members every 1.2 s, so that live members were suspected after 1.5 s: 292 times in 20 s among 180 nodes with three peers a second, 4,066 times with one (TestLiveMembersAreNotSuspected, now also at 180 nodes and for both). A suspected member is no collector. With one peer a second, members that had been dropped were no longer asked, so the parts of a region could not meet again after a partition. A panic in the placement or the membership left the task, the client or the peer's call waiting.

Change: suspicion after 2.5 lists, at least 1.5 s; sums stay in use for 2.5 reports, at least 1 s. The fanout is a setting of the table, which also asks one member that is not live. A placement that panics is a refusal, and a call of a peer ends.

--- a/internal/membership/tpmember/table.go
+++ b/internal/membership/tpmember/table.go
@@ -122,6 +122,17 @@
 // before that.
 func (t *Table) SetAddress(address string) { t.self.Address = address }
 
+// SetFanout replaces the Fanout and the SameZoneFanout of the settings. Each
+// round also reaches a node that is not live but may have become so.
+func (t *Table) SetFanout(fanout, sameZone int) {
+	t.cfg.Fanout, t.cfg.SameZoneFanout = fanout, sameZone
+}
+
+// SetTimeouts replaces the SuspectAfter and the DropAfter of the settings.
+func (t *Table) SetTimeouts(suspectAfter, dropAfter time.Duration) {
+	t.cfg.SuspectAfter, t.cfg.DropAfter = suspectAfter, dropAfter
+}
+
 // SetSelf updates this node's entry. The generation never decreases and
 // leaving is never reset.
 func (t *Table) SetSelf(generation uint64, leaving, watching bool) {
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -36,7 +36,7 @@
 	// Its first heartbeats may find no peer that has started.
 	joinInterval = 100 * time.Millisecond
 	// sameZonePeers is the number of peers in the node's own zone among the
-	// three peers of a round.
+	// unservedFanout peers of a round.
 	sameZonePeers = 2
 	// servedFanout and unservedFanout are the numbers of peers of a round, with
 	// and without a collector that answers the node's reports.
@@ -52,12 +52,22 @@
 	// the whole member list. The others carry only the sender's own entry: with
 	// 75 nodes the member list is ten times as long as the load.
 	reportsPerMemberList = 2
-	// A member that shows no sign of life is suspected after suspectAfter and
-	// removed after dropAfter.
-	suspectAfter = 1500 * time.Millisecond
-	dropAfter    = 4 * time.Second
+	// A member that shows no sign of life is suspected after suspectAfter, or
+	// after suspectReports times the interval of the reports with all members
+	// in a large zone, and removed dropDelay later.
+	suspectAfter   = 1500 * time.Millisecond
+	suspectReports = 2.5
+	dropDelay      = 2500 * time.Millisecond
 )
 
+// memberTimeouts returns the times without a sign of life after which a member
+// is suspected and removed.
+func memberTimeouts(reportInterval time.Duration) (suspect, drop time.Duration) {
+	listInterval := reportInterval * reportsPerMemberList
+	suspect = max(suspectAfter, time.Duration(suspectReports*float64(listInterval)))
+	return suspect, suspect + dropDelay
+}
+
 type memberInputKind uint8
 
 const (
@@ -117,7 +127,7 @@
 		newViewVersions: tpring.New[[]tpmessage.ViewVersion](tpring.Settings{Capacity: 1}),
 		table: tpmember.NewTable(tpmember.Settings{
 			Self: self, Seeds: n.cfg.Seeds, Random: n.random,
-			SuspectAfter: suspectAfter, DropAfter: dropAfter, SameZoneFanout: sameZonePeers,
+			SuspectAfter: suspectAfter, DropAfter: suspectAfter + dropDelay, SameZoneFanout: sameZonePeers,
 		}),
 		incarnation:    self.Incarnation,
 		collector:      tpcollect.New(self),
@@ -177,9 +187,10 @@
 	m.table.SetSelf(generation, n.leaving.Load(), n.objects.serving.Load())
 	switch in.kind {
 	case memberTick:
+		m.table.SetFanout(gossipFanout(m.collector.Served(now)))
 		r := m.table.Tick(now)
 		hb := m.completeHeartbeat(r.Heartbeat, m.ownLoad)
-		for _, address := range r.Addresses[:min(len(r.Addresses), m.gossipFanout(now))] {
+		for _, address := range r.Addresses {
 			_ = m.out.PutDropOldest(outgoingHeartbeat{address: address, heartbeat: hb})
 		}
 		m.loadsChanged = true // old loads may have expired
@@ -192,13 +203,7 @@
 			_ = m.out.PutDropOldest(outgoingHeartbeat{address: member.Address, heartbeat: hb})
 		}
 	case memberHeartbeat:
-		answer := m.table.Receive(now, in.heartbeat)
-		answerLoad := m.ownLoad
-		if len(in.heartbeat.Loads) > 0 {
-			answerLoad = m.collector.Answer(now, m.ownLoad, in.heartbeat.Loads[0])
-		}
-		_ = in.reply.Put(m.completeHeartbeat(answer, answerLoad))
-		m.processHeartbeat(now, in.heartbeat, "")
+		m.answerHeartbeat(now, in)
 	case memberHeartbeatAnswer:
 		delete(m.pendingReports, in.address)
 		m.table.Answer(now, in.heartbeat)
@@ -210,6 +215,19 @@
 	}
 }
 
+// answerHeartbeat processes a heartbeat of a peer and answers it.
+func (m *members) answerHeartbeat(now time.Time, in memberInput) {
+	// The peer's call would wait for ever if this step panicked.
+	defer in.reply.Close()
+	answer := m.table.Receive(now, in.heartbeat)
+	answerLoad := m.ownLoad
+	if len(in.heartbeat.Loads) > 0 {
+		answerLoad = m.collector.Answer(now, m.ownLoad, in.heartbeat.Loads[0])
+	}
+	_ = in.reply.Put(m.completeHeartbeat(answer, answerLoad))
+	m.processHeartbeat(now, in.heartbeat, "")
+}
+
 // sendReports sends the load reports that are due. At most one report to an
 // address is in flight.
 func (m *members) sendReports(now time.Time) {
@@ -234,13 +252,13 @@
 }
 
 // gossipFanout returns the number of random members that a round of heartbeats
-// reaches. While the collector of the zone answers the node's reports, it
-// spreads the membership as well.
-func (m *members) gossipFanout(now time.Time) int {
-	if m.collector.Served(now) {
-		return servedFanout
+// reaches, and how many of them are in the node's zone. While the collector of
+// the zone answers the node's reports, it spreads the membership as well.
+func gossipFanout(served bool) (fanout, sameZone int) {
+	if served {
+		return servedFanout, 0
 	}
-	return unservedFanout
+	return unservedFanout, sameZonePeers
 }
 
 // completeHeartbeat adds a load and the view versions to a heartbeat.
@@ -274,6 +292,7 @@
 		liveMembers := m.table.Members()
 		m.liveMembers.Store(&liveMembers)
 		m.collector.SetMembers(liveMembers)
+		m.table.SetTimeouts(memberTimeouts(m.collector.ReportInterval()))
 	}
 	if !m.loadsChanged {
 		return
--- a/internal/node/tprelaynode/members_test.go
+++ b/internal/node/tprelaynode/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,11 +37,21 @@
 // a member is suspected. With the member list in only every eighth report, live
 // members among 75 nodes were suspected 8,827 times in one benchmark day.
 func TestLiveMembersAreNotSuspected(t *testing.T) {
+	for _, size := range []int{75, 180} {
+		for _, served := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d nodes, served %v", size, served), func(t *testing.T) { checkLiveMembers(t, size, served) })
+		}
+	}
+}
+
+// checkLiveMembers runs the membership of nodes in three zones. Served
+// is true if the nodes rely on the collectors.
+func checkLiveMembers(t *testing.T, size int, served bool) {
 	rng := rand.New(rand.NewPCG(20261204, 1))
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	nodes := make(map[string]*simulated)
 	var order []string
-	for i := range 75 {
+	for i := range size {
 		name := fmt.Sprintf("node-%02d", i)
 		self := tpmessage.Member{
 			Name: name, Address: name, Zone: fmt.Sprint("zone-", i%3), Incarnation: tpmember.Incarnation(start, rng),
@@ -49,7 +60,7 @@
 			collect: tpcollect.New(self), next: start.Add(time.Duration(rng.Int64N(int64(heartbeatInterval)))),
 			table: tpmember.NewTable(tpmember.Settings{
 				Self: self, Seeds: []string{"node-00", "node-01"}, Random: rng,
-				SuspectAfter: suspectAfter, DropAfter: dropAfter, SameZoneFanout: sameZonePeers,
+				SuspectAfter: suspectAfter, DropAfter: suspectAfter + dropDelay, SameZoneFanout: sameZonePeers,
 			}),
 		}
 		s.table.SetAddress(name)
@@ -57,12 +68,17 @@
 		order = append(order, name)
 	}
 	suspected := 0
-	for now := start; now.Before(start.Add(25 * time.Second)); now = now.Add(reportTickInterval) {
+	length := 25 * time.Second
+	if size > 100 {
+		length = 12 * time.Second // the work grows with the square of the size
+	}
+	for now := start; now.Before(start.Add(length)); now = now.Add(reportTickInterval) {
 		rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 		for _, name := range order {
 			s := nodes[name]
 			if !now.Before(s.next) {
 				s.next = s.next.Add(heartbeatInterval)
+				s.table.SetFanout(gossipFanout(served && now.Sub(start) > 2*time.Second))
 				r := s.table.Tick(now)
 				for _, address := range r.Addresses {
 					exchange(now, s, nodes[address], r.Heartbeat)
@@ -75,6 +91,7 @@
 				exchange(now, s, nodes[address], hb)
 			}
 			s.collect.SetMembers(s.table.Members())
+			s.table.SetTimeouts(memberTimeouts(s.collect.ReportInterval()))
 			for _, c := range s.table.Changes() {
 				if c.Kind == tpmember.Suspected && now.Sub(start) > 5*time.Second {
 					suspected++
@@ -83,9 +100,54 @@
 		}
 	}
 	if suspected > 0 {
-		t.Errorf("live members suspected in 20 s: got %d, want 0", suspected)
+		t.Errorf("live members suspected after 5 s: got %d, want 0", suspected)
 	}
-	if got, want := len(nodes["node-07"].table.Members()), 75; got != want {
+	if got, want := len(nodes["node-07"].table.Members()), size; got != want {
 		t.Errorf("members known to a node: got %d, want %d", got, want)
 	}
 }
+
+// Guards against two parts of a region that never meet again after a partition,
+// because nodes whose collector answers send no heartbeats to members that they
+// have dropped.
+func TestPartsMeetAgain(t *testing.T) {
+	rng := rand.New(rand.NewPCG(20261204, 2))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	nodes := make(map[string]*simulated)
+	var order []string
+	for i := range 12 {
+		name := fmt.Sprintf("node-%02d", i)
+		self := tpmessage.Member{Name: name, Address: name, Zone: fmt.Sprint("zone-", i%3), Incarnation: tpmember.Incarnation(start, rng)}
+		nodes[name] = &simulated{table: tpmember.NewTable(tpmember.Settings{
+			Self: self, Seeds: []string{"node-00", "node-01"}, Random: rng, SuspectAfter: suspectAfter, DropAfter: suspectAfter + dropDelay,
+		})}
+		nodes[name].table.SetAddress(name)
+		order = append(order, name)
+	}
+	run := func(from, length time.Duration, cut bool) {
+		for at := from; at < from+length; at += heartbeatInterval {
+			for i, name := range order {
+				s := nodes[name]
+				s.table.SetFanout(gossipFanout(true))
+				r := s.table.Tick(start.Add(at))
+				for _, address := range r.Addresses {
+					j := slices.Index(order, address)
+					if !cut || (i < 6) == (j < 6) {
+						exchange(start.Add(at), s, nodes[address], r.Heartbeat)
+					}
+				}
+			}
+		}
+	}
+	run(0, 10*time.Second, false)
+	run(10*time.Second, 20*time.Second, true)
+	if got := len(nodes["node-11"].table.Members()); got > 6 {
+		t.Fatalf("members known in a part of 6 nodes: got %d", got)
+	}
+	run(30*time.Second, 15*time.Second, false)
+	for _, name := range order {
+		if got, want := len(nodes[name].table.Members()), len(order); got != want {
+			t.Errorf("members known to %s after the partition: got %d, want %d", name, got, want)
+		}
+	}
+}
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -93,6 +93,10 @@
 		_ = n.placement.load.PutDropOldest(n.placement.placer.Load(now))
 		return
 	}
+	if in.Kind == tpplace.InputTargetRequest {
+		// Without an answer, the task or the client would wait for ever.
+		defer n.refuseAfterPanic(&in.TargetRequest)
+	}
 	g, ok := n.placement.placer.Step(now, in)
 	switch {
 	case !ok:
@@ -113,6 +117,24 @@
 	}
 }
 
+// refuseAfterPanic refuses a target request whose placement panics, and
+// continues the panic, which the duty reports.
+func (n *Node) refuseAfterPanic(r *tpplace.TargetRequest) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	g := tpplace.Grant{Work: r.Work, Step: r.Step, Refusal: &tpmessage.RelayRefusal{
+		Status: tpmessage.StatusUnavailable, Reason: "the placement of the request failed",
+	}}
+	if r.Reply != nil {
+		_ = r.Reply.TryPut(g) // never full: a task waits for one grant at a time
+	} else {
+		n.refuseGrant(&g)
+	}
+	panic(value)
+}
+
 // refuseGrant answers a request that was not sent to a target with the refusal
 // in its grant.
 func (n *Node) refuseGrant(g *tpplace.Grant) {
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -20,9 +20,13 @@
 	reportsPerSecond = 100
 	// exchangeInterval is the time between two exchanges of a pair of zones.
 	exchangeInterval = 200 * time.Millisecond
-	// sumMaxAge is the age from which a sum is ignored. The loads that nodes
-	// have sent directly are used instead.
+	// sumMaxAge is the age from which the sum of another zone is ignored, and
+	// the sum over all other nodes in a small zone. The loads that nodes have
+	// sent directly are used instead.
 	sumMaxAge = time.Second
+	// sumMaxReports is the number of report intervals from which the sum over
+	// all other nodes is ignored in a large zone.
+	sumMaxReports = 2.5
 	// totalMaxAge is the age up to which a collector answers reports from the
 	// same total. The loads of all nodes and targets are added up for each total.
 	totalMaxAge = 100 * time.Millisecond
@@ -108,7 +112,7 @@
 		return nil
 	}
 	if !c.IsCollector() {
-		c.nextReport = now.Add(max(reportInterval, time.Duration(c.zoneSize)*time.Second/reportsPerSecond))
+		c.nextReport = now.Add(c.ReportInterval())
 		if m, ok := c.collectors[c.self.Zone]; ok {
 			return []string{m.Address}
 		}
@@ -125,6 +129,11 @@
 	return addresses
 }
 
+// ReportInterval returns the time between two reports of a node in this zone.
+func (c *Collector) ReportInterval() time.Duration {
+	return max(reportInterval, time.Duration(c.zoneSize)*time.Second/reportsPerSecond)
+}
+
 // Report returns the content of a report: the node's own load, or the sum of
 // the zone if the node is its collector.
 func (c *Collector) Report(now time.Time, own tpmessage.NodeLoad) tpmessage.NodeLoad {
@@ -176,7 +185,8 @@
 // Served reports whether the collector of the node's zone answers its reports,
 // or is this node itself.
 func (c *Collector) Served(now time.Time) bool {
-	return c.IsCollector() || c.othersSum.Nodes > 0 && now.Sub(c.othersSum.At) < sumMaxAge
+	maxAge := max(sumMaxAge, time.Duration(sumMaxReports*float64(c.ReportInterval())))
+	return c.IsCollector() || c.othersSum.Nodes > 0 && now.Sub(c.othersSum.At) < maxAge
 }
 
 // Record records a load from a report, an answer or a heartbeat.
