--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -187,7 +187,7 @@
 	m.table.SetSelf(generation, n.leaving.Load(), n.objects.serving.Load())
 	switch in.kind {
 	case memberTick:
-		m.table.SetFanout(gossipFanout(m.collector.Served(now)))
+		m.table.SetFanout(gossipFanout(m.collector.Available(now)))
 		r := m.table.Tick(now)
 		hb := m.completeHeartbeat(r.Heartbeat, m.ownLoad)
 		for _, address := range r.Addresses {
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -84,7 +84,7 @@
 	failures          atomic.Uint64
 	decodeErrors      map[string]uint64 // store version by text of each logged decoding error
 	callsFailing      map[string]bool
-	turns             tpfollow.Turns
+	callerLimit       tpfollow.CallerLimit
 }
 
 func newObjectFilter(n *Node) *objectFilter {
@@ -162,7 +162,7 @@
 
 func (f *objectFilter) handle(in followInput) {
 	now := f.node.clock.Now()
-	passive := f.node.joining(now) || f.turns.Passive(now, tpfollow.Standing{
+	passive := f.node.joining(now) || f.callerLimit.Passive(now, tpfollow.Rank{
 		Ahead: f.node.members.rank(watchTask, ""), WatchersAhead: f.node.members.watchersAhead(),
 	})
 	serving := true
@@ -170,7 +170,7 @@
 		f.deliver(now, follower, &in)
 		follower.SetPassive(passive)
 		follower.PeerInterval = f.peerInterval(now)
-		if !passive || f.mustAsk(now, follower) {
+		if !passive || f.needsPlatformView(now, follower) {
 			f.startPlatformCall(follower)
 		}
 		f.startPeerCall(now, follower)
@@ -237,12 +237,12 @@
 	e.Str("kind", follower.Kind).Uint64("version", v.Version).Send()
 }
 
-// mustAsk reports whether the node calls the platform whatever its rank, because
+// needsPlatformView reports whether the node calls the platform whatever its rank, because
 // it has just started. When the whole region starts, the views of the peers are
 // as new as that of the platform.
-func (f *objectFilter) mustAsk(now time.Time, follower *tpfollow.Follower) bool {
+func (f *objectFilter) needsPlatformView(now time.Time, follower *tpfollow.Follower) bool {
 	if !f.node.cfg.Bootstrap {
-		return follower.Joining()
+		return follower.NeedsPlatformView()
 	}
 	_, known := follower.View()
 	return !known && now.Sub(f.node.started) >= bootstrapViewDelay
--- a/internal/proof/tpprocess/wait.go
+++ b/internal/proof/tpprocess/wait.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// pollInterval is the time between two checks of a condition.
+// pollInterval is the time between two checks of a condition. A process under
+// test sends no event when a condition of its state begins to hold.
 const pollInterval = 5 * time.Millisecond
 
 // Eventually polls the condition every 5 ms until it holds. It fails the test
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -182,9 +182,9 @@
 	return c.members[name].Zone == c.self.Zone && now.Sub(l.At) < nodeMaxAge
 }
 
-// Served reports whether the collector of the node's zone answers its reports,
+// Available reports whether the collector of the node's zone answers its reports,
 // or is this node itself.
-func (c *Collector) Served(now time.Time) bool {
+func (c *Collector) Available(now time.Time) bool {
 	maxAge := max(sumMaxAge, time.Duration(sumMaxReports*float64(c.ReportInterval())))
 	return c.IsCollector() || c.othersSum.Nodes > 0 && now.Sub(c.othersSum.At) < maxAge
 }
@@ -208,7 +208,7 @@
 // Loads returns the known loads of all other nodes. A load may be a sum over
 // several nodes.
 func (c *Collector) Loads(now time.Time) []tpmessage.NodeLoad {
-	if !c.IsCollector() && c.Served(now) {
+	if !c.IsCollector() && c.Available(now) {
 		return []tpmessage.NodeLoad{c.othersSum}
 	}
 	list := make([]tpmessage.NodeLoad, 0, len(c.nodeLoads)+len(c.zoneSums))
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -65,7 +65,7 @@
 	digest              uint64
 	known               bool          // a view has been received
 	passive             bool          // other nodes watch the platform for this one
-	asked               bool          // the platform has answered or failed at least once
+	contacted           bool          // the platform has answered or failed at least once
 	platformCallPending bool          // a call to the platform is in progress
 	canWatch            bool          // a watch can start from view.Version
 	failures            int           // consecutive failed calls
@@ -95,7 +95,7 @@
 }
 
 // SetPassive sets whether other nodes watch the platform for this one. A
-// passive follower calls the platform only until it has a view and has asked the
+// passive follower calls the platform only until it has a view and has called the
 // platform once: a peer that has lost the platform may send an old view to a
 // node that has just started.
 func (f *Follower) SetPassive(passive bool) { f.passive = passive }
@@ -104,19 +104,19 @@
 // platform succeeded.
 func (f *Follower) Serving() bool { return f.canWatch && f.failures == 0 && f.platformCallPending }
 
-// Joining reports whether the follower has no view, or none that it has compared
+// NeedsPlatformView reports whether the follower has no view, or none that it has compared
 // with the platform.
-func (f *Follower) Joining() bool { return !f.known || !f.asked }
+func (f *Follower) NeedsPlatformView() bool { return !f.known || !f.contacted }
 
 // Next returns the call to the platform to make now. It returns no call while
 // another one is in progress.
 func (f *Follower) Next() Action {
-	if f.platformCallPending || (f.passive && f.known && f.asked) {
+	if f.platformCallPending || (f.passive && f.known && f.contacted) {
 		return Action{}
 	}
 	f.platformCallPending = true
 	a := Action{Kind: ActionView}
-	if f.canWatch && f.asked {
+	if f.canWatch && f.contacted {
 		a = Action{Kind: ActionWatch, After: f.view.Version, Delay: f.watchPause}
 	}
 	if f.failures > 0 {
@@ -146,7 +146,7 @@
 // HandleView processes the result of reading all objects. It reports whether
 // the content changed.
 func (f *Follower) HandleView(now time.Time, v tpobject.View, err error) bool {
-	f.platformCallPending, f.asked = false, true
+	f.platformCallPending, f.contacted = false, true
 	if err != nil {
 		f.recordFailure(now)
 		return false
