Keep the demand a number, and say what cut an answer

Errors of incomplete answers on the own interface printed <nil>.

Change: an observation without time since the last one has no weight. An answer that ends early is an unexpected end, one that is too long has an error of its own. referenceSlots has its own comment, and NeedsPlatformView says what it reports.

--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -46,7 +46,10 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("target")
 
-var errChunkTimeout = errors.New("no chunk came in time")
+var (
+	errChunkTimeout  = errors.New("no chunk came in time")
+	errResultTooLong = errors.New("the result is too long")
+)
 
 // Settings configures a Transport. A zero field stands for its default.
 type Settings struct {
@@ -209,8 +212,12 @@
 	if errors.Is(lines.Err(), bufio.ErrTooLong) {
 		return failedResult(res, Error.New("line of %s is over %d bytes", target.Name, MaxLineBytes))
 	}
+	err := lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
 	res.Outcome = tpmessage.OutcomeInterrupted
-	res.Err = Error.New("answer of %s was cut: %v", target.Name, lines.Err())
+	res.Err = Error.New("answer of %s was cut: %w", target.Name, err)
 	return res
 }
 
@@ -233,11 +240,14 @@
 	}
 	report := leavingReport(target, resp)
 	result, err := io.ReadAll(io.LimitReader(resp.Body, MaxResultBytes+1))
-	if err != nil || len(result) > MaxResultBytes {
+	if err == nil && len(result) > MaxResultBytes {
+		err = errResultTooLong
+	}
+	if err != nil {
 		return tpsender.Result{
 			Outcome: tpmessage.OutcomeInterrupted,
 			Report:  report,
-			Err:     Error.New("answer of %s was cut or is too large: %v", target.Name, err),
+			Err:     Error.New("answer of %s is incomplete: %w", target.Name, err),
 		}
 	}
 	c := tpmessage.Chunk{RequestID: req.ID, Text: string(result), Status: resp.StatusCode, End: true}
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -104,8 +104,8 @@
 // platform succeeded.
 func (f *Follower) Serving() bool { return f.canWatch && f.failures == 0 && f.platformCallPending }
 
-// NeedsPlatformView reports whether the follower has no view, or none that it has compared
-// with the platform.
+// NeedsPlatformView reports whether the follower has no view, or has not called
+// the platform yet.
 func (f *Follower) NeedsPlatformView() bool { return !f.known || !f.contacted }
 
 // Next returns the call to the platform to make now. It returns no call while
--- a/internal/relay/tprolecontrol/balance.go
+++ b/internal/relay/tprolecontrol/balance.go
@@ -15,7 +15,8 @@
 	// request mix of the smaller deployments: 9 to 12 are too few for the
 	// prompts, and 14 are too many on some days.
 	DefaultPrefillFraction = 0.73
-	referenceSlots         = 64
+	// referenceSlots is the number of slots of the engines in these deployments.
+	referenceSlots = 64
 	// prefillTolerance is the number of missing prefill engines that causes no
 	// change of role while there is demand, because each change takes an engine
 	// out of service for seconds. A missing decode engine is always replaced:
@@ -115,9 +116,7 @@
 		b.demandSince, b.demand = o.At, o.Demand
 		return
 	}
-	// Until the average has a history, all observations count the same.
-	weight := max(-math.Expm1(-elapsed.Seconds()/smoothingTimeConstant.Seconds()),
-		elapsed.Seconds()/max(o.At.Sub(b.demandSince), elapsed).Seconds())
+	weight := smoothingWeight(elapsed, o.At.Sub(b.demandSince))
 	b.demand.Prefill += weight * (o.Demand.Prefill - b.demand.Prefill)
 	b.demand.Decode += weight * (o.Demand.Decode - b.demand.Decode)
 	n := o.Split.Changeable()
@@ -142,6 +141,17 @@
 	}
 }
 
+// smoothingWeight returns the weight of an observation in the moving average of
+// the demand. Elapsed is the time since the observation before, and age the time
+// since the first one. While the age is short, all observations count the same,
+// so that a first one that is too low has no lasting effect.
+func smoothingWeight(elapsed, age time.Duration) float64 {
+	if elapsed <= 0 {
+		return 0
+	}
+	return max(-math.Expm1(-elapsed.Seconds()/smoothingTimeConstant.Seconds()), elapsed.Seconds()/max(age, elapsed).Seconds())
+}
+
 // defaultFraction returns the initial fraction of the engines with the prefill
 // role. Engines with fewer slots generate fewer tokens per second, so that the
 // same requests need more engines with the decode role.
--- a/internal/relay/tprolecontrol/controller_test.go
+++ b/internal/relay/tprolecontrol/controller_test.go
@@ -215,6 +215,18 @@
 	}
 }
 
+// Guards against a demand that is not a number for the rest of the day, because
+// two observations have the same time.
+func TestObservationsAtTheSameTime(t *testing.T) {
+	b := &tprolecontrol.Balance{PrefillFraction: 0.67}
+	output := tprole.Demand{Prefill: 4, Decode: 9}
+	runDemand(b, epoch, output, 12, 0)
+	runDemand(b, epoch, output, 12, 0)
+	if got := runDemand(b, epoch, output, 12, 20*time.Second); got < 5 || got > 8 {
+		t.Errorf("prefill engines after 20 s of long answers: got %d, want 5 to 8", got)
+	}
+}
+
 // Guards against pools of engines with few slots that begin a day with too few
 // decode engines for the same requests.
 func TestInitialSplitFollowsSlots(t *testing.T) {
