Take no engine from the decode role while the caches are cold

The log has eight orders to the prefill role at second 6, at a demand of 31.4 engines, of 43 with 17 for decode; the demand was 19.7 later. From second 16 on, 9 decode engines, 7 after a scale-in, were too few: 761 runs without an event in time and 610 over their deadline, until 13 engines were ordered back at second 30.

Ruled out: the samples and the waiting for slots; the decode engines were idle before the orders.

Change: in the first 12 s with demand the part of prefill engines only falls.

TestColdCachesTakeNoDecodeEngines failed before (50 of 60 after 6 s).

--- a/internal/relay/tprolecontrol/balance.go
+++ b/internal/relay/tprolecontrol/balance.go
@@ -36,6 +36,11 @@
 	smoothingTimeConstant = 6 * time.Second
 	// initialPeriod is the time with demand before the split may change.
 	initialPeriod = 6 * time.Second
+	// warmUpPeriod is the time with demand in which the caches of the engines
+	// fill. Until then prompts are read whole, so that the demand for prefill
+	// engines is higher than it will be, and no engine is taken from the decode
+	// role for it.
+	warmUpPeriod = 12 * time.Second
 	// stablePeriod is the time for which another split must have reduced the
 	// expected delay by minGain before the split changes.
 	stablePeriod = 3 * time.Second
@@ -122,7 +127,11 @@
 	n := o.Split.Changeable()
 	currentDelay := expectedDelay(b.demand, n, prefillEngines(b.PrefillFraction, n))
 	bestPrefill, minDelay := 0, currentDelay
-	for k := 1; k < n; k++ {
+	maxPrefill := n - 1
+	if o.At.Sub(b.demandSince) < warmUpPeriod {
+		maxPrefill = prefillEngines(b.PrefillFraction, n)
+	}
+	for k := 1; k <= maxPrefill; k++ {
 		if delay := expectedDelay(b.demand, n, k); delay < minDelay {
 			bestPrefill, minDelay = k, delay
 		}
--- a/internal/relay/tprolecontrol/controller_test.go
+++ b/internal/relay/tprolecontrol/controller_test.go
@@ -215,6 +215,26 @@
 	}
 }
 
+// Guards against a split that follows the demand of the first seconds, in which
+// empty caches make prompts expensive: 43 of 60 engines with the prefill role
+// became 51, and the 9 others were too few for the rest of the day.
+func TestColdCachesTakeNoDecodeEngines(t *testing.T) {
+	b := &tprolecontrol.Balance{PrefillFraction: 0.73}
+	prefill := 43
+	for at := time.Duration(0); at <= 40*time.Second; at += 500 * time.Millisecond {
+		demand := tprole.Demand{Prefill: 40, Decode: 3.5}
+		if at >= 10*time.Second {
+			demand = tprole.Demand{Prefill: 20, Decode: 7}
+		}
+		prefill = b.PrefillEngines(tprole.Observation{
+			At: epoch.Add(at), Demand: demand, Split: tprole.Split{Prefill: prefill, Decode: 60 - prefill},
+		})
+		if prefill > 43 {
+			t.Fatalf("prefill engines after %v: got %d, want at most 43 of 60", at, prefill)
+		}
+	}
+}
+
 // Guards against a demand that is not a number for the rest of the day, because
 // two observations have the same time.
 func TestObservationsAtTheSameTime(t *testing.T) {
