Log requests whose clients got no complete answer

Cause: after an incident the logs cannot tell a broken answer from a 502 or 504, nor a task that ended without a last part from a client that left: the front end closes the connection and writes nothing. Change: the end line says whether the answer was broken; the front end reports each aborted response with its cause and whether the node was leaving. Nothing else behaves differently.

--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -178,6 +178,11 @@
 // Closing reports whether the planned stop has begun.
 func (n *Node) Closing() bool { return n.leaving.Load() }
 
+// RecordAbort logs a request whose client got no complete answer.
+func (n *Node) RecordAbort(requestID string, err error) {
+	n.log.Info().Str("event", "aborted").Str("request", requestID).Bool("leaving", n.leaving.Load()).Err(err).Send()
+}
+
 // Limits returns the limits of the configuration in force. Without a
 // configuration it returns the zero value.
 func (n *Node) Limits() tpmessage.RelayLimits {
--- a/internal/node/tprelaynode/node_test.go
+++ b/internal/node/tprelaynode/node_test.go
@@ -117,7 +117,7 @@
 		Kinds:        tprelaynode.ObjectKinds{Config: tpguest.KindConfig, Targets: tpguest.KindServers},
 		DecodeConfig: tpguest.DecodeConfig, DecodeTargets: tpguest.DecodeTargets,
 		Front: func(n *tprelaynode.Node) http.Handler {
-			return &tpguest.Front{Submit: n.Submit, Limits: n.Limits, Closing: n.Closing}
+			return &tpguest.Front{Submit: n.Submit, Limits: n.Limits, Closing: n.Closing, Aborted: n.RecordAbort}
 		},
 		Ready: tpguest.Ready, Rings: n.rings, Duties: duties,
 	})
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -62,6 +62,7 @@
 	bufferedBytes int                    // data in buffered
 	failedAnswer  []tpmessage.AnswerPart // answer of a target with an error status
 	attemptCount  int                    // attempts of all steps
+	broken        bool                   // the answer began and cannot be completed
 	// eventCount counts the events of the current run; the first and the last
 	// one arrived at firstEventAt and lastEventAt.
 	eventCount                int
@@ -358,6 +359,7 @@
 	case action == ActionFinish && len(t.failedAnswer) == 0:
 	case t.delivered:
 		t.r.Counters.Broken.Add(1)
+		t.broken = true
 		t.sendPart(tpmessage.AnswerPart{Broken: true, Event: -1})
 	case len(t.failedAnswer) > 0 && action != ActionRefuse:
 		for _, p := range t.failedAnswer {
@@ -431,7 +433,7 @@
 	took := t.r.Clock.Now().Sub(t.req.Arrived)
 	t.r.RecordEnd(names[action], took)
 	e := t.r.Log.Info().Str("event", "end").Str("request", t.req.ID).Str("route", t.req.Route.Name).
-		Uint64("generation", t.req.Generation).Str("outcome", names[action]).
+		Uint64("generation", t.req.Generation).Str("outcome", names[action]).Bool("broken", t.broken).
 		Int64("tookMs", took.Milliseconds()).Int("sends", t.attemptCount)
 	if t.firstEventDelay > 0 {
 		e = e.Int64("firstMs", t.firstEventDelay.Milliseconds())
