Keep a silent target until another one is granted

What callers saw: streams that had begun were cut, and calls got a 502, although their server was sound and their time was not over. Cause: a timeout ended the exchange first (1.2 s between events, 1.5 s more than expected before the first one, four times the goal of a call) and another target was requested afterwards. When none was granted, for want of budget, attempts, time or candidates, nothing was left but to break the answer off. A resumed stream was always in that position: its second run may not be followed by a third, and it still had the timeouts. The class of fault: giving up what one has before the replacement is secured, because silence is taken for loss. Change: a timeout now asks the task, which requests another target while the exchange goes on. Only a grant, or the deadline for the beginning of the answer, ends the exchange; a refusal asks again 300 ms later. A run after which none may follow has no such timeouts. The next step uses the grant, or gives it back if the target answered meanwhile.

--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -1,6 +1,7 @@
 package tprelay
 
 import (
+	"slices"
 	"time"
 
 	"teaselpin.example/teaselpin/pkg/tpmessage"
@@ -110,6 +111,15 @@
 	return ActionRun
 }
 
+// AfterSilence returns a copy of the plan and the action as they would be if the
+// run in progress, whose target is silent, ended now. The plan itself does not
+// change.
+func (p *Plan) AfterSilence(now time.Time, target string) (Plan, Action) {
+	next := *p
+	next.exclude = slices.Clone(p.exclude)
+	return next, next.AfterRun(now, target, Result{End: EndTimeout}, false)
+}
+
 // GiveUp returns the action that ends a request whose next step was refused by
 // the placer.
 func (p *Plan) GiveUp(now time.Time) Action { return p.finalAction(now) }
@@ -122,6 +132,11 @@
 	return p.Request.Route.Retryable() && p.possibleRuns < max(1, p.Request.Route.MaxAttempts)
 }
 
+// mayRunTwice reports whether another run may follow the next one.
+func (p *Plan) mayRunTwice() bool {
+	return p.Request.Route.Retryable() && p.possibleRuns+1 < max(1, p.Request.Route.MaxAttempts)
+}
+
 // exhausted reports whether maxTotalAttempts or the remaining time allows no
 // further attempt.
 func (p *Plan) exhausted(now time.Time) bool {
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -29,8 +29,8 @@
 	EndMisdirected
 	// EndIncomplete means that bytes were written and the answer is incomplete.
 	EndIncomplete
-	// EndTimeout means that this node ended the exchange because the target
-	// exceeded a timeout.
+	// EndTimeout means that this node ended the exchange because the target was
+	// silent.
 	EndTimeout
 	// EndWrongRequest means that this node ended the exchange because the
 	// answer belongs to another request.
@@ -67,8 +67,14 @@
 	Handle           Handle        // prompt to take over, if Handle.ID is not empty
 	FetchAddress     string        // address of a target that holds the shared prefix, or empty
 	ResumeAfter      int           // number of the last event that the client has, or -1
-	FirstByteTimeout time.Duration // timeout for the first byte of the answer; 0 means none
-	GapTimeout       time.Duration // timeout between the parts of a stream; 0 means none
+	FirstByteTimeout time.Duration // silence before the first byte of the answer that is reported; 0 means none
+	GapTimeout       time.Duration // silence between the parts of a stream that is reported; 0 means none
+	// OnSilence is called when the target has been silent for one of the
+	// timeouts; begun reports whether it has sent a part of the answer. It
+	// returns the time after which it is called again if the silence lasts, or
+	// zero to end the exchange with EndTimeout. It is never called after the
+	// exchange has ended. If it is nil, the first timeout ends the exchange.
+	OnSilence func(begun bool) time.Duration
 }
 
 // Upstream exchanges requests with targets.
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -33,6 +33,9 @@
 	// callTimeoutFactor is the timeout for the answer of a plain service to a
 	// repeatable call, as a multiple of the route's goal.
 	callTimeoutFactor = 4
+	// replacementInterval is the time between two requests for a target that
+	// replaces a silent one.
+	replacementInterval = 300 * time.Millisecond
 	// freeTimeout limits the call that releases a handle.
 	freeTimeout = 500 * time.Millisecond
 	// maxBufferedBytes is the size up to which the answer of a plain service is
@@ -49,11 +52,14 @@
 	grant tpplace.Grant
 	// granted is true while the reservation of grant counts at its target.
 	granted bool
-	plan    Plan
-	ctx     context.Context
-	cancel  context.CancelFunc
-	reply   *tpring.Ring[tpplace.Grant]
-	handle  Handle
+	// replacement is the grant of the step that follows the one in progress,
+	// whose target is silent. It is nil if none is held.
+	replacement *tpplace.Grant
+	plan        Plan
+	ctx         context.Context
+	cancel      context.CancelFunc
+	reply       *tpring.Ring[tpplace.Grant]
+	handle      Handle
 
 	delivered     bool                   // at least one part was delivered to the client
 	pendingHead   *tpmessage.AnswerHead  // head of a stream, delivered with the first data
@@ -93,14 +99,19 @@
 	if value == nil {
 		return
 	}
-	t.r.Counters.Panics.Add(1)
-	t.r.Log.Error().Str("event", "panic").Str("request", t.req.ID).Str("value", fmt.Sprint(value)).
-		Str("stack", string(debug.Stack())).Send()
+	t.logPanic(value)
+	t.releaseReplacement()
 	if t.granted {
 		t.reportResult(Result{End: EndIncomplete}, 0)
 	}
 }
 
+func (t *task) logPanic(value any) {
+	t.r.Counters.Panics.Add(1)
+	t.r.Log.Error().Str("event", "panic").Str("request", t.req.ID).Str("value", fmt.Sprint(value)).
+		Str("stack", string(debug.Stack())).Send()
+}
+
 func (t *task) run() {
 	t.r.Counters.Requests.Add(1)
 	for {
@@ -156,13 +167,18 @@
 	s.Handle = t.handle
 	started := t.r.Clock.Now()
 	s.FirstByteTimeout, s.GapTimeout = t.timeouts()
-	if !t.delivered {
+	resumed := t.delivered
+	if !resumed {
 		s.FirstByteTimeout = t.limitToDeadline(started, s.FirstByteTimeout)
 	}
+	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(!begun && !resumed) }
 	t.buffered, t.bufferedBytes, t.eventCount = nil, 0, 0
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
 	now := t.r.Clock.Now()
 	res = t.resolveDeadline(now, res)
+	if res.End != EndTimeout {
+		t.releaseReplacement()
+	}
 	if res.End == EndComplete || res.End == EndIncomplete || res.End == EndTimeout {
 		t.handle = Handle{} // taken over by the target
 	}
@@ -207,12 +223,52 @@
 	return res
 }
 
-// timeouts returns the timeouts after which another target is tried. They are 0
-// for a request that may not run again: it waits until its deadline.
+// handleSilence decides whether the run in progress, whose target is silent,
+// ends. Silence alone does not end it, because a sound target may go on: either
+// another target has been granted, or the deadline for the beginning of the
+// answer has passed. It returns the time until the next decision, or zero if
+// the run ends.
+func (t *task) handleSilence(endsAtDeadline bool) (wait time.Duration) {
+	defer func() {
+		if value := recover(); value != nil {
+			t.logPanic(value)
+			wait = 0
+		}
+	}()
+	now := t.r.Clock.Now()
+	left := t.req.Deadline.Sub(now)
+	if endsAtDeadline && left <= 0 {
+		return 0
+	}
+	if next, action := t.plan.AfterSilence(now, t.grant.Target.Name); action == ActionRun {
+		if g := t.requestStep(&next, action, false); g.Refusal == nil {
+			t.replacement = &g
+			return 0
+		}
+	}
+	if endsAtDeadline {
+		return min(replacementInterval, left)
+	}
+	return replacementInterval
+}
+
+// releaseReplacement returns the reservation of a replacement that is not used.
+func (t *task) releaseReplacement() {
+	if t.replacement == nil {
+		return
+	}
+	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
+		Reservation: t.replacement.Reservation, Outcome: tpplace.OutcomeAbandoned, Route: t.req.Route.Name,
+	}})
+	t.replacement = nil
+}
+
+// timeouts returns the silences after which another target is requested. They
+// are 0 for a request that may not run again: it waits until its deadline.
 func (t *task) timeouts() (firstByte, gap time.Duration) {
 	route := &t.req.Route
 	switch {
-	case !route.Retryable():
+	case !t.plan.mayRunTwice():
 		return 0, 0
 	case route.Stream:
 		return firstEventTimeoutMargin + t.grant.QueueDelay + t.grant.ReadTime, max(minGapTimeout, gapTimeoutFactor*route.EventGapGoal)
@@ -273,45 +329,53 @@
 	return nil
 }
 
-// requestNext requests the grant of the next step. It returns false if the
-// placer refuses.
+// requestNext takes over the grant of the next step: the replacement that was
+// granted while the last target was silent, or a new one. It returns false if
+// the placer refuses.
 func (t *task) requestNext(action Action) bool {
-	request := tpplace.TargetRequest{Work: t.work, Reply: t.reply, Exclude: slices.Clone(t.plan.exclude)}
-	request.Step = t.grant.Step
+	var g tpplace.Grant
+	if t.replacement != nil {
+		g, t.replacement = *t.replacement, nil
+	} else {
+		g = t.requestStep(&t.plan, action, t.handle.ID != "")
+	}
+	t.grant, t.granted = g, g.Refusal == nil
+	if t.granted && t.plan.IsRetry() {
+		t.plan.CountRetry()
+		t.r.Counters.Retries.Add(1)
+	}
+	return t.granted
+}
+
+// requestStep requests the grant of the step for an action. If no second target
+// can read the prompt, the target of the run reads it.
+func (t *task) requestStep(plan *Plan, action Action, hasHandle bool) tpplace.Grant {
+	request := tpplace.TargetRequest{
+		Work: t.work, Reply: t.reply, Exclude: slices.Clone(plan.exclude), Step: t.grant.Step,
+		HasHandle: hasHandle, IsRetry: plan.IsRetry(),
+	}
 	if t.req.Pool.Engine != nil {
 		request.Step = tpplace.StepRun
 		if action == ActionPrefill {
 			request.Step = tpplace.StepPrefill
 		}
 	}
-	request.HasHandle = t.handle.ID != ""
-	request.IsRetry = t.plan.IsRetry()
-	if request.IsRetry {
-		t.r.Counters.Retries.Add(1)
-	}
-	if !t.requestGrant(request) && request.Step == tpplace.StepPrefill {
-		// If no second target can read the prompt, the target of the run reads
-		// it.
+	g := t.requestGrant(request)
+	if g.Refusal != nil && request.Step == tpplace.StepPrefill {
 		request.Step = tpplace.StepRun
-		request.IsRetry = t.plan.IsRetry()
 		return t.requestGrant(request)
 	}
-	return t.grant.Refusal == nil
+	return g
 }
 
 // requestGrant passes a target request to the placer and waits for the grant.
-// It returns false if the placer refuses.
-func (t *task) requestGrant(request tpplace.TargetRequest) bool {
+func (t *task) requestGrant(request tpplace.TargetRequest) tpplace.Grant {
 	t.r.Place(tpplace.Input{Kind: tpplace.InputTargetRequest, TargetRequest: request})
 	g, err := t.reply.Take()
 	if err != nil {
 		g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: err.Error()}
 	}
-	t.grant, t.granted = g, g.Refusal == nil
-	if request.IsRetry && g.Refusal == nil {
-		t.plan.CountRetry()
-	}
-	return g.Refusal == nil
+	return g
 }
 
 // reportResult reports the result of a step to the placer.
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -132,13 +132,18 @@
 	}
 	r.Handle(tpplace.Grant{Work: work, Step: step, Target: target(0)})
 	stop()
+	return readAnswer(work.Answer), results
+}
+
+// readAnswer returns what the client of a finished request received.
+func readAnswer(answer *tpring.Ring[tpmessage.AnswerPart]) clientAnswer {
 	var out clientAnswer
 	var text strings.Builder
 	for {
-		part, err := work.Answer.TryTake()
+		part, err := answer.TryTake()
 		if err != nil {
 			out.text = text.String()
-			return out, results
+			return out
 		}
 		if part.Head != nil {
 			out.head = part.Head
