Return each replacement that a silent target does not need

Callers saw nothing yet: a reservation that nobody returns lets a target count as busy until it starts again, and requests avoid it. Cause: a grant for the target that replaces a silent one was dropped in two cases. The time for a further attempt ran out while the placer answered; or the silent target sent a part meanwhile, went on, and a second silence overwrote the grant. Evidence: found in review. Change: the grant is returned when the exchange goes on, before another one is requested, and after each run that no further run follows.

--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -132,11 +132,6 @@
 	return p.Request.Route.Retryable() && p.possibleRuns < max(1, p.Request.Route.MaxAttempts)
 }
 
-// mayRunTwice reports whether another run may follow the next one.
-func (p *Plan) mayRunTwice() bool {
-	return p.Request.Route.Retryable() && p.possibleRuns+1 < max(1, p.Request.Route.MaxAttempts)
-}
-
 // exhausted reports whether maxTotalAttempts or the remaining time allows no
 // further attempt.
 func (p *Plan) exhausted(now time.Time) bool {
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -75,6 +75,9 @@
 	// zero to end the exchange with EndTimeout. It is never called after the
 	// exchange has ended. If it is nil, the first timeout ends the exchange.
 	OnSilence func(begun bool) time.Duration
+	// OnResume is called if the target sent a part while OnSilence decided to
+	// end the exchange. The exchange goes on.
+	OnResume func()
 }
 
 // Upstream exchanges requests with targets.
--- /dev/null
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -0,0 +1,178 @@
+package tprelay_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
+	"teaselpin.example/teaselpin/internal/relay/stage3/tprelay"
+	"teaselpin.example/teaselpin/pkg/tpclock"
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
+)
+
+// funcUpstream runs each exchange with a function.
+type funcUpstream struct {
+	scriptedUpstream
+	prefillFunc func(ctx context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result)
+	run         func(ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result
+}
+
+func (u *funcUpstream) Prefill(ctx context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
+	return u.prefillFunc(ctx, s)
+}
+
+func (u *funcUpstream) Run(ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) (tprelay.Result, []tpmessage.AnswerPart) {
+	return u.run(ctx, s, deliver), nil
+}
+
+// runFunc runs one request. The placer grants t1, t2, ... for the given number
+// of further steps and refuses the rest.
+func runFunc(t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute, step tpplace.Step, grants int) (clientAnswer, []tpplace.StepResult) {
+	t.Helper()
+	defer goleak.VerifyNone(t)
+	log := zerolog.Nop()
+	var mu sync.Mutex
+	var results []tpplace.StepResult
+	r := &tprelay.Relay{
+		Upstream: u, Clock: tpclock.System{}, Log: &log, Counters: &tprelay.Counters{},
+		RecordEnd: func(string, time.Duration) {},
+	}
+	granted := 0
+	r.Place = func(in tpplace.Input) {
+		mu.Lock()
+		defer mu.Unlock()
+		if in.Kind == tpplace.InputStepResult {
+			results = append(results, in.StepResult)
+			return
+		}
+		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
+		if granted >= grants {
+			g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: "budget"}
+		} else {
+			granted++
+			g.Target.Name = fmt.Sprint("t", granted)
+			g.Reservation.Target = g.Target.Name
+		}
+		_ = in.TargetRequest.Reply.TryPut(g)
+	}
+	stop := r.Start(1)
+	now := time.Now()
+	pool := tpmessage.RelayPool{Name: "p"}
+	if step != tpplace.StepCall {
+		pool.Engine = &tpmessage.EngineTraits{}
+	}
+	work := tpmessage.RelayWork{
+		Request: &tpmessage.RelayRequest{
+			ID: "r", Route: route, Pool: pool, ResumeAfter: -1, Arrived: now,
+			Deadline: now.Add(5 * time.Second), CompletionDeadline: now.Add(5 * time.Second),
+		},
+		Answer: tpring.New[tpmessage.AnswerPart](tpring.Settings{Capacity: 64}),
+		Ctx:    t.Context(),
+	}
+	g := tpplace.Grant{Work: work, Step: step}
+	g.Target.Name, g.Reservation.Target = "t0", "t0"
+	r.Handle(g)
+	stop()
+	return readAnswer(work.Answer), results
+}
+
+// Guards against a reservation that is lost when a target answers while its
+// replacement is being granted, and falls silent once more.
+func TestEachReplacementIsReturned(t *testing.T) {
+	u := &funcUpstream{run: func(_ context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+		_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+		for i := range 3 {
+			_ = deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", i), Event: i})
+			if i < 2 {
+				_ = s.OnSilence(true) // the next event arrives meanwhile, so the exchange goes on
+			}
+		}
+		_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+		return tprelay.Result{Status: 200}
+	}}
+	got, results := runFunc(t, u, resumable, tpplace.StepRun, 2)
+	if got.text != "0 1 2 " || !got.ended {
+		t.Errorf("answer: got %q, complete %v, want a complete one", got.text, got.ended)
+	}
+	returned := make(map[string]int)
+	for _, r := range results {
+		returned[r.Reservation.Target]++
+	}
+	for _, name := range []string{"t0", "t1", "t2"} {
+		if returned[name] != 1 {
+			t.Errorf("reservation at %s: returned %d times, want once", name, returned[name])
+		}
+	}
+}
+
+// Guards against a sound target that is given up for one that does not take the
+// request, while no third target is granted.
+// Guards against a prompt that is given up although its target would have read
+// it in time and no other target is granted.
+// runFuncAfterPrefill is runFunc with a placer that grants only runs that
+// continue from a handle.
+// Guards against a target that hangs and stays the first choice for new
+// requests because its exchanges are kept.
+// Guards against the joined bodies of two runs after the first one was cut
+// beyond the part that is buffered.
+// Guards against a request that gets neither an answer nor a refusal while it
+// waits for a free worker beyond its deadline.
+// Guards against a replacement that is granted just before the time for a
+// further attempt is over, and is neither used nor returned.
+func TestReplacementGrantedTooLateIsReturned(t *testing.T) {
+	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, _ func(tpmessage.AnswerPart) error) tprelay.Result {
+		if waitInSilence(ctx, s, time.Minute, false) || ctx.Err() != nil {
+			return tprelay.Result{End: tprelay.EndCancelled}
+		}
+		return tprelay.Result{End: tprelay.EndTimeout}
+	}}
+	log := zerolog.Nop()
+	var mu sync.Mutex
+	returned := make(map[string]int)
+	granted := 0
+	r := &tprelay.Relay{
+		Upstream: u, Clock: tpclock.System{}, Log: &log, Counters: &tprelay.Counters{},
+		RecordEnd: func(string, time.Duration) {},
+	}
+	r.Place = func(in tpplace.Input) {
+		mu.Lock()
+		defer mu.Unlock()
+		if in.Kind == tpplace.InputStepResult {
+			returned[in.StepResult.Reservation.Target]++
+			return
+		}
+		time.Sleep(60 * time.Millisecond) // a busy placer
+		granted++
+		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
+		g.Target.Name, g.Reservation.Target = "t1", "t1"
+		_ = in.TargetRequest.Reply.TryPut(g)
+	}
+	stop := r.Start(1)
+	now := time.Now()
+	work := tpmessage.RelayWork{
+		Request: &tpmessage.RelayRequest{
+			ID: "r", Route: tpmessage.RelayRoute{Idempotent: true, MaxAttempts: 2, LatencyGoal: 100 * time.Millisecond},
+			Pool: tpmessage.RelayPool{Name: "p"}, ResumeAfter: -1,
+			Arrived: now, Deadline: now.Add(490 * time.Millisecond), CompletionDeadline: now.Add(690 * time.Millisecond),
+		},
+		Answer: tpring.New[tpmessage.AnswerPart](tpring.Settings{Capacity: 64}),
+		Ctx:    t.Context(),
+	}
+	g := tpplace.Grant{Work: work, Step: tpplace.StepCall}
+	g.Target.Name, g.Reservation.Target = "t0", "t0"
+	r.Handle(g)
+	stop()
+	if granted != 1 {
+		t.Fatalf("replacements granted: got %d, want 1", granted)
+	}
+	if returned["t0"] != 1 || returned["t1"] != 1 {
+		t.Errorf("reservations returned: got %v, want one of t0 and one of t1", returned)
+	}
+}
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -172,13 +172,11 @@
 		s.FirstByteTimeout = t.limitToDeadline(started, s.FirstByteTimeout)
 	}
 	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(!begun && !resumed) }
+	s.OnResume = t.releaseReplacement
 	t.buffered, t.bufferedBytes, t.eventCount = nil, 0, 0
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
 	now := t.r.Clock.Now()
 	res = t.resolveDeadline(now, res)
-	if res.End != EndTimeout {
-		t.releaseReplacement()
-	}
 	if res.End == EndComplete || res.End == EndIncomplete || res.End == EndTimeout {
 		t.handle = Handle{} // taken over by the target
 	}
@@ -187,6 +185,9 @@
 		t.failedAnswer = failure
 	}
 	action := t.plan.AfterRun(now, t.grant.Target.Name, res, t.delivered)
+	if res.End != EndTimeout || action != ActionRun {
+		t.releaseReplacement()
+	}
 	t.logStep(res, now.Sub(started))
 	return action
 }
@@ -235,6 +236,7 @@
 			wait = 0
 		}
 	}()
+	t.releaseReplacement()
 	now := t.r.Clock.Now()
 	left := t.req.Deadline.Sub(now)
 	if endsAtDeadline && left <= 0 {
@@ -268,7 +270,7 @@
 func (t *task) timeouts() (firstByte, gap time.Duration) {
 	route := &t.req.Route
 	switch {
-	case !t.plan.mayRunTwice():
+	case !route.Retryable():
 		return 0, 0
 	case route.Stream:
 		return firstEventTimeoutMargin + t.grant.QueueDelay + t.grant.ReadTime, max(minGapTimeout, gapTimeoutFactor*route.EventGapGoal)
