Avoid a silent target whose exchange is kept

What callers saw: new requests would go on to a target that hangs. Cause: since a silent target is kept until another one is granted, its silence was no longer reported when none was. The placer took it for sound, and so did the peers. Evidence: found in review. TestHungTargetIsReportedWithoutAnother: got one result, abandoned; want one that makes the placer avoid it. Change: the first silence of a run that is kept counts as a loss at its target and leaves the reservation. A later answer clears it as usual. Result: the test passes; TestSilentTargetIsKeptWithoutAnother now also checks that the report frees nothing.

--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -120,6 +120,23 @@
 // continue from a handle.
 // Guards against a target that hangs and stays the first choice for new
 // requests because its exchanges are kept.
+func TestHungTargetIsReportedWithoutAnother(t *testing.T) {
+	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, _ func(tpmessage.AnswerPart) error) tprelay.Result {
+		waitInSilence(ctx, s, time.Minute, false)
+		if ctx.Err() != nil {
+			return tprelay.Result{End: tprelay.EndCancelled}
+		}
+		return tprelay.Result{End: tprelay.EndTimeout}
+	}}
+	_, results := runFunc(t, u, resumable, tpplace.StepRun, 0)
+	for _, r := range results {
+		if r.Reservation.Target == "t0" && r.Outcome == tpplace.OutcomeLost {
+			return
+		}
+	}
+	t.Errorf("target silent for 5 s: got results %+v, want one that makes the placer avoid it", results)
+}
+
 // Guards against the joined bodies of two runs after the first one was cut
 // beyond the part that is buffered.
 // Guards against a request that gets neither an answer nor a refusal while it
--- a/internal/relay/stage3/tprelay/silence_test.go
+++ b/internal/relay/stage3/tprelay/silence_test.go
@@ -129,8 +129,8 @@
 		if want := "0 1 2 3 "; got.text != want || !got.ended || got.broken {
 			t.Errorf("%s: got %q, complete %v, broken %v, refusal %+v; want %q complete", test.name, got.text, got.ended, got.broken, got.refusal, want)
 		}
-		if len(results) != 1 || results[0].Outcome != tpplace.OutcomeServed {
-			t.Errorf("%s: results reported to the placer: got %+v, want one served", test.name, results)
+		if len(results) != 2 || results[0].Reservation != (tpplace.Reservation{Target: "t0"}) || results[1].Outcome != tpplace.OutcomeServed {
+			t.Errorf("%s: results reported to the placer: got %+v, want a silence that frees nothing and one served", test.name, results)
 		}
 	}
 }
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -55,11 +55,14 @@
 	// replacement is the grant of the step that follows the one in progress,
 	// whose target is silent. It is nil if none is held.
 	replacement *tpplace.Grant
-	plan        Plan
-	ctx         context.Context
-	cancel      context.CancelFunc
-	reply       *tpring.Ring[tpplace.Grant]
-	handle      Handle
+	// silenceReported is true if the placer knows of a silence in the run in
+	// progress.
+	silenceReported bool
+	plan            Plan
+	ctx             context.Context
+	cancel          context.CancelFunc
+	reply           *tpring.Ring[tpplace.Grant]
+	handle          Handle
 
 	delivered     bool                   // at least one part was delivered to the client
 	pendingHead   *tpmessage.AnswerHead  // head of a stream, delivered with the first data
@@ -171,6 +174,7 @@
 	if !resumed {
 		s.FirstByteTimeout = t.limitToDeadline(started, s.FirstByteTimeout)
 	}
+	t.silenceReported = false
 	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(!begun && !resumed) }
 	s.OnResume = t.releaseReplacement
 	t.buffered, t.bufferedBytes, t.eventCount = nil, 0, 0
@@ -248,12 +252,25 @@
 			return 0
 		}
 	}
+	t.reportSilence()
 	if endsAtDeadline {
 		return min(replacementInterval, left)
 	}
 	return replacementInterval
 }
 
+// reportSilence has the placer avoid the target of the run in progress. The
+// reservation of the run stays.
+func (t *task) reportSilence() {
+	if t.silenceReported {
+		return
+	}
+	t.silenceReported = true
+	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
+		Reservation: tpplace.Reservation{Target: t.grant.Target.Name}, Outcome: tpplace.OutcomeLost, Route: t.req.Route.Name,
+	}})
+}
+
 // releaseReplacement returns the reservation of a replacement that is not used.
 func (t *task) releaseReplacement() {
 	if t.replacement == nil {
