Keep a silent prompt target until another one is granted

What callers saw: a 503 although the target would have read the prompt in time. Cause: the same as for runs: the step ended at its timeout, 2.5 s beyond the expected time, before another target was known to be free. Evidence: found in review. Without the change TestSilentPrefillIsKeptWithoutAnother: got 503 after 2.5 s, want a complete answer; the prompt was read after 3 s of 5 s. Change: a prefill step handles silence as a run does. A grant or the deadline ends it. Result: go test -race ./internal/relay/stage3/tprelay passes.

--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
@@ -112,11 +113,14 @@
 }
 
 // AfterSilence returns a copy of the plan and the action as they would be if the
-// run in progress, whose target is silent, ended now. The plan itself does not
+// step in progress, whose target is silent, ended now. The plan itself does not
 // change.
-func (p *Plan) AfterSilence(now time.Time, target string) (Plan, Action) {
+func (p *Plan) AfterSilence(now time.Time, target string, step tpplace.Step) (Plan, Action) {
 	next := *p
 	next.exclude = slices.Clone(p.exclude)
+	if step == tpplace.StepPrefill {
+		return next, next.AfterPrefill(now, target, EndTimeout)
+	}
 	return next, next.AfterRun(now, target, Result{End: EndTimeout}, false)
 }
 
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -116,8 +116,84 @@
 // request, while no third target is granted.
 // Guards against a prompt that is given up although its target would have read
 // it in time and no other target is granted.
+func TestSilentPrefillIsKeptWithoutAnother(t *testing.T) {
+	u := &funcUpstream{
+		prefillFunc: func(ctx context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
+			end, timeout := time.After(3*time.Second), s.FirstByteTimeout
+			for {
+				select {
+				case <-end:
+					return tprelay.Handle{Address: "t0:1", ID: "h"}, tprelay.Result{Status: 200}
+				case <-ctx.Done():
+					return tprelay.Handle{}, tprelay.Result{End: tprelay.EndCancelled}
+				case <-time.After(timeout):
+					if s.OnSilence == nil {
+						return tprelay.Handle{}, tprelay.Result{End: tprelay.EndTimeout}
+					}
+					if timeout = s.OnSilence(false); timeout <= 0 {
+						return tprelay.Handle{}, tprelay.Result{End: tprelay.EndTimeout}
+					}
+				}
+			}
+		},
+		run: func(_ context.Context, _ *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+			_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+			_ = deliver(tpmessage.AnswerPart{Data: []byte("0 "), Event: 0})
+			_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+			return tprelay.Result{Status: 200}
+		},
+	}
+	// A placer that grants the run of a prompt that has been read, and no
+	// second target for the prompt.
+	got, _ := runFuncAfterPrefill(t, u, resumable)
+	if got.text != "0 " || !got.ended {
+		t.Errorf("prompt read in 3 s of 5 s: got %q, complete %v, refusal %+v; want a complete answer", got.text, got.ended, got.refusal)
+	}
+}
+
 // runFuncAfterPrefill is runFunc with a placer that grants only runs that
 // continue from a handle.
+func runFuncAfterPrefill(t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute) (clientAnswer, []tpplace.StepResult) {
+	t.Helper()
+	defer goleak.VerifyNone(t)
+	log := zerolog.Nop()
+	var mu sync.Mutex
+	var results []tpplace.StepResult
+	r := &tprelay.Relay{
+		Upstream: u, Clock: tpclock.System{}, Log: &log, Counters: &tprelay.Counters{},
+		RecordEnd: func(string, time.Duration) {},
+	}
+	r.Place = func(in tpplace.Input) {
+		mu.Lock()
+		defer mu.Unlock()
+		if in.Kind == tpplace.InputStepResult {
+			results = append(results, in.StepResult)
+			return
+		}
+		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
+		g.Target.Name, g.Reservation.Target = "t1", "t1"
+		if !in.TargetRequest.HasHandle {
+			g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: "budget"}
+		}
+		_ = in.TargetRequest.Reply.TryPut(g)
+	}
+	stop := r.Start(1)
+	now := time.Now()
+	work := tpmessage.RelayWork{
+		Request: &tpmessage.RelayRequest{
+			ID: "r", Route: route, Pool: tpmessage.RelayPool{Name: "p", Engine: &tpmessage.EngineTraits{}}, ResumeAfter: -1, Arrived: now,
+			Deadline: now.Add(5 * time.Second), CompletionDeadline: now.Add(5 * time.Second),
+		},
+		Answer: tpring.New[tpmessage.AnswerPart](tpring.Settings{Capacity: 64}),
+		Ctx:    t.Context(),
+	}
+	g := tpplace.Grant{Work: work, Step: tpplace.StepPrefill}
+	g.Target.Name, g.Reservation.Target = "t0", "t0"
+	r.Handle(g)
+	stop()
+	return readAnswer(work.Answer), results
+}
+
 // Guards against a target that hangs and stays the first choice for new
 // requests because its exchanges are kept.
 func TestHungTargetIsReportedWithoutAnother(t *testing.T) {
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -55,7 +55,7 @@
 	// replacement is the grant of the step that follows the one in progress,
 	// whose target is silent. It is nil if none is held.
 	replacement *tpplace.Grant
-	// silenceReported is true if the placer knows of a silence in the run in
+	// silenceReported is true if the placer knows of a silence in the step in
 	// progress.
 	silenceReported bool
 	plan            Plan
@@ -152,11 +152,17 @@
 	s := t.newUpstreamRequest()
 	started := t.r.Clock.Now()
 	s.FirstByteTimeout = t.limitToDeadline(started, prefillTimeoutMargin+t.grant.QueueDelay+t.grant.ReadTime)
+	t.silenceReported = false
+	s.OnSilence = func(bool) time.Duration { return t.handleSilence(true) }
+	s.OnResume = t.releaseReplacement
 	h, res := t.r.Upstream.Prefill(t.ctx, s)
 	now := t.r.Clock.Now()
 	res = t.resolveDeadline(now, res)
 	t.reportResult(res, now.Sub(started))
 	action := t.plan.AfterPrefill(now, t.grant.Target.Name, res.End)
+	if res.End != EndTimeout || action == ActionRefuse {
+		t.releaseReplacement()
+	}
 	t.logStep(res, now.Sub(started))
 	if res.End == EndComplete {
 		t.handle = h
@@ -228,11 +234,11 @@
 	return res
 }
 
-// handleSilence decides whether the run in progress, whose target is silent,
+// handleSilence decides whether the step in progress, whose target is silent,
 // ends. Silence alone does not end it, because a sound target may go on: either
 // another target has been granted, or the deadline for the beginning of the
 // answer has passed. It returns the time until the next decision, or zero if
-// the run ends.
+// the step ends.
 func (t *task) handleSilence(endsAtDeadline bool) (wait time.Duration) {
 	defer func() {
 		if value := recover(); value != nil {
@@ -246,7 +252,8 @@
 	if endsAtDeadline && left <= 0 {
 		return 0
 	}
-	if next, action := t.plan.AfterSilence(now, t.grant.Target.Name); action == ActionRun {
+	next, action := t.plan.AfterSilence(now, t.grant.Target.Name, t.grant.Step)
+	if action == ActionRun || action == ActionPrefill {
 		if g := t.requestStep(&next, action, false); g.Refusal == nil {
 			t.replacement = &g
 			return 0
@@ -259,8 +266,8 @@
 	return replacementInterval
 }
 
-// reportSilence has the placer avoid the target of the run in progress. The
-// reservation of the run stays.
+// reportSilence has the placer avoid the target of the step in progress. The
+// reservation of the step stays.
 func (t *task) reportSilence() {
 	if t.silenceReported {
 		return
