Count no retry that is refused because it is late

What callers saw: streams that were broken off although their pool had retries left. Cause: the placer counted a retry against the budget before it refused the request for its time. A request that asked again while its target was silent used up the budget of the node, and with it the resumptions of all other streams. Without the change TestLateRetryKeepsTheBudget: first retry that reaches a target: got "the retry budget of pool p is used up", want a grant. Change: the time is checked first.

--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -221,10 +221,6 @@
 		g.Refusal = refuse("no target of pool "+req.Pool.Name+" takes new work", minRetryAfter)
 		return g
 	}
-	if r.IsRetry && !p.budget(req.Pool.Name).allowRetry(now, p.nodes) {
-		g.Refusal = refuse("the retry budget of pool "+req.Pool.Name+" is used up", maxRetryAfter)
-		return g
-	}
 	if r.Step == StepFirst && !r.IsRetry && req.Pool.Engine != nil {
 		p.addDemand(now, req, &best)
 	}
@@ -234,6 +230,10 @@
 		g.Refusal = ref
 		return g
 	}
+	if r.IsRetry && !p.budget(req.Pool.Name).allowRetry(now, p.nodes) {
+		g.Refusal = refuse("the retry budget of pool "+req.Pool.Name+" is used up", maxRetryAfter)
+		return g
+	}
 	g.Target = t.RelayTarget
 	g.Diagnostics = Diagnostics{
 		Candidates: best.candidates, Rank: t.rank(now), Runs: t.totalRuns(), Prefill: t.totalPrefill(),
