Resume a stream whose time for the first event is over

What callers saw: streams that were broken off, with seconds of their time left, although another target was free. Cause: the placer refused each step once the time was over in which clients wait for the first event, also the resumption of a stream of which the client had events. Without the change TestBegunStreamMayBeResumedLate: got "the prompt cannot be read within -1s", want a grant, 7 s before the deadline. Change: a target request says whether the answer has begun. If it has, only the time for its end counts.

--- a/internal/relay/stage2/tpplace/late_test.go
+++ b/internal/relay/stage2/tpplace/late_test.go
@@ -34,3 +34,14 @@
 
 // Guards against a stream that has begun and cannot be resumed because the time
 // for its first event is over.
+func TestBegunStreamMayBeResumedLate(t *testing.T) {
+	p := newPlacer(tpplace.Affinity{}, fleet(0, 4))
+	req := request(7, 1000, 100)
+	req.Route.Resumable, req.Route.MaxAttempts = true, 2
+	req.Deadline = epoch.Add(10 * time.Second)
+	in := targetRequest(req, tpplace.StepRun)
+	in.TargetRequest.IsRetry, in.TargetRequest.Begun = true, true
+	if g, _ := p.Step(epoch.Add(3*time.Second), in); g.Refusal != nil {
+		t.Errorf("resumption 3 s after the arrival, 7 s before the deadline: got %q, want a grant", g.Refusal.Reason)
+	}
+}
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -39,6 +39,9 @@
 	// HasHandle is true for a run that continues from a handle, so that the
 	// target does not read the prompt.
 	HasHandle bool
+	// Begun is true if the client has received a part of the answer, so that it
+	// does not wait for the first event any more.
+	Begun bool
 	// Exclude names the targets that must not be chosen.
 	Exclude []string
 	// Reply receives the grant for a further step of a running task. It is nil
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -226,7 +226,7 @@
 	}
 	t := best.target
 	g.Step, g.Reservation, g.FetchAddress, g.QueueDelay, g.ReadTime = best.step, best.reservation, best.fetchAddress, best.queueDelay, best.read
-	if ref := p.refuseIfLate(now, req, &g); ref != nil {
+	if ref := p.refuseIfLate(now, r, &g); ref != nil {
 		g.Refusal = ref
 		return g
 	}
@@ -255,13 +255,17 @@
 
 // refuseIfLate returns a refusal if a request is not expected to be served
 // within its timeouts, and nil otherwise.
-func (p *Placer[P]) refuseIfLate(now time.Time, req *tpmessage.RelayRequest, g *Grant) *tpmessage.RelayRefusal {
+func (p *Placer[P]) refuseIfLate(now time.Time, r *TargetRequest, g *Grant) *tpmessage.RelayRefusal {
+	req := r.Work.Request
 	if req.Pool.Engine == nil {
 		return nil
 	}
-	remaining := min(req.CompletionDeadline.Sub(now)-p.generationTime(req, g), req.Deadline.Sub(now))
-	if firstEventTimeout := req.Route.FirstEventTimeout(); firstEventTimeout > 0 {
-		remaining = min(remaining, req.Arrived.Add(firstEventTimeout).Sub(now))
+	remaining := req.CompletionDeadline.Sub(now) - p.generationTime(req, g)
+	if !r.Begun {
+		remaining = min(remaining, req.Deadline.Sub(now))
+		if firstEventTimeout := req.Route.FirstEventTimeout(); firstEventTimeout > 0 {
+			remaining = min(remaining, req.Arrived.Add(firstEventTimeout).Sub(now))
+		}
 	}
 	if g.QueueDelay+g.ReadTime+minFirstEventDelay <= remaining {
 		return nil
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -153,7 +153,7 @@
 	started := t.r.Clock.Now()
 	s.FirstByteTimeout = t.limitToDeadline(started, prefillTimeoutMargin+t.grant.QueueDelay+t.grant.ReadTime)
 	t.silenceReported = false
-	s.OnSilence = func(bool) time.Duration { return t.handleSilence(true) }
+	s.OnSilence = func(bool) time.Duration { return t.handleSilence(false) }
 	s.OnResume = t.releaseReplacement
 	h, res := t.r.Upstream.Prefill(t.ctx, s)
 	now := t.r.Clock.Now()
@@ -181,7 +181,7 @@
 		s.FirstByteTimeout = t.limitToDeadline(started, s.FirstByteTimeout)
 	}
 	t.silenceReported = false
-	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(!begun && !resumed) }
+	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(begun || resumed) }
 	s.OnResume = t.releaseReplacement
 	t.buffered, t.bufferedBytes, t.eventCount = nil, 0, 0
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
@@ -237,9 +237,9 @@
 // handleSilence decides whether the step in progress, whose target is silent,
 // ends. Silence alone does not end it, because a sound target may go on: either
 // another target has been granted, or the deadline for the beginning of the
-// answer has passed. It returns the time until the next decision, or zero if
-// the step ends.
-func (t *task) handleSilence(endsAtDeadline bool) (wait time.Duration) {
+// answer has passed. Begun reports whether the answer has begun. It returns the
+// time until the next decision, or zero if the step ends.
+func (t *task) handleSilence(begun bool) (wait time.Duration) {
 	defer func() {
 		if value := recover(); value != nil {
 			t.logPanic(value)
@@ -249,18 +249,18 @@
 	t.releaseReplacement()
 	now := t.r.Clock.Now()
 	left := t.req.Deadline.Sub(now)
-	if endsAtDeadline && left <= 0 {
+	if !begun && left <= 0 {
 		return 0
 	}
 	next, action := t.plan.AfterSilence(now, t.grant.Target.Name, t.grant.Step)
 	if action == ActionRun || action == ActionPrefill {
-		if g := t.requestStep(&next, action, false); g.Refusal == nil {
+		if g := t.requestStep(&next, action, false, begun); g.Refusal == nil {
 			t.replacement = &g
 			return 0
 		}
 	}
 	t.reportSilence()
-	if endsAtDeadline {
+	if !begun {
 		return min(replacementInterval, left)
 	}
 	return replacementInterval
@@ -363,7 +363,7 @@
 	if t.replacement != nil {
 		g, t.replacement = *t.replacement, nil
 	} else {
-		g = t.requestStep(&t.plan, action, t.handle.ID != "")
+		g = t.requestStep(&t.plan, action, t.handle.ID != "", t.delivered)
 	}
 	t.grant, t.granted = g, g.Refusal == nil
 	if t.granted && t.plan.IsRetry() {
@@ -373,12 +373,13 @@
 	return t.granted
 }
 
-// requestStep requests the grant of the step for an action. If no second target
+// requestStep requests the grant of the step for an action. Begun reports
+// whether the client has a part of the answer. If no second target
 // can read the prompt, the target of the run reads it.
-func (t *task) requestStep(plan *Plan, action Action, hasHandle bool) tpplace.Grant {
+func (t *task) requestStep(plan *Plan, action Action, hasHandle, begun bool) tpplace.Grant {
 	request := tpplace.TargetRequest{
 		Work: t.work, Reply: t.reply, Exclude: slices.Clone(plan.exclude), Step: t.grant.Step,
-		HasHandle: hasHandle, IsRetry: plan.IsRetry(),
+		HasHandle: hasHandle, IsRetry: plan.IsRetry(), Begun: begun,
 	}
 	if t.req.Pool.Engine != nil {
 		request.Step = tpplace.StepRun
