Refuse a request at once if no worker is free

What callers saw: nothing at all, neither an answer nor a refusal, until their own time was over. Cause: granted requests beyond the window waited in the pool's queue and in the ring before it, where nothing looks at their deadlines. Targets that are silent and kept fill the window sooner. Evidence: without the change TestRequestThatWaitsForAWorkerIsAnsweredInTime: 1 s after the arrival of a request with a timeout of 0.3 s: got no answer, want a refusal. Change: the stage counts its tasks and refuses a request beyond the window with 503 and a delay, before anything is sent, and returns its reservation. Result: go test -race ./internal/relay/stage3/... passes.

--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -110,20 +110,32 @@
 	// time since its arrival.
 	RecordEnd func(outcome string, took time.Duration)
 
-	workers pond.Pool
+	workers    pond.Pool
+	window     int64
+	inProgress atomic.Int64 // tasks that have been started and have not ended
 }
 
 // Start starts the workers, which run at most window tasks at a time. The
 // returned function waits for all tasks.
 func (r *Relay) Start(window int) func() {
+	r.window = int64(window)
 	r.workers = pond.NewPool(window, pond.WithQueueSize(window))
 	return r.workers.StopAndWait
 }
 
-// Handle starts the task of a granted request.
+// Handle starts the task of a granted request. If all workers are busy, it
+// refuses the request at once, because nothing limits the time until one of
+// them is free.
 func (r *Relay) Handle(g tpplace.Grant) {
+	t := newTask(r, g)
+	if r.inProgress.Load() >= r.window {
+		t.refuseForWindow()
+		t.close()
+		return
+	}
+	r.inProgress.Add(1)
 	r.workers.Submit(func() {
-		t := newTask(r, g)
+		defer r.inProgress.Add(-1)
 		defer t.close()
 		defer t.recover()
 		t.run()
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -217,6 +217,53 @@
 // beyond the part that is buffered.
 // Guards against a request that gets neither an answer nor a refusal while it
 // waits for a free worker beyond its deadline.
+func TestRequestThatWaitsForAWorkerIsAnsweredInTime(t *testing.T) {
+	release := make(chan struct{})
+	u := &funcUpstream{run: func(ctx context.Context, _ *tprelay.UpstreamRequest, _ func(tpmessage.AnswerPart) error) tprelay.Result {
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+		return tprelay.Result{End: tprelay.EndCancelled}
+	}}
+	log := zerolog.Nop()
+	r := &tprelay.Relay{
+		Upstream: u, Clock: tpclock.System{}, Log: &log, Counters: &tprelay.Counters{},
+		RecordEnd: func(string, time.Duration) {}, Place: func(tpplace.Input) {},
+	}
+	stop := r.Start(1)
+	defer stop()
+	defer close(release)
+	now := time.Now()
+	submit := func(timeout time.Duration) *tpring.Ring[tpmessage.AnswerPart] {
+		work := tpmessage.RelayWork{
+			Request: &tpmessage.RelayRequest{
+				ID: "r", Route: resumable, Pool: tpmessage.RelayPool{Name: "p", Engine: &tpmessage.EngineTraits{}}, ResumeAfter: -1,
+				Arrived: now, Deadline: now.Add(timeout), CompletionDeadline: now.Add(timeout),
+			},
+			Answer: tpring.New[tpmessage.AnswerPart](tpring.Settings{Capacity: 64}),
+			Ctx:    t.Context(),
+		}
+		r.Handle(tpplace.Grant{Work: work, Step: tpplace.StepRun})
+		return work.Answer
+	}
+	submit(10 * time.Second)
+	second := submit(300 * time.Millisecond)
+	got := make(chan tpmessage.AnswerPart, 1)
+	go func() {
+		part, _ := second.Take()
+		got <- part
+	}()
+	select {
+	case part := <-got:
+		if part.Refusal == nil {
+			t.Errorf("got %+v, want a refusal", part)
+		}
+	case <-time.After(time.Second):
+		t.Error("1 s after the arrival of a request with a timeout of 0.3 s: got no answer, want a refusal")
+	}
+}
+
 // Guards against a replacement that is granted just before the time for a
 // further attempt is over, and is neither used nor returned.
 func TestReplacementGrantedTooLateIsReturned(t *testing.T) {
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// refuseForWindow refuses a request that no worker can take.
+func (t *task) refuseForWindow() {
+	t.reportResult(Result{End: EndCancelled}, 0)
+	t.grant.Refusal = &tpmessage.RelayRefusal{
+		Status: tpmessage.StatusUnavailable, Reason: "too many requests are in progress", RetryAfter: retryAfter,
+	}
+	t.finish(ActionRefuse)
+}
+
 // step executes the granted step and returns the next action.
 func (t *task) step() Action {
 	if t.grant.Step == tpplace.StepPrefill {
