Tell clients that left from tasks that ended without an answer

Cause: an aborted line names a closed ring both for a client that disconnected and for a task that ended while its client waited, so the log cannot rule out the second. Change: the line says whether the client had disconnected before.

--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -178,9 +178,10 @@
 // Closing reports whether the planned stop has begun.
 func (n *Node) Closing() bool { return n.leaving.Load() }
 
-// RecordAbort logs a request whose client got no complete answer.
-func (n *Node) RecordAbort(requestID string, err error) {
-	n.log.Info().Str("event", "aborted").Str("request", requestID).Bool("leaving", n.leaving.Load()).Err(err).Send()
+// RecordAbort logs a request whose client got no complete answer. Left reports
+// whether the client had disconnected before.
+func (n *Node) RecordAbort(requestID string, err error, left bool) {
+	n.log.Info().Str("event", "aborted").Str("request", requestID).Bool("left", left).Bool("leaving", n.leaving.Load()).Err(err).Send()
 }
 
 // Limits returns the limits of the configuration in force. Without a
