Give tests ports that the kernel does not hand out

Cause: FreeAddress let the kernel choose a port, closed it, and returned it. Until the caller listened, the kernel could give the same port to an outgoing connection or another listener, of another test process too. Evidence: TestWithoutConfiguration failed once beside other tests with "listen for peers: listen tcp 127.0.0.1:58497: bind: address already in use"; 58497 is in the kernel's range for such ports, 32768 to 60999. Change: ports are drawn below that range, and only one on which a listener can be opened is returned.

--- a/internal/proof/tpprocess/wait.go
+++ b/internal/proof/tpprocess/wait.go
@@ -1,6 +1,8 @@
 package tpprocess
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -11,6 +13,13 @@
 // test sends no event when a condition of its state begins to hold.
 const pollInterval = 5 * time.Millisecond
 
+// The kernel gives ports from 32768 on unless it is configured otherwise.
+const (
+	firstPort    = 12000
+	portCount    = 32768 - firstPort
+	maxPortTries = 100
+)
+
 // Eventually polls the condition every 5 ms until it holds. It fails the test
 // with the description if the condition does not hold within StartTimeout.
 func Eventually(t testing.TB, description string, condition func() bool) {
@@ -24,16 +33,21 @@
 	}
 }
 
-// FreeAddress returns a local host:port on which nothing listens. Another
-// process may take the port before the caller does.
+// FreeAddress returns a local host:port on which nothing listens. The port is
+// below those that the kernel gives to outgoing connections and to listeners
+// without a port of their own, which would take it before the caller does.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range maxPortTries {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatalf("no free port found in %d tries", maxPortTries)
+	return ""
 }
 
 // WaitReady waits until a node's peer address answers /ready with status 200,
