Play silent servers beside planned work

Cause: no proof had servers that fall silent for a moment and go on, and none had planned work without any fault, where a lost answer is not excused.

Change: the stand-in server falls silent for a given time at a given point of an answer, or on all connections.

--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -33,6 +33,11 @@
 	Header http.Header
 	Body   string
 	Run    bool // the server ran the request; false for prefill and refused requests
+	At     time.Time
+	// Ended is the end of the exchange, or zero while it is in progress.
+	// CallerLeft is true if the caller closed the connection before it.
+	Ended      time.Time
+	CallerLeft bool
 }
 
 // Server simulates a model engine or a plain service. Its exported fields must
@@ -46,7 +51,9 @@
 
 	mu             sync.Mutex
 	arrivals       []Arrival
-	faults         []Fault // of the next requests
+	faults         []Fault   // of the next requests
+	silences       []Silence // of the next requests
+	silentUntil    time.Time
 	kvHandles      map[string]bool
 	orderCount     uint64
 	acceptedOrders []map[string]any
@@ -128,7 +135,12 @@
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
+	silence := s.takeSilence()
+	s.pause(r.Context(), SilenceBeforeBody, silence)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the caller left before the end of the request
+	}
 	prefill := r.Header.Get("X-Teaselpin-Stage") == "prefill"
 	s.mu.Lock()
 	fault := FaultNone
@@ -137,11 +149,13 @@
 	}
 	expectedInstance := r.Header.Get("X-Teaselpin-Expect-Instance")
 	run := fault != FaultNotRun && (expectedInstance == "" || expectedInstance == s.ID) && !prefill
+	index := len(s.arrivals)
 	s.arrivals = append(s.arrivals, Arrival{
 		ID: r.Header.Get("X-Teaselpin-Request-Id"), Method: r.Method, URI: r.RequestURI,
-		Header: r.Header.Clone(), Body: string(body), Run: run,
+		Header: r.Header.Clone(), Body: string(body), Run: run, At: time.Now(),
 	})
 	s.mu.Unlock()
+	defer s.recordEnd(r, index)
 	id := r.Header.Get("X-Teaselpin-Request-Id")
 	if fault == FaultForeign {
 		id, body = "another", []byte("another")
@@ -165,6 +179,7 @@
 	if s.HoldAnswersUntil != nil {
 		<-s.HoldAnswersUntil
 	}
+	s.pause(r.Context(), SilenceBeforeHead, silence)
 	if prefill {
 		s.prefill(w, id)
 		return
@@ -177,10 +192,16 @@
 		return
 	}
 	if s.EventsPerStream == 0 {
-		s.writeAnswer(w, string(body), fault)
+		s.writeAnswer(w, r, string(body), fault, silence)
 		return
 	}
-	s.writeEvents(w, r, fault)
+	s.writeEvents(w, r, fault, silence)
+}
+
+func (s *Server) recordEnd(r *http.Request, index int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals[index].Ended, s.arrivals[index].CallerLeft = time.Now(), r.Context().Err() != nil
 }
 
 func (s *Server) prefill(w http.ResponseWriter, id string) {
@@ -193,39 +214,61 @@
 	answer(w, http.StatusOK, map[string]any{"handle": "h" + id, "tokens": 1, "version": 1})
 }
 
-func (s *Server) writeAnswer(w http.ResponseWriter, body string, fault Fault) {
+func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, body string, fault Fault, silence Silence) {
 	text := "answer to " + body
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	if fault == FaultCut {
-		_, _ = io.WriteString(w, text[:len(text)/2])
+	_, _ = io.WriteString(w, text[:len(text)/2])
+	if fault == FaultCut || silence.Point == SilenceInBody {
 		_ = http.NewResponseController(w).Flush()
+	}
+	if fault == FaultCut {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.WriteString(w, text)
+	s.pause(r.Context(), SilenceInBody, silence)
+	_, _ = io.WriteString(w, text[len(text)/2:])
 }
 
 // writeEvents writes the events after the request's Last-Event-ID. FaultCut
 // aborts the connection in the middle of an event.
-func (s *Server) writeEvents(w http.ResponseWriter, r *http.Request, fault Fault) {
+func (s *Server) writeEvents(w http.ResponseWriter, r *http.Request, fault Fault, silence Silence) {
 	first := 0
 	if lastID, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = lastID + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	if silence.Point == SilenceBeforeFirstEvent {
+		_ = rc.Flush()
+	}
+	s.pause(r.Context(), SilenceBeforeFirstEvent, silence)
+	middle := (first + s.EventsPerStream) / 2
 	for i := first; i < s.EventsPerStream; i++ {
+		point := SilenceNone
+		if i == middle {
+			point = silence.Point
+		}
+		if point == SilenceBetweenEvents {
+			s.pause(r.Context(), SilenceBetweenEvents, silence)
+		}
 		if r.Context().Err() != nil {
 			return
 		}
-		if fault == FaultCut && i >= (first+s.EventsPerStream)/2 {
+		if fault == FaultCut && i >= middle {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+		if point == SilenceInEvent {
+			_ = rc.Flush()
+			s.pause(r.Context(), SilenceInEvent, silence)
+		}
+		_, _ = fmt.Fprintf(w, "ta: piece %d\n\n", i)
 		_ = rc.Flush()
 		if s.EventInterval > 0 {
 			time.Sleep(s.EventInterval) // pace of the simulated engine
 		}
+		s.pause(r.Context(), SilenceNone, Silence{}) // while the whole server is silent
 	}
+	s.pause(r.Context(), SilenceBeforeEnd, silence)
 }
