Test unusual answers and requests through a node

Cause: the search for answers that are lost looked at answers without a body, without a length, before a long body and to HEAD, at bodies that end exactly at the limit, and at pipelined requests. Most had no test.

--- /dev/null
+++ b/internal/node/tprelaynode/exchange_test.go
@@ -0,0 +1,280 @@
+package tprelaynode_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
+)
+
+// rawBodyLimit is the largest body of a request to a rawServer.
+const rawBodyLimit = 1 << 20
+
+// rawServer answers requests with bytes that a test chooses.
+type rawServer struct {
+	// answer writes the answer to a request. It returns false if the server
+	// closes the connection.
+	answer func(c net.Conn, r *http.Request) bool
+}
+
+func (s rawServer) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil || !s.answer(c, req) {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+	}
+}
+
+// startRaw starts a node whose only route leads to a server that answers with
+// the given function, and returns a connection to the node.
+func startRaw(t *testing.T, answer func(c net.Conn, r *http.Request) bool) net.Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go rawServer{answer}.serve(c)
+		}
+	}()
+	s := &site{}
+	s.address = tpguestfake.Listen(t, &s.store)
+	s.store.Set("config", "main", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "raw", "host": "one.example", "path_prefix": "/raw/", "kind": "unsafe", "service": "raw", "timeout_ms": 5000, "max_attempts": 2,
+		}},
+		"services": []any{map[string]any{"name": "raw"}},
+		"limits":   map[string]any{"max_body_bytes": rawBodyLimit},
+	})
+	s.store.Set("servers", "r0", map[string]any{
+		"service": "raw", "address": l.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "stage": "", "born": 1,
+	})
+	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
+	n.untilReady(t)
+	c, err := net.Dial("tcp", n.front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	return c
+}
+
+// rawHead returns the head of a request without the empty line that ends it.
+func rawHead(method, id string) string {
+	return fmt.Sprintf("%s /raw/x HTTP/1.1\r\nHost: one.example\r\nX-Teaselpin-Request-Id: %s\r\nX-Teaselpin-Deadline: 4000\r\n", method, id)
+}
+
+func serverHead(r *http.Request, status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d S\r\nX-Teaselpin-Request-Id: %s\r\nX-Teaselpin-Response-Stamp: s\r\n",
+		status, r.Header.Get("X-Teaselpin-Request-Id"))
+}
+
+// Guards against an answer that is lost or changed because it is empty, has no
+// length, is announced by another answer, or belongs to a HEAD request, and
+// against a kept connection that serves no further request.
+func TestUnusualAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name, method, answer string
+		status               int
+		closes               bool // the server closes the connection at the end
+		want                 string
+		wantLength           int64
+	}{
+		{"empty", "POST", "Content-Length: 0\r\n\r\n", 200, false, "", 0},
+		{"empty in chunks", "POST", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200, false, "", -1},
+		{"no content", "POST", "\r\n", 204, false, "", 0},
+		{"without a length", "GET", "\r\nanswer", 200, true, "answer", -1},
+		{"empty without a length", "GET", "\r\n", 200, true, "", -1},
+		{"HEAD", "HEAD", "Content-Length: 6\r\n\r\n", 200, false, "", 6},
+		{"HEAD of an error", "HEAD", "Content-Length: 6\r\n\r\n", 404, false, "", 6},
+		{"HEAD without a length", "HEAD", "\r\n", 200, false, "", -1},
+		{"empty error", "POST", "Content-Length: 0\r\n\r\n", 500, false, "", 0},
+		{"not modified", "GET", "\r\n", 304, false, "", 0},
+		{"closing with a length", "POST", "Connection: close\r\nContent-Length: 6\r\n\r\nanswer", 200, true, "answer", 6},
+	} {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, early), func(t *testing.T) {
+				c := startRaw(t, func(c net.Conn, r *http.Request) bool {
+					if early {
+						_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+					}
+					_, _ = io.WriteString(c, serverHead(r, test.status)+test.answer)
+					return !test.closes
+				})
+				reader := bufio.NewReader(c)
+				for i := range 3 {
+					_, _ = io.WriteString(c, rawHead(test.method, fmt.Sprint(i))+"\r\n")
+					res, err := http.ReadResponse(reader, &http.Request{Method: test.method})
+					for err == nil && res.StatusCode < 200 {
+						res, err = http.ReadResponse(reader, &http.Request{Method: test.method})
+					}
+					if err != nil {
+						t.Fatalf("request %d: %v", i, err)
+					}
+					body, err := io.ReadAll(res.Body)
+					if err != nil || string(body) != test.want || res.StatusCode != test.status || res.ContentLength != test.wantLength || res.Close {
+						t.Fatalf("request %d: got %d with %q, length %d, closing %t, error %v", i, res.StatusCode, body, res.ContentLength, res.Close, err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a body that ends exactly at the limit and is refused, and
+// against a body over the limit whose client gets no answer.
+func TestBodyAtTheLimit(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		for _, size := range []int{rawBodyLimit, rawBodyLimit + 1, 2 * rawBodyLimit} {
+			t.Run(fmt.Sprint(size, chunked), func(t *testing.T) {
+				c := startRaw(t, func(c net.Conn, r *http.Request) bool {
+					n, err := io.Copy(io.Discard, r.Body)
+					text := fmt.Sprint(n, err)
+					_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", serverHead(r, 200), len(text), text)
+					return true
+				})
+				body := strings.Repeat("x", size)
+				text := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", rawHead("POST", "1"), size, body)
+				if chunked {
+					text = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", rawHead("POST", "1"), size, body)
+				}
+				go func() { _, _ = io.WriteString(c, text) }() // fails if the node closes the connection after its answer
+				res, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, err := io.ReadAll(res.Body)
+				want := 200
+				if size > rawBodyLimit {
+					want = 413
+				}
+				if err != nil || res.StatusCode != want || want == 200 && string(got) != fmt.Sprint(size, " <nil>") {
+					t.Errorf("got %d with %q, error %v, want %d", res.StatusCode, got, err, want)
+				}
+			})
+		}
+	}
+}
+
+// Guards against pipelined requests that are lost, or whose answers change
+// places, while the server is silent for a moment.
+func TestPipelinedRequests(t *testing.T) {
+	c := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		time.Sleep(300 * time.Millisecond) // the silence of the simulated server
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", serverHead(r, 200), len(body), body)
+		return true
+	})
+	var all strings.Builder
+	for i := range 5 {
+		fmt.Fprintf(&all, "%sContent-Length: 1\r\n\r\n%d", rawHead("POST", fmt.Sprint(i)), i)
+	}
+	_, _ = io.WriteString(c, all.String())
+	reader := bufio.NewReader(c)
+	for i := range 5 {
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if got, err := io.ReadAll(res.Body); string(got) != fmt.Sprint(i) || err != nil {
+			t.Errorf("answer %d: got %q, error %v", i, got, err)
+		}
+	}
+}
+
+// Guards against a client that waits for permission to send its body.
+func TestClientExpectsContinue(t *testing.T) {
+	c := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", serverHead(r, 200), len(body), body)
+		return true
+	})
+	reader := bufio.NewReader(c)
+	for i := range 2 {
+		_, _ = io.WriteString(c, rawHead("POST", fmt.Sprint(i))+"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+		if res, err := http.ReadResponse(reader, nil); err != nil || res.StatusCode != http.StatusContinue {
+			t.Fatalf("got %+v, error %v, want status 100", res, err)
+		}
+		_, _ = io.WriteString(c, "text")
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(res.Body); string(got) != "text" || err != nil {
+			t.Errorf("got %q, error %v", got, err)
+		}
+	}
+}
+
+// Guards against an answer that a server has reset and that appears complete.
+func TestResetAnswerWithoutLength(t *testing.T) {
+	c := startRaw(t, func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, serverHead(r, 200)+"\r\n"+strings.Repeat("answer", 100_000))
+		time.Sleep(50 * time.Millisecond) // so that the node reads some of the answer
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	_, _ = io.WriteString(c, rawHead("GET", "1")+"\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return // no answer
+	}
+	if _, err = io.Copy(io.Discard, res.Body); err == nil && res.StatusCode == 200 {
+		t.Error("an answer that was reset ended like a complete one")
+	}
+}
+
+// Guards against a long body whose server answers before it has read it, keeps
+// the connection and reads on: the answer is lost, or the next request gets
+// other bytes.
+func TestAnswerBeforeLongBody(t *testing.T) {
+	for _, status := range []int{200, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			c := startRaw(t, func(c net.Conn, r *http.Request) bool {
+				extra := ""
+				if status == 503 {
+					extra = "X-Teaselpin-Not-Run: 1\r\n"
+				}
+				_, _ = io.WriteString(c, serverHead(r, status)+extra+"Content-Length: 6\r\n\r\nanswer")
+				time.Sleep(700 * time.Millisecond) // reads on later
+				return true
+			})
+			reader := bufio.NewReader(c)
+			for i := range 3 {
+				_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", rawHead("POST", fmt.Sprint(i)), 1<<20, strings.Repeat("x", 1<<20))
+				if err != nil {
+					t.Fatal(err)
+				}
+				res, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(res.Body)
+				if err != nil || res.StatusCode != status || status == 200 && string(body) != "answer" {
+					t.Errorf("request %d: got %d with %q, error %v", i, res.StatusCode, body, err)
+				}
+			}
+		})
+	}
+}
