Answer the first requests of new connections at a planned stop

Callers that had opened a connection to a node before its planned stop, and sent the first request on it after the stop delay, saw the connection end without an answer, although the node had read the request. A node also stopped seconds late if a client kept such a connection without a request.

Cause: http.Server closes idle connections at once when it shuts down, but keeps those without a request for 5 s. It reads a request that arrives on one of them and then closes the connection without an answer.

The tests fail without it:

exchange_test.go:327: request 2: unexpected EOF exchange_test.go:339: the stop took 5.749437423s

A stopping node now closes its listeners first, waits at most 1 s for the first requests on the connections that it has accepted, and closes those that are left as soon as the server shuts down. From then on the server passes on no request, so that none is lost by the close.

--- a/internal/node/tprelaynode/exchange_test.go
+++ b/internal/node/tprelaynode/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -41,6 +42,23 @@
 // startRaw starts a node whose only route leads to a server that answers with
 // the given function, and returns a connection to the node.
 func startRaw(t *testing.T, answer func(c net.Conn, r *http.Request) bool) net.Conn {
+	t.Helper()
+	return startRawNode(t, answer).dial(t)
+}
+
+// dial opens a connection of a client to the node.
+func (n *node) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", n.front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	return c
+}
+
+func startRawNode(t *testing.T, answer func(c net.Conn, r *http.Request) bool) *node {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,13 +89,7 @@
 	})
 	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
 	n.untilReady(t)
-	c, err := net.Dial("tcp", n.front)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	_ = c.SetDeadline(time.Now().Add(waitTimeout))
-	return c
+	return n
 }
 
 // rawHead returns the head of a request without the empty line that ends it.
@@ -278,3 +290,55 @@
 		})
 	}
 }
+
+// Guards against a request that a stopping node reads from a connection that it
+// accepted before, and that gets no answer.
+func TestFirstRequestAtPlannedStop(t *testing.T) {
+	n := startRawNode(t, func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, serverHead(r, 200)+"Content-Length: 6\r\n\r\nanswer")
+		return true
+	})
+	used, unused := n.dial(t), n.dial(t)
+	exchange := func(c net.Conn, id string) {
+		t.Helper()
+		_, _ = io.WriteString(c, rawHead("GET", id)+"\r\n")
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("request %s: %v", id, err)
+		}
+		if body, err := io.ReadAll(res.Body); string(body) != "answer" || err != nil || res.Close != n.Closing() {
+			t.Errorf("request %s: got %q, closing %t, error %v", id, body, res.Close, err)
+		}
+	}
+	exchange(used, "1")
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.stop()
+	}()
+	eventually(t, func() string {
+		c, err := net.Dial("tcp", n.front)
+		if err != nil {
+			return ""
+		}
+		c.Close()
+		return "the node accepts connections"
+	})
+	exchange(unused, "2")
+	<-stopped
+}
+
+// Guards against a planned stop that waits for seconds because a client has
+// opened a connection and sends nothing.
+func TestUnusedConnectionAtPlannedStop(t *testing.T) {
+	n := startRawNode(t, func(net.Conn, *http.Request) bool { return false })
+	unused := n.dial(t)
+	began := time.Now()
+	n.stop()
+	if took := time.Since(began); took > 4*time.Second { // an http.Server waits 5 s
+		t.Errorf("the stop took %v", took)
+	}
+	if _, err := unused.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("unused connection: got error %v, want EOF", err)
+	}
+}
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -213,18 +213,22 @@
 	return err
 }
 
-// serve starts one server. Its clean-up waits for the requests in progress
-// until stopDeadline and then closes their connections.
+// serve starts one server. Its clean-up accepts no new connections, waits for
+// the first requests on those that it has accepted, and for the requests in
+// progress until stopDeadline, and then closes their connections.
 func (n *Node) serve(name, address string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, Error.New("listen for %s: %w", name, err)
 	}
+	var unused newConns
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		ConnState: unused.track,
 	}
+	srv.RegisterOnShutdown(unused.close)
 	wait, err := n.deps.Duties.Go(name, func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.log.Error().Str("event", "serverEnded").Str("server", name).Err(err).Send()
 		}
 	})
@@ -233,6 +237,8 @@
 		return nil, err
 	}
 	n.onStop(func() {
+		_ = l.Close() // fails only after an error of Serve, which was logged
+		unused.wait(n.clock.After(firstRequestTimeout))
 		ctx, cancel := context.WithDeadline(context.Background(), n.stopDeadline)
 		defer cancel()
 		if err := srv.Shutdown(ctx); err != nil {
