Add a guard against parts of prompts that crash targets

What callers saw: requests with one part of a prompt crash each server that begins to answer them. They come at any machine and no two are alike, so the quarantine of the own interface, which knows whole requests, finds none of them.

The package tpcrash holds a crash against each shared part of the prompt and against the whole content. A crash is identified by target and process start, so that several nodes and streams count it once. Three crashes without an answer quarantine a key; an answer clears it. It is a package of its own because the own interface gives suspects exclusive copies and quarantines for good after two crashes, which suits neither parts that many requests share nor a quarantine that ends.

Two rules free popular parts that no answer can clear, because all targets crashed at once: a key that another quarantined key explains stops only requests that also carry the latter, and a key that was answered shortly before lets single requests pass.

--- /dev/null
+++ b/internal/guard/tpcrash/entry.go
@@ -0,0 +1,101 @@
+package tpcrash
+
+import (
+	"slices"
+	"time"
+)
+
+// entry is the evidence about one key.
+type entry struct {
+	key         uint64
+	crashes     []string // IDs of the crashes since the last answer, oldest first
+	cleared     []string // IDs of crashes that do not count, oldest first
+	changedAt   time.Time
+	announcedAt time.Time // from when the entry is reported to peers for announcePeriod
+	crashedAt   time.Time // when this node learned of the latest crash
+	quarantined bool
+	// quarantinedAt is the begin of the quarantine, and triedAt the time of the
+	// last trial or of the begin.
+	quarantinedAt, triedAt time.Time
+	trialFailed            bool // a crash followed the begin of the quarantine
+}
+
+// addCrashes adds the crashes that are new. It returns false if there are none.
+func (e *entry) addCrashes(now time.Time, ids []string) bool {
+	added := false
+	for _, id := range ids {
+		if slices.Contains(e.crashes, id) || slices.Contains(e.cleared, id) || len(e.crashes) >= maxCrashIDs {
+			continue
+		}
+		e.crashes = append(e.crashes, id)
+		added = true
+	}
+	if added {
+		e.changedAt, e.announcedAt, e.crashedAt = now, now, now
+	}
+	return added
+}
+
+// noteTrial marks the trials of a quarantined key as failed if a crash follows
+// the begin of the quarantine by more than grace: those before it may belong to
+// the same outage.
+func (e *entry) noteTrial(now time.Time, grace time.Duration) {
+	e.trialFailed = e.trialFailed || e.quarantined && now.Sub(e.quarantinedAt) > grace
+}
+
+// clear makes crashes count no longer, whether they are known or not. It
+// returns false if nothing changes.
+func (e *entry) clear(now time.Time, ids []string) bool {
+	changed := false
+	for _, id := range ids {
+		if !slices.Contains(e.cleared, id) {
+			e.cleared = append(e.cleared, id)
+			changed = true
+		}
+	}
+	if !changed {
+		return false
+	}
+	e.cleared = e.cleared[max(0, len(e.cleared)-maxClearedIDs):]
+	e.crashes = slices.DeleteFunc(e.crashes, func(id string) bool { return slices.Contains(ids, id) })
+	e.changedAt, e.announcedAt = now, now
+	return true
+}
+
+// repeatClearance reports the clearance of crashes again that a peer still
+// counts.
+func (e *entry) repeatClearance(now time.Time, ids []string) {
+	for _, id := range ids {
+		if i := slices.Index(e.cleared, id); i >= 0 {
+			// Reports hold the newest IDs only, so the ID moves to the end.
+			e.cleared = append(slices.Delete(e.cleared, i, i+1), id)
+			e.announcedAt = now
+		}
+	}
+}
+
+// explains reports whether each crash of other is also one of e.
+func (e *entry) explains(other *entry) bool {
+	return !slices.ContainsFunc(other.crashes, func(id string) bool { return !slices.Contains(e.crashes, id) })
+}
+
+// evictionRank orders the entries of a full table: those with the lowest rank
+// are removed first.
+func (e *entry) evictionRank() int {
+	switch {
+	case e.quarantined:
+		return 2
+	case len(e.crashes) > 0:
+		return 1
+	}
+	return 0
+}
+
+// retention returns the time after the last change at which the entry is
+// removed.
+func (e *entry) retention() time.Duration {
+	if len(e.crashes) == 0 {
+		return clearedRetention
+	}
+	return suspectRetention
+}
--- /dev/null
+++ b/internal/guard/tpcrash/guard.go
@@ -0,0 +1,293 @@
+package tpcrash
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+const (
+	// MaxCrashes is the number of crashes without an answer in between after
+	// which a key is quarantined. With two, requests that only ran beside the
+	// cause would often be quarantined as well.
+	MaxCrashes = 3
+	// QuarantineTime is the time from the last crash of a key to the end of its
+	// quarantine. One further crash then starts it again.
+	QuarantineTime = 5 * time.Minute
+	// suspectRetention is the time for which crashes are kept that neither an
+	// answer nor a further crash follows.
+	suspectRetention = 10 * time.Minute
+	// clearedRetention exceeds QuarantineTime, so that a node that was cut off
+	// cannot bring cleared crashes back.
+	clearedRetention = QuarantineTime + time.Minute
+	// maxEntries bounds the keys that are kept.
+	maxEntries = 4096
+	// maxCrashIDs and maxClearedIDs bound the crashes that are kept for a key.
+	maxCrashIDs   = 16
+	maxClearedIDs = 32
+	// maxReportedIDs bounds the crashes and the cleared crashes that a report
+	// holds for a key.
+	maxReportedIDs = 16
+	// MaxReported bounds the entries of one report to peers, and what is
+	// accepted from one.
+	MaxReported = 128
+	// maxIDBytes bounds a crash ID that a peer reports.
+	maxIDBytes = 256
+	// answeredGeneration and maxAnswered are the time and the number of keys
+	// after which the older half of the answered keys is forgotten.
+	answeredGeneration = time.Minute
+	maxAnswered        = 8192
+	// maxSharedBodyBytes is the size up to which the body of an answered request
+	// is hashed although there is no evidence. Many clients may send the same
+	// small body, or none, to one path.
+	maxSharedBodyBytes = 4 << 10
+	// trialInterval is the time between two requests that pass a quarantine as
+	// a trial, and failedTrialInterval that after a trial that has crashed its
+	// target.
+	trialInterval       = 500 * time.Millisecond
+	failedTrialInterval = 30 * time.Second
+	// ownGrace and peerGrace are the times after the begin of a quarantine in
+	// which the crashes of one outage become known to this node. Evidence of
+	// peers takes up to two seconds in a large region.
+	ownGrace  = 400 * time.Millisecond
+	peerGrace = 2 * time.Second
+)
+
+// Change is the begin or the end of a quarantine.
+type Change struct {
+	Key         uint64
+	Quarantined bool
+	Own         bool     // a crash or an answer at this node caused it
+	Expired     bool     // the quarantine ended by time
+	Crashes     []string // at the begin of the quarantine
+}
+
+// Guard holds the evidence of one node. It belongs to one filter and is not
+// safe for concurrent use. The zero value has no evidence.
+//
+// Answers clear the keys of a popular part at once as long as requests with it
+// are answered. Two rules free it if none is answered, as when all targets
+// crash together: a key whose crashes are all those of another quarantined key,
+// which a request does not carry, does not stop that request; and a key that
+// was answered shortly before lets a single request pass from time to time.
+type Guard struct {
+	entries          map[uint64]*entry
+	quarantinedCount int
+	// answered and answeredBefore hold the keys that were recently answered at
+	// this node.
+	answered, answeredBefore map[uint64]bool
+	answeredSince            time.Time
+	changes                  []Change
+}
+
+// RecordCrash records that a target ended an exchange before any part of the
+// answer arrived. ID is the result of CrashID.
+func (g *Guard) RecordCrash(now time.Time, req *tpmessage.RelayRequest, id string) {
+	for _, key := range Keys(req) {
+		e := g.entry(now, key)
+		e.noteTrial(now, ownGrace)
+		if e.addCrashes(now, []string{id}) {
+			g.update(now, e, Change{Own: true})
+		}
+	}
+}
+
+// RecordAnswer records that a target has begun a stream or completed an answer
+// with success. It clears the keys of the request of all crashes known so far.
+func (g *Guard) RecordAnswer(now time.Time, req *tpmessage.RelayRequest) {
+	keys := PartKeys(req)
+	if len(g.entries) > 0 || len(req.Body) <= maxSharedBodyBytes {
+		keys = Keys(req)
+	}
+	g.recordAnswered(now, keys)
+	for _, key := range keys {
+		if e, known := g.entries[key]; known && e.clear(now, slices.Clone(e.crashes)) {
+			g.update(now, e, Change{Own: true})
+		}
+	}
+}
+
+// recordAnswered adds keys to the set of answered keys.
+func (g *Guard) recordAnswered(now time.Time, keys []uint64) {
+	if g.answered == nil || now.Sub(g.answeredSince) >= answeredGeneration || len(g.answered) >= maxAnswered {
+		g.answeredBefore, g.answered, g.answeredSince = g.answered, make(map[uint64]bool), now
+	}
+	for _, key := range keys {
+		g.answered[key] = true
+	}
+}
+
+// Check reports whether a request must not be sent to a target, and the
+// quarantined key for which it is refused.
+func (g *Guard) Check(now time.Time, req *tpmessage.RelayRequest) (key uint64, refused bool) {
+	if g.quarantinedCount == 0 {
+		return 0, false
+	}
+	keys := Keys(req)
+	var passed []*entry
+	for _, key := range keys {
+		e, known := g.entries[key]
+		if !known || !e.quarantined || g.explained(e, keys) {
+			continue
+		}
+		if !g.allowsTrial(now, e) {
+			return key, true
+		}
+		passed = append(passed, e)
+	}
+	for _, e := range passed {
+		e.triedAt = now
+	}
+	return 0, false
+}
+
+// explained reports whether a quarantined key that is not among keys explains
+// the crashes of e.
+func (g *Guard) explained(e *entry, keys []uint64) bool {
+	for _, other := range g.entries {
+		if other.quarantined && other.explains(e) && !slices.Contains(keys, other.key) {
+			return true
+		}
+	}
+	return false
+}
+
+// allowsTrial reports whether a request may pass although it carries the
+// quarantined key of e.
+func (g *Guard) allowsTrial(now time.Time, e *entry) bool {
+	if !g.answered[e.key] && !g.answeredBefore[e.key] {
+		return false
+	}
+	if e.trialFailed {
+		return now.Sub(e.triedAt) >= failedTrialInterval
+	}
+	return now.Sub(e.triedAt) >= trialInterval
+}
+
+// Merge adds the evidence that a peer reports. Crashes that are already cleared
+// do not count; the clearance is then reported again.
+func (g *Guard) Merge(now time.Time, reports []tpmessage.SuspectRequest) {
+	for i := range reports[:min(len(reports), 2*MaxReported)] {
+		r := &reports[i]
+		ids := acceptableIDs(r.Targets)
+		if len(ids) == 0 {
+			continue
+		}
+		e := g.entry(now, r.Fingerprint)
+		if r.Cleared {
+			if e.clear(now, ids) {
+				g.update(now, e, Change{})
+			}
+			continue
+		}
+		e.repeatClearance(now, ids)
+		if e.addCrashes(now, ids) {
+			e.noteTrial(now, peerGrace)
+			g.update(now, e, Change{})
+		}
+	}
+}
+
+func acceptableIDs(ids []string) []string {
+	ids = ids[:min(len(ids), maxReportedIDs)]
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == "" || len(id) > maxIDBytes })
+}
+
+// Report returns the evidence for peers: all quarantined keys and the changes
+// within period, at most MaxReported keys, with the newest changes first. The
+// clearances of a key come before its crashes.
+func (g *Guard) Report(now time.Time, period time.Duration) []tpmessage.SuspectRequest {
+	var due []*entry
+	for _, e := range g.entries {
+		if e.quarantined || now.Sub(e.announcedAt) < period {
+			due = append(due, e)
+		}
+	}
+	slices.SortFunc(due, func(a, b *entry) int {
+		return cmp.Or(b.evictionRank()/2-a.evictionRank()/2, b.announcedAt.Compare(a.announcedAt), cmp.Compare(a.key, b.key))
+	})
+	var reports []tpmessage.SuspectRequest
+	for _, e := range due[:min(len(due), MaxReported)] {
+		if len(e.cleared) > 0 {
+			newest := e.cleared[max(0, len(e.cleared)-maxReportedIDs):]
+			reports = append(reports, tpmessage.SuspectRequest{Fingerprint: e.key, Targets: slices.Clone(newest), Cleared: true})
+		}
+		if len(e.crashes) > 0 {
+			reports = append(reports, tpmessage.SuspectRequest{Fingerprint: e.key, Targets: slices.Clone(e.crashes)})
+		}
+	}
+	return reports
+}
+
+// Expire ends quarantines and removes evidence by time.
+func (g *Guard) Expire(now time.Time) {
+	for key, e := range g.entries {
+		switch {
+		case e.quarantined && now.Sub(e.crashedAt) >= QuarantineTime:
+			e.clear(now, slices.Clone(e.crashes[:len(e.crashes)-MaxCrashes+1]))
+			g.update(now, e, Change{Expired: true})
+		case !e.quarantined && now.Sub(e.changedAt) >= e.retention():
+			delete(g.entries, key)
+		}
+	}
+}
+
+// TakeChanges returns the begins and ends of quarantines since the last call.
+func (g *Guard) TakeChanges() []Change {
+	changes := g.changes
+	g.changes = nil
+	return changes
+}
+
+// update begins or ends the quarantine of an entry whose crashes have changed.
+// Cause holds the Own and Expired fields of the change.
+func (g *Guard) update(now time.Time, e *entry, cause Change) {
+	quarantined := len(e.crashes) >= MaxCrashes
+	if quarantined == e.quarantined {
+		return
+	}
+	e.quarantined, e.quarantinedAt, e.triedAt, e.trialFailed = quarantined, now, now, false
+	cause.Key, cause.Quarantined = e.key, quarantined
+	if quarantined {
+		g.quarantinedCount++
+		cause.Crashes = slices.Clone(e.crashes)
+	} else {
+		g.quarantinedCount--
+	}
+	g.changes = append(g.changes, cause)
+}
+
+// entry returns the entry of a key. If the table is full, a new entry replaces
+// the oldest ones of the lowest eviction rank.
+func (g *Guard) entry(now time.Time, key uint64) *entry {
+	if e, known := g.entries[key]; known {
+		return e
+	}
+	if g.entries == nil {
+		g.entries = make(map[uint64]*entry)
+	}
+	if len(g.entries) >= maxEntries {
+		g.evict(now)
+	}
+	e := &entry{key: key, changedAt: now}
+	g.entries[key] = e
+	return e
+}
+
+// evict removes an eighth of the entries, so that the table is sorted rarely.
+func (g *Guard) evict(now time.Time) {
+	list := slices.Collect(maps.Values(g.entries))
+	slices.SortFunc(list, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.evictionRank(), b.evictionRank()), a.changedAt.Compare(b.changedAt))
+	})
+	for _, e := range list[:len(list)/8] {
+		if e.quarantined {
+			e.crashes = nil
+			g.update(now, e, Change{Expired: true})
+		}
+		delete(g.entries, e.key)
+	}
+}
