Report cuts and begun streams to the placement

The outcome of a step did not tell a crash from a time-out or a failed connect, and the end of a stream may come many seconds after its first event. The guard against crashes needs both: whether a target cut a run before any part of its answer arrived, and the first event at once.

The stand-ins for the placer in the tests of tprelay took each input that was no step result for a target request. They now tell the begin of a stream apart; what they check is unchanged.

--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -98,6 +98,16 @@
 	Events      int
 	EventTokens int
 	Streamed    time.Duration
+	// Request and the start of the target's process, in Unix milliseconds,
+	// identify what a crash has cut.
+	Request   *tpmessage.RelayRequest
+	StartedMs int64
+	// Cut is true if the target cut the connection of a run or a call before
+	// any part of its answer arrived. Timeouts and failed connects are no cuts.
+	Cut bool
+	// Answered is true if a run or a call was answered completely and with
+	// success.
+	Answered bool
 }
 
 // Outcome is the result of a step as far as it concerns the target.
@@ -131,6 +141,8 @@
 	InputLoads
 	InputRoleChanging
 	InputTick
+	InputStreamBegun // the first event of a run has arrived; no effect on the placer
+	InputSuspects    // evidence of a peer; no effect on the placer
 )
 
 // Input is one message to the placement filter.
@@ -144,4 +156,6 @@
 	// RoleChanging names the targets that this node has ordered to another
 	// role.
 	RoleChanging []string
+	Begun        *tpmessage.RelayRequest    // with InputStreamBegun
+	Suspects     []tpmessage.SuspectRequest // with InputSuspects
 }
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -107,7 +107,7 @@
 	case InputRoleChanging:
 		p.changing = in.RoleChanging
 		p.markChanging(p.changing)
-	case InputTick:
+	case InputTick, InputStreamBegun, InputSuspects:
 	}
 	return Grant{}, false
 }
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -50,6 +50,9 @@
 	End    End
 	Status int   // of the target's answer, or 0
 	Err    error // why the answer is incomplete
+	// Cut is true if the target closed or reset the connection after bytes of
+	// the request were written, as it does when it crashes.
+	Cut bool
 }
 
 // Handle identifies a prompt that a target has read and keeps.
@@ -95,7 +98,7 @@
 
 // Counters counts the operations of the stage. The zero value is ready to use.
 type Counters struct {
-	Requests, Prefills, Runs, Calls, Retries, Resumes, Refused, Unknown, Broken, Disconnected, Panics atomic.Uint64
+	Requests, Prefills, Runs, Calls, Retries, Resumes, Refused, Unknown, Broken, Disconnected, Panics, Quarantined atomic.Uint64
 }
 
 // Relay runs a task for each granted request. It is owned by one filter.
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -52,6 +52,9 @@
 			results = append(results, in.StepResult)
 			return
 		}
+		if in.Kind != tpplace.InputTargetRequest {
+			return
+		}
 		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
 		if granted >= grants {
 			g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: "budget"}
@@ -170,6 +173,9 @@
 			results = append(results, in.StepResult)
 			return
 		}
+		if in.Kind != tpplace.InputTargetRequest {
+			return
+		}
 		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
 		g.Target.Name, g.Reservation.Target = "t1", "t1"
 		if !in.TargetRequest.HasHandle {
@@ -288,6 +294,9 @@
 			returned[in.StepResult.Reservation.Target]++
 			return
 		}
+		if in.Kind != tpplace.InputTargetRequest {
+			return
+		}
 		time.Sleep(60 * time.Millisecond) // a busy placer
 		granted++
 		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
--- a/internal/relay/stage3/tprelay/silence_test.go
+++ b/internal/relay/stage3/tprelay/silence_test.go
@@ -91,6 +91,9 @@
 			results = append(results, in.StepResult)
 			return
 		}
+		if in.Kind != tpplace.InputTargetRequest {
+			return
+		}
 		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
 		g.Target.Name, g.Reservation.Target = "t1", "t1"
 		if !grant {
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -64,6 +64,7 @@
 	reply           *tpring.Ring[tpplace.Grant]
 	handle          Handle
 
+	answerBegun   bool                   // a part of the answer of the current run has arrived
 	delivered     bool                   // at least one part was delivered to the client
 	pendingHead   *tpmessage.AnswerHead  // head of a stream, delivered with the first data
 	lastEvent     int                    // number of the last delivered event, or -1
@@ -192,7 +193,7 @@
 	t.silenceReported = false
 	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(begun || resumed) }
 	s.OnResume = t.releaseReplacement
-	t.buffered, t.bufferedBytes, t.eventCount = nil, 0, 0
+	t.buffered, t.bufferedBytes, t.eventCount, t.answerBegun = nil, 0, 0, false
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
 	now := t.r.Clock.Now()
 	res = t.resolveDeadline(now, res)
@@ -315,6 +316,7 @@
 // until the first event, and the answer of a plain service until its end, so
 // that another attempt can still replace them.
 func (t *task) deliver(part tpmessage.AnswerPart) error {
+	t.noteBegin(&part)
 	if !t.req.Route.Stream {
 		return t.buffer(part)
 	}
@@ -346,6 +348,18 @@
 	return t.work.Answer.PutContext(t.ctx, part)
 }
 
+// noteBegin reports the first event of each run of a stream to the placer at
+// once, because the end of the step may be many seconds away.
+func (t *task) noteBegin(part *tpmessage.AnswerPart) {
+	if t.answerBegun || len(part.Data) == 0 || t.req.Route.Stream && part.Event < 0 {
+		return
+	}
+	t.answerBegun = true
+	if t.req.Route.Stream {
+		t.r.Place(tpplace.Input{Kind: tpplace.InputStreamBegun, Begun: t.req})
+	}
+}
+
 // buffer holds the parts of a plain service's answer until the answer is
 // complete or larger than maxBufferedBytes.
 func (t *task) buffer(part tpmessage.AnswerPart) error {
@@ -417,6 +431,7 @@
 // reportResult reports the result of a step to the placer.
 func (t *task) reportResult(res Result, took time.Duration) {
 	t.granted = false
+	ran := t.grant.Step != tpplace.StepPrefill
 	outcome := tpplace.OutcomeServed
 	switch res.End {
 	case EndComplete:
@@ -437,6 +452,8 @@
 	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
 		Reservation: t.grant.Reservation, Outcome: outcome, Route: t.req.Route.Name, Elapsed: took,
 		Events: t.eventCount, EventTokens: t.eventTokens(), Streamed: t.lastEventAt.Sub(t.firstEventAt),
+		Request: t.req, StartedMs: t.grant.Target.StartedMs, Cut: res.Cut && ran && !t.answerBegun,
+		Answered: res.End == EndComplete && ran && res.Status/100 == 2 && (t.answerBegun || !t.req.Route.Stream),
 	}})
 }
 
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -33,6 +33,7 @@
 	runs     []tprelay.UpstreamRequest
 	freed    []tprelay.Handle
 	prefill  []tprelay.End
+	begun    int // streams reported as begun
 }
 
 func (u *scriptedUpstream) Prefill(_ context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
@@ -41,7 +42,7 @@
 	end := u.prefill[0]
 	u.prefill = u.prefill[1:]
 	if end != tprelay.EndComplete {
-		return tprelay.Handle{}, tprelay.Result{End: end, Err: errors.New("scripted")}
+		return tprelay.Handle{}, tprelay.Result{End: end, Err: errors.New("scripted"), Cut: end == tprelay.EndIncomplete}
 	}
 	return tprelay.Handle{Address: s.Target.Address, ID: "h"}, tprelay.Result{Status: 200}
 }
@@ -69,7 +70,7 @@
 	if a.end == tprelay.EndComplete {
 		_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
 	}
-	return tprelay.Result{End: a.end, Status: a.status}, nil
+	return tprelay.Result{End: a.end, Status: a.status, Cut: a.end == tprelay.EndIncomplete}, nil
 }
 
 func (u *scriptedUpstream) Free(_ context.Context, h tprelay.Handle) {
@@ -110,9 +111,13 @@
 	r.Place = func(in tpplace.Input) {
 		mu.Lock()
 		defer mu.Unlock()
-		if in.Kind == tpplace.InputStepResult {
+		switch in.Kind {
+		case tpplace.InputStepResult:
 			results = append(results, in.StepResult)
 			return
+		case tpplace.InputStreamBegun:
+			u.begun++
+			return
 		}
 		granted++
 		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step, Target: target(granted)}
@@ -320,9 +325,12 @@
 			Upstream: u, Clock: tpclock.System{}, Log: &log, Counters: &tprelay.Counters{},
 			RecordEnd: func(string, time.Duration) {},
 			Place: func(in tpplace.Input) {
-				if in.Kind == tpplace.InputStepResult {
+				switch in.Kind {
+				case tpplace.InputStepResult:
 					outcomes = append(outcomes, in.StepResult.Outcome)
 					return
+				case tpplace.InputStreamBegun:
+					return
 				}
 				_ = in.TargetRequest.Reply.TryPut(tpplace.Grant{Refusal: &tpmessage.RelayRefusal{Status: 503}})
 			},
@@ -372,3 +380,37 @@
 		t.Errorf("timeout between two events: got %v, want at least %v", got, least)
 	}
 }
+
+// Guards against a target's crash that is not reported, against one that is
+// held against a request whose answer had begun, or whose prompt was only read,
+// and against an answer that clears a request although it shows nothing.
+func TestCutsAndAnswersAreReported(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		route         tpmessage.RelayRoute
+		step          tpplace.Step
+		upstream      *scriptedUpstream
+		cut, answered bool
+		begun         int
+	}{
+		{"stream cut before its first event", notResumable, tpplace.StepRun, &scriptedUpstream{attempts: []attempt{{0, tprelay.EndIncomplete, 200}}}, true, false, 0},
+		{"stream cut after its first event", notResumable, tpplace.StepRun, &scriptedUpstream{attempts: []attempt{{2, tprelay.EndIncomplete, 200}}}, false, false, 1},
+		{"complete stream", notResumable, tpplace.StepRun, &scriptedUpstream{attempts: []attempt{{2, tprelay.EndComplete, 200}}}, false, true, 1},
+		{"stream without events", notResumable, tpplace.StepRun, &scriptedUpstream{attempts: []attempt{{0, tprelay.EndComplete, 200}}}, false, false, 0},
+		{"call cut before its answer", notRepeatable, tpplace.StepCall, &scriptedUpstream{attempts: []attempt{{0, tprelay.EndIncomplete, 200}}}, true, false, 0},
+		{"call cut within its answer", notRepeatable, tpplace.StepCall, &scriptedUpstream{attempts: []attempt{{1, tprelay.EndIncomplete, 200}}}, false, false, 0},
+		{"complete call", notRepeatable, tpplace.StepCall, &scriptedUpstream{attempts: []attempt{{1, tprelay.EndComplete, 200}}}, false, true, 0},
+		{"failed call", notRepeatable, tpplace.StepCall, &scriptedUpstream{attempts: []attempt{{0, tprelay.EndComplete, 504}}}, false, false, 0},
+		{"call that timed out", notRepeatable, tpplace.StepCall, &scriptedUpstream{attempts: []attempt{{0, tprelay.EndTimeout, 0}}}, false, false, 0},
+		{"prompt that was only read", notResumable, tpplace.StepPrefill, &scriptedUpstream{prefill: []tprelay.End{tprelay.EndIncomplete}}, false, false, 0},
+	} {
+		u := test.upstream
+		_, results := runScript(t, u, test.route, test.step, 0)
+		if len(results) != 1 {
+			t.Fatalf("%s: got %d results, want 1", test.name, len(results))
+		}
+		if got := results[0]; got.Cut != test.cut || got.Answered != test.answered || u.begun != test.begun || got.Request == nil {
+			t.Errorf("%s: got cut %v, answered %v, begun %d; want %v, %v, %d", test.name, got.Cut, got.Answered, u.begun, test.cut, test.answered, test.begun)
+		}
+	}
+}
