--- a/internal/standin/tpguestfake/store.go
+++ b/internal/standin/tpguestfake/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"strconv"
@@ -25,6 +26,7 @@
 	refusals          map[string]int // HTTP status by client IP address; "" applies to all
 	changed           chan struct{}  // closed and replaced at each change
 	callCounts        map[string]int // by HTTP method
+	rawTexts          []string       // pairs of a placeholder and the text that replaces it in answers
 }
 
 type entry struct {
@@ -32,13 +34,14 @@
 	Revision uint64          `json:"revision"`
 	Created  uint64          `json:"create_revision"`
 	spec     json.RawMessage // JSON document
+	raw      json.RawMessage // placeholder that encodes the whole object, or nil
 }
 
 type event struct {
 	kind     string
 	revision uint64
 	removed  bool
-	object   wireObject
+	object   any
 }
 
 type wireObject struct {
@@ -69,7 +72,22 @@
 	s.set(kind, name, data)
 }
 
+// SetRaw creates or replaces an object of which lists and watches return the
+// given text, whether or not it is JSON.
+func (s *Store) SetRaw(kind, name string, text func(revision uint64) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	raw := fmt.Sprintf(`"raw object at revision %d"`, s.revision+1)
+	s.rawTexts = append(s.rawTexts, raw, text(s.revision+1))
+	s.setRaw(kind, name, nil, json.RawMessage(raw))
+}
+
 func (s *Store) set(kind, name string, spec json.RawMessage) *entry {
+	return s.setRaw(kind, name, spec, nil)
+}
+
+func (s *Store) setRaw(kind, name string, spec, raw json.RawMessage) *entry {
 	s.revision++
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]*entry)
@@ -79,7 +97,7 @@
 		e = &entry{Name: name, Created: s.revision}
 		s.objects[kind][name] = e
 	}
-	e.Revision, e.spec = s.revision, spec
+	e.Revision, e.spec, e.raw = s.revision, spec, raw
 	s.recordEvent(kind, e, false)
 	return e
 }
@@ -103,7 +121,12 @@
 	s.changed = make(chan struct{})
 }
 
-func (e *entry) toWire() wireObject { return wireObject{Metadata: *e, Spec: e.spec} }
+func (e *entry) toWire() any {
+	if e.raw != nil {
+		return e.raw
+	}
+	return wireObject{Metadata: *e, Spec: e.spec}
+}
 
 // CompactHistory marks the history up to now as dropped. A watch from an
 // earlier revision then ends with 410 Gone.
@@ -196,6 +219,16 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// answerRaw answers with the encoding of v, in which it replaces placeholders.
+func answerRaw(w http.ResponseWriter, rawTexts []string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = strings.NewReplacer(rawTexts...).WriteString(w, string(data))
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request, kind, name string) {
 	if name != "" {
 		e, ok := s.objects[kind][name]
@@ -214,11 +247,11 @@
 	}
 	sort.Strings(names)
 	more := len(names) > maxPageItems
-	items := []wireObject{}
+	items := []any{}
 	for _, n := range names[:min(len(names), maxPageItems)] {
 		items = append(items, s.objects[kind][n].toWire())
 	}
-	answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "current_rev": s.revision})
+	answerRaw(w, s.rawTexts, map[string]any{"items": items, "more": more, "current_rev": s.revision})
 }
 
 func (s *Store) put(w http.ResponseWriter, r *http.Request, kind, name string) {
@@ -278,7 +311,7 @@
 		status, changed := s.refusalStatus(r), s.changed
 		events, revision := s.eventsAfter(kind, after), s.revision
 		compacted := after < s.compactedRevision
-		suppressEvents := s.suppressEvents
+		suppressEvents, rawTexts := s.suppressEvents, s.rawTexts
 		s.mu.Unlock()
 		switch {
 		case status != 0:
@@ -288,7 +321,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 && !suppressEvents:
-			answer(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
+			answerRaw(w, rawTexts, map[string]any{"events": events, "current_rev": revision})
 			return
 		}
 		select {
