Log an unreadable registration once for as long as it stays

Callers saw: the log had a line for each version of an odd entry that its writer rewrites, and the node kept the text of each of them for good. An entry that was repaired and became odd again was not logged.

Cause: errors were remembered by their text for the life of the node, and the text had the revision.

Change: the node remembers the errors of the current view.

Result: go test -race ./internal/node/tprelaynode -run TestOddReg passes.

--- /dev/null
+++ b/internal/node/tprelaynode/entries_test.go
@@ -0,0 +1,118 @@
+package tprelaynode_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"teaselpin.example/teaselpin/internal/node/tprelaynode"
+	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
+)
+
+// lockedBuffer is a bytes.Buffer that several goroutines may use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+// count returns how often text was written.
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.buffer.String(), text)
+}
+
+// oddObjects are registrations that another program could have written, with
+// verbs for the name and the revision.
+var oddObjects = map[string]string{
+	"nested":               `{"metadata":{"name":%q,"revision":%d},"spec":` + strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000) + `}`,
+	"number out of range":  `{"metadata":{"name":%q,"revision":%d},"spec":{"service":"app","address":"127.0.0.1:1","state":"ready","slots":1e999}}`,
+	"port out of range":    `{"metadata":{"name":%q,"revision":%d},"spec":{"service":"app","address":"127.0.0.1:99999","state":"ready"}}`,
+	"not JSON":             `{"metadata":{"name":%q,"revision":%d},"spec":oops}`,
+	"metadata not decoded": `{"metadata":{"name":%q,"revision":-%d},"spec":{}}`,
+}
+
+// Guards against an odd registration, written by another program, that keeps
+// nodes from following the others: one that reads the store, one that gets its
+// views from a peer, and one that starts while the registration exists.
+func TestOddRegistrationStopsNoNode(t *testing.T) {
+	for fault, format := range oddObjects {
+		for _, name := range []string{"a", "f", "z"} { // first, in the middle, last
+			t.Run(fault+" "+name, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t)
+				address := tpprocess.FreeAddress(t)
+				first := s.start(t, "node-a", address)
+				first.untilReady(t)
+				second := s.startWith(t, tprelaynode.Settings{
+					Name: "node-b", Peers: tpprocess.FreeAddress(t), Seeds: []string{address}, Bootstrap: true,
+					Store: tpprocess.FreeAddress(t), // nothing listens there
+				})
+				second.untilReady(t)
+				s.store.SetRaw("servers", name, func(revision uint64) string { return fmt.Sprintf(format, name, revision) })
+				checkFollows(t, s, 1, first, second)
+				third := s.start(t, "node-c", tpprocess.FreeAddress(t), address)
+				third.untilReady(t)
+				checkFollows(t, s, 2, first, second, third)
+			})
+		}
+	}
+}
+
+// checkFollows replaces the only server of a service and waits until the nodes
+// use the new one.
+func checkFollows(t *testing.T, s *site, n int, nodes ...*node) {
+	t.Helper()
+	s.store.Remove("servers", fmt.Sprint("u", n-1))
+	s.register(t, &tpguestfake.Server{ID: fmt.Sprint("u", n)}, "app")
+	server := s.servers[len(s.servers)-1]
+	for i, node := range nodes {
+		eventually(t, func() string {
+			id := fmt.Sprint("follows-", n, "-", i)
+			got := node.post(t.Context(), id, "/swap/x", nil)
+			for _, a := range server.Arrivals() {
+				if a.ID == id && got.status == 200 {
+					return ""
+				}
+			}
+			return fmt.Sprintf("node %d does not use u%d: got %+v", i, n, got)
+		})
+	}
+}
+
+// Guards against an odd registration that is logged again whenever its writer
+// writes it, or another registration changes.
+func TestOddRegistrationIsLoggedOnce(t *testing.T) {
+	const line = "registrationUnreadable"
+	s := newSite(t)
+	log := &lockedBuffer{}
+	s.log = log
+	odd := func(revision uint64) string { return fmt.Sprintf(oddObjects["number out of range"], "f", revision) }
+	s.store.SetRaw("servers", "f", odd)
+	n := s.start(t, "node-a", tpprocess.FreeAddress(t))
+	n.untilReady(t)
+	for i := range 3 {
+		s.store.SetRaw("servers", "f", odd)
+		checkFollows(t, s, i+1, n)
+	}
+	if got, want := log.count(line), 1; got != want {
+		t.Errorf("lines about the same fault: got %d, want %d", got, want)
+	}
+	s.store.Remove("servers", "f")
+	checkFollows(t, s, 4, n)
+	s.store.SetRaw("servers", "f", odd)
+	checkFollows(t, s, 5, n)
+	if got, want := log.count(line), 2; got != want {
+		t.Errorf("lines after the fault came back: got %d, want %d", got, want)
+	}
+}
--- a/internal/node/tprelaynode/node_test.go
+++ b/internal/node/tprelaynode/node_test.go
@@ -30,6 +30,7 @@
 	store   tpguestfake.Store
 	address string // of the store
 	servers []*tpguestfake.Server
+	log     io.Writer // of the nodes, or nil
 }
 
 // newSite registers four engines and one plain service, and writes the first
@@ -112,8 +113,12 @@
 	store, closeStore := tpguest.NewStore(cfg.Store)
 	upstream, closeUpstream := tpguest.NewUpstream()
 	orderClient, closeOrderClient := tpguest.NewOrderClient()
+	log := zerolog.Nop()
+	if s.log != nil {
+		log = zerolog.New(s.log)
+	}
 	relay, cleanup, err := tprelaynode.New(cfg, tprelaynode.Deps{
-		Log: zerolog.Nop(), Store: store, Viewer: store, Upstream: upstream, Engines: orderClient,
+		Log: log, Store: store, Viewer: store, Upstream: upstream, Engines: orderClient,
 		Kinds:        tprelaynode.ObjectKinds{Config: tpguest.KindConfig, Targets: tpguest.KindServers},
 		DecodeConfig: tpguest.DecodeConfig, DecodeTargets: tpguest.DecodeTargets,
 		Front: func(n *tprelaynode.Node) http.Handler {
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -82,7 +82,7 @@
 	serving           atomic.Bool // the platform serves this node's watches
 	publishedVersions []tpmessage.ViewVersion
 	failures          atomic.Uint64
-	decodeErrors      map[string]uint64 // store version by text of each logged decoding error
+	decodeErrors      map[string]bool // texts of the decoding errors of the current view, all logged
 	callsFailing      map[string]bool
 	callerLimit       tpfollow.CallerLimit
 }
@@ -95,7 +95,6 @@
 		peerCalls:    tpring.New[fetch](tpring.Settings{Capacity: 4}),
 		registry:     tpfollow.NewRegistry(),
 		views:        make(map[string]*atomic.Pointer[tpobject.View]),
-		decodeErrors: make(map[string]uint64),
 		callsFailing: make(map[string]bool),
 	}
 	n.deps.Rings.Add("follow", f.in)
@@ -290,18 +289,26 @@
 		return
 	}
 	list, decodeErrors := n.deps.DecodeTargets(v.Objects)
-	for _, err := range decodeErrors {
-		if f.decodeErrors[err.Error()] == 0 {
-			f.decodeErrors[err.Error()] = v.Version
-			n.log.Warn().Str("event", "registrationUnreadable").Err(err).Send()
-		}
-	}
+	f.logDecodeErrors(v.Version, decodeErrors)
 	n.log.Info().Str("event", "registrations").Uint64("version", v.Version).Str("source", source).
 		Int("count", len(list)).Bool("disturbed", follower.Disturbed(now)).Send()
 	f.registry.Set(now, list, follower.Disturbed(now))
 	f.targetsKnown.Store(true)
 }
 
+// logDecodeErrors logs the errors that the view before did not have.
+func (f *objectFilter) logDecodeErrors(version uint64, decodeErrors []error) {
+	current := make(map[string]bool, len(decodeErrors))
+	for _, err := range decodeErrors {
+		text := err.Error()
+		if !f.decodeErrors[text] && !current[text] {
+			f.node.log.Warn().Str("event", "registrationUnreadable").Uint64("version", version).Err(err).Send()
+		}
+		current[text] = true
+	}
+	f.decodeErrors = current
+}
+
 func (f *objectFilter) applyConfig(v tpobject.View, source string) {
 	n := f.node
 	cfg, err := n.deps.DecodeConfig(v.Objects)
