Do not join the answers of two targets of a plain service

Callers saw: an answer of a plain service over 256 KB that broke off went on with the whole answer of another target, from its first byte. With the first target's Content-Length it looked complete.

Cause: an answer is buffered up to 256 KB and then passed on. The plan did not use that a part was delivered, and repeated the call.

Evidence: TestLongAnswerThatBrokeOffIsNotJoined without the change:

task_test.go:382: next answer {events:1 end:0 status:200}: got ended true, broken false, 2 runs, want an answer broken off after one run

Change: only a stream continues at another target after a part was delivered. The answer is broken off otherwise.

Result: go test -race ./internal/relay/stage3/tprelay passes.

--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -83,7 +83,8 @@
 }
 
 // AfterRun returns the action after an attempt of a run or a call. The status
-// of res is used only for a complete answer.
+// of res is used only for a complete answer. Delivered is true if the client has
+// received a part of the answer.
 func (p *Plan) AfterRun(now time.Time, target string, res Result, delivered bool) Action {
 	p.attempts++
 	switch res.End {
@@ -94,7 +95,8 @@
 		p.arrivals++
 		p.possibleRuns++
 	}
-	again := p.mayRunAgain()
+	// Only a stream can continue at another target.
+	again := p.mayRunAgain() && (!delivered || p.Request.Route.Stream)
 	switch res.End {
 	case EndComplete:
 		if res.Status >= 500 && !p.Request.Route.Stream && again && !p.exhausted(now) {
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -34,6 +34,8 @@
 	freed    []tprelay.Handle
 	prefill  []tprelay.End
 	begun    int // streams reported as begun
+	// eventBytes is the size to which each event is filled up.
+	eventBytes int
 }
 
 func (u *scriptedUpstream) Prefill(_ context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
@@ -63,7 +65,9 @@
 	_ = deliver(tpmessage.AnswerPart{Head: head, Event: -1})
 	for i := range a.events {
 		n := s.ResumeAfter + 1 + i
-		if err := deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", n), Event: n}); err != nil {
+		data := fmt.Appendf(nil, "%d ", n)
+		data = append(data, make([]byte, max(0, u.eventBytes-len(data)))...)
+		if err := deliver(tpmessage.AnswerPart{Data: data, Event: n}); err != nil {
 			return tprelay.Result{End: tprelay.EndCancelled, Err: err}, nil
 		}
 	}
@@ -414,3 +418,16 @@
 		}
 	}
 }
+
+// Guards against an answer of a plain service that was passed on in part, broke
+// off and went on with the whole answer of another target.
+func TestLongAnswerThatBrokeOffIsNotJoined(t *testing.T) {
+	for _, next := range []attempt{{1, tprelay.EndComplete, 200}, {0, 0, 500}} {
+		u := &scriptedUpstream{attempts: []attempt{{40, tprelay.EndIncomplete, 200}, next}, eventBytes: 10 << 10}
+		out, _ := runScript(t, u, retryable, tpplace.StepCall, 1)
+		if out.ended || !out.broken || len(u.runs) != 1 {
+			t.Errorf("next answer %+v: got ended %v, broken %v, %d runs, want an answer broken off after one run",
+				next, out.ended, out.broken, len(u.runs))
+		}
+	}
+}
