Join only an exact continuation to a stream that broke off

Callers saw: after a stream had broken off, the text of the next server's error in the middle of it, a piece missing, or an end as if it were complete.

Cause: the answer of a further target was joined without a check. Events without a number were passed on whatever they held, the content type and the status within 2xx were not looked at, events could start later than asked, and an empty answer ended the stream.

Change: a further answer has the status and the type of the first one, numbers each event, leaves none out where the events before had successive numbers, and ends after the last event that the client has. Comments of a further answer are dropped. Otherwise its run counts as incomplete, and the stream is broken off unless another target continues it. A stream that broke off between its last event and its end, and whose next server has nothing to add, is broken off too: an empty answer does not show where the stream ends.

--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -73,6 +73,7 @@
 	failedAnswer  []tpmessage.AnswerPart // answer of a target with an error status
 	attemptCount  int                    // attempts of all steps
 	broken        bool                   // the answer began and cannot be completed
+	continuation  continuation
 	// eventCount counts the events of the current run; the first and the last
 	// one arrived at firstEventAt and lastEventAt.
 	eventCount                int
@@ -194,6 +195,7 @@
 	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(begun || resumed) }
 	s.OnResume = t.releaseReplacement
 	t.buffered, t.bufferedBytes, t.eventCount, t.answerBegun = nil, 0, 0, false
+	t.continuation.begin(t.delivered, t.lastEvent)
 	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
 	now := t.r.Clock.Now()
 	res = t.resolveDeadline(now, res)
@@ -320,6 +322,12 @@
 	if !t.req.Route.Stream {
 		return t.buffer(part)
 	}
+	if err := t.continuation.check(&part, t.lastEvent); err != nil {
+		return err
+	}
+	if part.Comment && t.continuation.resumed {
+		return nil
+	}
 	if part.Head != nil {
 		if !t.delivered {
 			t.pendingHead = part.Head
@@ -329,6 +337,7 @@
 			return nil
 		}
 	}
+	before := t.lastEvent
 	if part.Event >= 0 {
 		if part.Event <= t.lastEvent {
 			return nil
@@ -345,6 +354,7 @@
 		t.delivered = true
 		t.firstEventDelay = t.r.Clock.Now().Sub(t.req.Arrived)
 	}
+	t.continuation.record(&part, before)
 	return t.work.Answer.PutContext(t.ctx, part)
 }
 
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -94,7 +94,7 @@
 
 // runScript runs one request against a scripted upstream. The placer grants the
 // given number of further steps and refuses the rest.
-func runScript(t *testing.T, u *scriptedUpstream, route tpmessage.RelayRoute, step tpplace.Step, grants int) (clientAnswer, []tpplace.StepResult) {
+func runScript(t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute, step tpplace.Step, grants int) (clientAnswer, []tpplace.StepResult) {
 	t.Helper()
 	defer goleak.VerifyNone(t)
 	log := zerolog.Nop()
@@ -120,7 +120,9 @@
 			results = append(results, in.StepResult)
 			return
 		case tpplace.InputStreamBegun:
-			u.begun++
+			if scripted, ok := u.(*scriptedUpstream); ok {
+				scripted.begun++
+			}
 			return
 		}
 		granted++
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -157,6 +157,9 @@
 type AnswerHead struct {
 	Status int
 	Header map[string][]string
+	// MediaType is the type of the answer's content, or empty if the answer
+	// states none.
+	MediaType string
 }
 
 // AnswerPart is one part of an answer. The first part of an answer has a Head
@@ -166,7 +169,9 @@
 	Data []byte
 	// Event is the number of the event that Data holds, or -1.
 	Event int
-	End   bool
+	// Comment is true if Data holds a part of a stream that is no event.
+	Comment bool
+	End     bool
 	// Broken is true on the last part of an answer that began and cannot be
 	// completed.
 	Broken  bool
