Believe no refusal of an engine that may belong to another request

Callers saw: on the own interface, a refusal that an engine wrote once more on a kept connection counted as the refusal of the next request there, which the engine ran. The request was sent to another engine at once and cost its organisation nothing. No caller was told that it had not run: the plan says that only of a request of which nothing was sent.

Cause: lines of an answer name their request, a refusal did not.

Evidence: TestCopyOfRefusalRefusesNothing without the change to the transport:

transport_test.go:285: request-2 ran, and has outcome 2: target: a answered 503 Full: full

Change: an answer other than 200 on a connection that was used before counts only if it names the request; otherwise the attempt counts as interrupted. The engine of the tests gives the identity back.

Result: go test -race ./internal/edge/tptarget passes.

--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -49,6 +49,7 @@
 var (
 	errChunkTimeout  = errors.New("no chunk came in time")
 	errResultTooLong = errors.New("the result is too long")
+	errWrongRequest  = errors.New("the refusal does not name its request, and the connection was used before")
 )
 
 // Settings configures a Transport. A zero field stands for its default.
@@ -159,11 +160,20 @@
 	defer cancel(nil)
 	chunkTimer := time.AfterFunc(t.cfg.FirstChunkTimeout, func() { cancel(errChunkTimeout) })
 	defer chunkTimer.Stop()
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused },
+	})
 	resp, outcome, err := t.post(ctx, target, PathGenerate, req, body)
 	if err != nil {
 		return tpsender.Result{Outcome: outcome, Stalled: chunkTimedOut(ctx), Err: err}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && reused && resp.Header.Get(HeaderRequestID) != req.ID {
+		// It may be a second copy of the refusal of an earlier request. The
+		// engine may have run this one.
+		return tpsender.Result{Outcome: tpmessage.OutcomeInterrupted, Err: Error.New("%s answered %s: %w", target.Name, resp.Status, errWrongRequest)}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return refusedResult(target, resp)
 	}
--- a/internal/edge/tptarget/transport_test.go
+++ b/internal/edge/tptarget/transport_test.go
@@ -1,12 +1,14 @@
 package tptarget_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -192,3 +194,96 @@
 		}
 	}
 }
+
+// Guards against a second copy of a refusal, on a connection that is used again,
+// that counts as the refusal of the next request, which the engine runs, and
+// against a refusal that does not count although it names its request.
+func TestCopyOfRefusalRefusesNothing(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 100 * time.Millisecond} {
+		for _, withNext := range []bool{false, true} {
+			for _, withID := range []bool{false, true} {
+				t.Run(fmt.Sprintf("delay %v, with the next request %v, identity %v", delay, withNext, withID), func(t *testing.T) {
+					t.Parallel()
+					checkCopyOfRefusal(t, delay, withNext, withID)
+				})
+			}
+		}
+	}
+}
+
+// checkCopyOfRefusal sends requests to an engine that refuses the first and the
+// second request of a connection and runs the third. The refusals name their
+// requests. The copy of the second one is written after the delay, or with the
+// next request, and names its request if withID is true.
+func checkCopyOfRefusal(t *testing.T, delay time.Duration, withNext, withID bool) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var mu sync.Mutex
+	ran := make(map[string]bool)
+	serve := func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			id := req.Header.Get(tptarget.HeaderRequestID)
+			copied := "HTTP/1.1 503 Full\r\nNot-Run: true\r\nContent-Length: 4\r\n"
+			refusal := copied + "Request-Id: " + id + "\r\n\r\nfull"
+			if copied += "\r\nfull"; withID {
+				copied = strings.ReplaceAll(refusal, id, "another")
+			}
+			switch {
+			case n < 2:
+				_, _ = io.WriteString(c, refusal)
+				if n == 1 && !withNext {
+					time.Sleep(delay) // time between the two copies
+					_, _ = io.WriteString(c, copied)
+				}
+				continue
+			case withNext:
+				_, _ = io.WriteString(c, copied)
+				time.Sleep(delay) // time between the copy and the answer
+			}
+			mu.Lock()
+			ran[id] = true
+			mu.Unlock()
+			line := fmt.Sprintf(`{"requestId":%q,"text":"x","end":true}`, id)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s\n", len(line)+1, line)
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	tr, cleanup := tptarget.NewTransport(tptarget.Settings{})
+	defer cleanup()
+	for i := range 9 {
+		req := tpmessage.Request{ID: fmt.Sprint("request-", i), Idempotent: true}
+		res := tr.Run(t.Context(), &req, tpmessage.Target{Name: "a", Address: l.Addr().String()}, 0, func(c tpmessage.Chunk) error {
+			if c.RequestID == req.ID && c.End {
+				return tpsender.ErrComplete
+			}
+			return nil
+		})
+		if i < 2 && res.Outcome != tpmessage.OutcomeRefused {
+			t.Errorf("%s: got outcome %v (%v), want refused", req.ID, res.Outcome, res.Err)
+		}
+		time.Sleep(delay) // a request that was sent reaches the engine in that time
+		mu.Lock()
+		if ran[req.ID] && (res.Outcome == tpmessage.OutcomeRefused || res.Outcome == tpmessage.OutcomeNotSent) {
+			t.Errorf("%s ran, and has outcome %v: %v", req.ID, res.Outcome, res.Err)
+		}
+		mu.Unlock()
+	}
+}
--- a/internal/edge/tptarget/wire.go
+++ b/internal/edge/tptarget/wire.go
@@ -14,7 +14,8 @@
 
 // HTTP headers of the engine and service APIs.
 const (
-	HeaderKey       = "Idempotency-Key"
+	HeaderKey = "Idempotency-Key"
+	// HeaderRequestID names the request. An engine gives it back in its answer.
 	HeaderRequestID = "Request-Id"
 	// HeaderNotRun is set by a target on the answer to a request of which it
 	// ran nothing.
--- a/internal/standin/tpenginefake/handler.go
+++ b/internal/standin/tpenginefake/handler.go
@@ -32,6 +32,7 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	w.Header().Set(tptarget.HeaderRequestID, req.RequestID)
 	run := e.runs.begin(req.RequestID, req.Prompt, req.FirstChunk, e.cfg.Clock.Now())
 	if e.faults.current().Leaving {
 		e.runs.markRefused(run)
