Decode each machine of the platform's list by itself

Callers saw: on the own interface, one element with a field of another type or a number out of range hid the whole list of machines, so that nodes heard of no machine that was about to stop. An element without a name was a machine.

Cause: the list was decoded as one value.

Change: elements are decoded one by one, and those without a name are skipped. An element nested over 10,000 levels still hides the list. The values of objects are bytes in this API: TestOddObjectHidesNoOther passes without the change.

Result: go test -race ./internal/edge/tpplatform passes.

--- a/internal/edge/tpplatform/client.go
+++ b/internal/edge/tpplatform/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -89,10 +90,21 @@
 }
 
 // VMs returns the platform's list of VMs, which lags behind their actual state.
+// It skips an element that cannot be decoded or has no name.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	var list []VM
-	resp, err := c.callClient.R().SetContext(ctx).SetResult(&list).Get(PathVMs)
-	return list, CheckResponse(resp, err, false, "list VMs")
+	var elements []json.RawMessage
+	resp, err := c.callClient.R().SetContext(ctx).SetResult(&elements).Get(PathVMs)
+	if err := CheckResponse(resp, err, false, "list VMs"); err != nil {
+		return nil, err
+	}
+	list := make([]VM, 0, len(elements))
+	for _, e := range elements {
+		var vm VM
+		if json.Unmarshal(e, &vm) == nil && vm.Name != "" {
+			list = append(list, vm)
+		}
+	}
+	return list, nil
 }
 
 // CheckResponse returns nil if the call succeeded, or else an error that
--- a/internal/edge/tpplatform/client_test.go
+++ b/internal/edge/tpplatform/client_test.go
@@ -1,7 +1,11 @@
 package tpplatform_test
 
 import (
+	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,3 +27,56 @@
 		return c
 	})
 }
+
+// Guards against an object, whose value another program wrote, that hides the
+// others in a list or in the result of a watch.
+func TestOddObjectHidesNoOther(t *testing.T) {
+	srv := httptest.NewServer((&tpplatformfake.Platform{WatchTimeout: time.Second}).Handler())
+	defer srv.Close()
+	c, cleanup := tpplatform.NewClient(srv.URL)
+	defer cleanup()
+	values := map[string]string{
+		"orders/a": strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000), "orders/b": `{"n":1}`, "orders/c": `{"n":1e999}`, "orders/d": "\xff\x00",
+	}
+	for name, value := range values {
+		if _, err := c.Put(t.Context(), name, []byte(value), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	listed, err := c.List(t.Context(), "orders/")
+	if err != nil || len(listed) != len(values) {
+		t.Fatalf("list: got %d objects, %v", len(listed), err)
+	}
+	changes, err := c.Watch(t.Context(), "orders/", 0)
+	if err != nil || len(changes) != len(values) {
+		t.Fatalf("watch: got %d changes, %v", len(changes), err)
+	}
+	for _, o := range listed {
+		if string(o.Value) != values[o.Name] {
+			t.Errorf("value of %s: got %.40q, want %.40q", o.Name, o.Value, values[o.Name])
+		}
+	}
+}
+
+// Guards against one odd element that hides the whole list of machines.
+func TestOddMachineHidesNoOther(t *testing.T) {
+	sound := `{"name":%q,"address":"10.0.0.1:80","zone":"z"}`
+	for _, odd := range []string{
+		`{"name":7}`, `{"name":"x","address":80}`, `{"name":"x","leaving":1e999}`, `[]`, `"x"`, `7`, `null`, `{}`, `{"name":"","address":"10.0.0.9:80"}`,
+	} {
+		for _, format := range []string{`[%[3]s,%[1]s,%[2]s]`, `[%[1]s,%[3]s,%[2]s]`, `[%[1]s,%[2]s,%[3]s]`} {
+			body := fmt.Sprintf(format, fmt.Sprintf(sound, "a"), fmt.Sprintf(sound, "b"), odd)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				_, _ = io.WriteString(w, body)
+			}))
+			c, cleanup := tpplatform.NewClient(srv.URL)
+			list, err := c.VMs(t.Context())
+			if err != nil || len(list) != 2 || list[0].Name != "a" || list[1].Name != "b" {
+				t.Errorf("%s: got %+v, %v; want a and b", body, list, err)
+			}
+			cleanup()
+			srv.Close()
+		}
+	}
+}
