Test that an odd configuration changes nothing

TestOddConfigurationChangesNothing puts odd objects beside the configuration and in its place. The node keeps the configuration in force and follows the next one. On the code before odd entries were decoded by themselves it failed:

entries_test.go:140: the node is not ready

Result: go test -race ./internal/node/tprelaynode -run OddConf passes.

--- a/internal/node/tprelaynode/entries_test.go
+++ b/internal/node/tprelaynode/entries_test.go
@@ -116,3 +116,45 @@
 		t.Errorf("lines after the fault came back: got %d, want %d", got, want)
 	}
 }
+
+// Guards against an odd object among the configurations, or in place of the
+// newest one, that takes the configuration in force from a node or keeps it from
+// the next one.
+func TestOddConfigurationChangesNothing(t *testing.T) {
+	for fault, spec := range map[string]string{
+		"nested":              strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000),
+		"number out of range": `{"version":9,"routes":[{"name":"r","timeout_ms":1e999}]}`,
+		"not JSON":            `oops`,
+	} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			odd := func(name string) {
+				s.store.SetRaw("config", name, func(revision uint64) string {
+					return fmt.Sprintf(`{"metadata":{"name":%q,"revision":%d},"spec":%s}`, name, revision, spec)
+				})
+			}
+			odd("a")
+			odd("z")
+			n := s.start(t, "node-a", tpprocess.FreeAddress(t))
+			n.untilReady(t)
+			inForce := func(version int) func() string {
+				return func() string {
+					if got := n.post(t.Context(), "probe", fmt.Sprintf("/v%d/x", version), nil); got.status != 200 {
+						return fmt.Sprintf("version %d is not in force: %+v", version, got)
+					}
+					return ""
+				}
+			}
+			s.configure(2, "app")
+			eventually(t, inForce(2))
+			odd("main")
+			checkFollows(t, s, 1, n) // the node has had time to read the odd configuration
+			if fault := inForce(2)(); fault != "" {
+				t.Error(fault)
+			}
+			s.configure(3, "app")
+			eventually(t, inForce(3))
+		})
+	}
+}
