Send nothing to a target that says in an answer that it is leaving

What callers saw: a server that leaves says so in the header of all its answers. The node ignored it and went on sending requests until the registration said so, which takes longer while the store is disturbed, and for ever if the registration still says ready. Requests then ended at a server that had exited.

Cause: only the registration marked a target as draining.

Change: the upstream reads the header of every answer that belongs to the request and to the expected server, and reports a notice when the head arrives, since a stream may last many seconds longer. An answer to another request, of a server that names itself differently, or a 421 that does not name its server says nothing. The placer keeps notices by process (name, address and start), apart from the list of targets, so that a list of the same process, or a registration that lapses and returns, does not revoke them, and a new process is free. A leaving target is no source of a prefix either: it may exit before the transfer, and nothing sent there would reveal that. This now holds also for targets that are registered as draining. The header is end-to-end: it describes the server and not the connection, so the client gets it unchanged.

Result: with only the registration consulted, as before, TestServerThatLeavesInItsAnswersGetsNothing failed with "s3: 408 requests reached it that were sent over 2s after the answer that says it is leaving, want 0", TestLeavingTargetGetsNoStep with "run, retry false: got d0, want d1", TestOnlyLeavingTargetIsRefused, TestLeavingBelongsToTheProcess ("older list: got refused false, want true") and TestLeavingTargetIsNoPrefixSource. Without the header read, TestLeavingIsReadFromEveryAnswer and TestLeavingIsKnownBeforeTheFirstEvent failed; with every answer believed, TestAnswersOfOthersSayNothing ("421 of another server: got notices [{Leaving:true}], want 0"). All pass now: go test -race ./internal/relay/stage2/tpplace ./internal/relay/stage3/tprelay ./platform/tpguest ./internal/node/tprelaynode, and go test -race -run TestServerThatLeavesInItsAnswers ./internal/proof.

--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -17,9 +17,10 @@
 	// step results and for target requests of running tasks.
 	newRequestLimit = 1024
 	// inputsPerTask is the largest number of inputs that one task has waiting
-	// in the placement ring: the begin of a stream, the result of its step, and
-	// the target request of the next step.
-	inputsPerTask = 3
+	// in the placement ring: a notice of its target, the begin of a stream, a
+	// silence, a replacement that is given back, the end of a step and the request
+	// for the next target.
+	inputsPerTask = 6
 	// loadTickInterval is the interval at which the node publishes its own
 	// load.
 	loadTickInterval = 100 * time.Millisecond
@@ -104,6 +105,10 @@
 		n.tickGuard(now)
 		return
 	}
+	if in.Kind == tpplace.InputNotice {
+		n.handleNotice(in.Notice)
+		return
+	}
 	if in.Kind == tpplace.InputTargetRequest {
 		// Without an answer, the task or the client would wait for ever.
 		defer n.refuseAfterPanic(&in.TargetRequest)
@@ -132,6 +137,15 @@
 	}
 }
 
+// handleNotice passes what a target has said about itself to the placer, and
+// logs it unless it was known.
+func (n *Node) handleNotice(notice tpplace.Notice) {
+	if n.placement.placer.HandleNotice(notice) {
+		n.log.Info().Str("event", "targetNotice").Str("target", notice.Target.Name).Str("address", notice.Target.Address).
+			Int64("startedMs", notice.Target.StartedMs).Bool("leaving", notice.Leaving).Send()
+	}
+}
+
 // refuseAfterPanic refuses a target request whose placement panics, and
 // continues the panic, which the duty reports.
 func (n *Node) refuseAfterPanic(r *tpplace.TargetRequest) {
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -140,6 +140,7 @@
 	InputTargets
 	InputLoads
 	InputRoleChanging
+	InputNotice
 	InputTick
 	InputStreamBegun // the first event of a run has arrived; no effect on the placer
 	InputSuspects    // evidence of a peer; no effect on the placer
@@ -158,4 +159,5 @@
 	RoleChanging []string
 	Begun        *tpmessage.RelayRequest    // with InputStreamBegun
 	Suspects     []tpmessage.SuspectRequest // with InputSuspects
+	Notice       Notice
 }
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -173,13 +173,14 @@
 
 // prefixSource returns the target from which others fetch a prefix, or nil. It
 // is the prefill target with the highest rendezvous weight among those that
-// hold the prefix.
+// hold the prefix. A leaving target is no source, because it may exit before or
+// during the transfer, and no request is sent there that would reveal it.
 func (p *Placer[P]) prefixSource(now time.Time, prefix uint64, pool string) *target {
 	var source *target
 	var weight, maxWeight uint64
 	for _, h := range p.prefixes.holders[prefix] {
 		t, ok := p.targets[h.target]
-		if !ok || t.Pool != pool || t.Role != tpmessage.RolePrefill || now.Sub(h.lastUse) >= prefixTTL || t.rank(now) > 1 {
+		if !ok || t.isLeaving() || t.Pool != pool || t.Role != tpmessage.RolePrefill || now.Sub(h.lastUse) >= prefixTTL || t.rank(now) > 1 {
 			continue
 		}
 		if weight = homeWeight(prefix, t); source == nil || weight > maxWeight {
@@ -194,7 +195,7 @@
 	bestRank := -1
 	p.view.targets = p.view.targets[:0]
 	for _, t := range p.pools[r.Work.Request.Pool.Name] {
-		if t.Draining || !p.fits(now, t, r, step) || slices.Contains(r.Exclude, t.Name) {
+		if t.isLeaving() || !p.fits(now, t, r, step) || slices.Contains(r.Exclude, t.Name) {
 			continue
 		}
 		rank := t.rank(now)
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -56,6 +56,7 @@
 	oldestLoad time.Time
 	// changing names the targets that this node has ordered to another role.
 	changing []string
+	notices  map[process]noticeState
 	prefixes prefixes
 	random   *rand.Rand // chooses samples of the targets
 	arrivals rate       // of target requests at this node
@@ -84,6 +85,7 @@
 		targets:     make(map[string]*target),
 		pools:       make(map[string][]*target),
 		budgets:     make(map[string]*budget),
+		notices:     make(map[process]noticeState),
 		meanOutputs: make(map[string]float64),
 	}
 }
@@ -101,12 +103,15 @@
 		p.updateEstimates(&in.StepResult)
 	case InputTargets:
 		p.setTargets(in.Targets)
+		p.expireNotices(now)
 	case InputLoads:
 		p.nodes = max(1, in.Nodes)
 		p.setLoads(now, in.Loads)
 	case InputRoleChanging:
 		p.changing = in.RoleChanging
 		p.markChanging(p.changing)
+	case InputNotice:
+		p.HandleNotice(in.Notice)
 	case InputTick, InputStreamBegun, InputSuspects:
 	}
 	return Grant{}, false
@@ -147,6 +152,7 @@
 			t.avoidUntil = time.Time{}
 		}
 		t.RelayTarget = rt
+		t.notices = p.notices[processOf(&rt)]
 		p.targets[rt.Name] = t
 		p.pools[rt.Pool] = append(p.pools[rt.Pool], t)
 	}
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -81,6 +81,10 @@
 	// OnResume is called if the target sent a part while OnSilence decided to
 	// end the exchange. The exchange goes on.
 	OnResume func()
+	// Notice, if it is not nil, is called when the head of an answer arrives in
+	// which the target says something about itself. The end of the answer may be
+	// many seconds later.
+	Notice func(tpmessage.TargetNotice)
 }
 
 // Upstream exchanges requests with targets.
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -155,6 +155,7 @@
 		Request: t.req, Target: t.grant.Target, Deadline: t.req.CompletionDeadline, FetchAddress: t.grant.FetchAddress,
 		Priority:    t.grant.Reservation.Priority,
 		ResumeAfter: t.lastEvent,
+		Notice:      t.reportNotice,
 	}
 }
 
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -56,6 +56,7 @@
 	faults         []Fault   // of the next requests
 	silences       []Silence // of the next requests
 	silentUntil    time.Time
+	leaving        bool
 	kvHandles      map[string]bool
 	orderCount     uint64
 	acceptedOrders []map[string]any
@@ -70,6 +71,20 @@
 	s.faults = append(s.faults, faults...)
 }
 
+// SetLeaving sets whether all answers say that the server is leaving. It goes on
+// serving.
+func (s *Server) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Arrivals returns the requests that have reached the server, oldest first.
 func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
@@ -94,6 +109,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case r.URL.Path == "/teaselpin/report":
 		answer(w, http.StatusOK, map[string]any{"stage": s.currentStage(), "busy": false, "sequence": s.currentSequence()})
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -99,6 +99,12 @@
 	Revision  uint64 // of the registration
 }
 
+// TargetNotice is what a target says about itself in an answer. The zero value
+// is an answer that says nothing.
+type TargetNotice struct {
+	Leaving bool // the target will exit and takes no new work
+}
+
 // PromptPart is one part of a prompt. Requests can have parts in common. A
 // target can reuse its cache for a part only if all parts before it are the
 // same, too.
