Send nothing to a target for the time that its refusal asks for

What callers saw: a server that refuses with 503 and Retry-After wants nothing from the node for so long. The node avoided it for 250 ms to 2 s, and used it all the same if no other target was left, so that requests were offered in vain to servers that had said when they take some again, and clients were told to return after 200 ms.

Cause: the time in the refusal was not read, and a refusal only ranks a target lower.

The placer excludes the process until the latest end, counted from the arrival of the answer on the monotonic clock. Neither an answer to a request in flight nor a change of role nor a shorter pause ends it. Steps in progress are not affected. The backoff after a refusal, the retry budget and the ranks are as before: the backoff can outlast the pause, and a request that nothing can take uses no retry. A pausing target is no source of a prefix, because a transfer loads it, too. If all targets that could do a step pause, the request is refused at once with the shortest rest of a pause, within the bounds of every refusal.

Ruled out: telling the peers. A server asks one node, and each of the others learns the same from its own first refusal.

--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -142,7 +142,8 @@
 func (n *Node) handleNotice(notice tpplace.Notice) {
 	if n.placement.placer.HandleNotice(notice) {
 		n.log.Info().Str("event", "targetNotice").Str("target", notice.Target.Name).Str("address", notice.Target.Address).
-			Int64("startedMs", notice.Target.StartedMs).Bool("leaving", notice.Leaving).Send()
+			Int64("startedMs", notice.Target.StartedMs).Bool("leaving", notice.Leaving).
+			Int64("pauseMs", notice.Pause.Milliseconds()).Send()
 	}
 }
 
--- a/internal/proof/relay_notices_test.go
+++ b/internal/proof/relay_notices_test.go
@@ -169,3 +169,74 @@
 		t.Error("no request was served by the other servers after the bound")
 	}
 }
+
+// maxRequestsInPause is the number of requests of one node that may reach a
+// server between pauseSlack after the server has asked that node for a pause and
+// the end of the pause.
+const (
+	maxRequestsInPause = 2
+	pauseSlack         = 500 * time.Millisecond
+)
+
+// Guards against requests that go on reaching servers which have refused with
+// Retry-After, although no other server of their service is left, and against
+// clients that are held or get no delay meanwhile.
+func TestServersThatAskForAPauseGetNothing(t *testing.T) {
+	f := newRelayFleet(t, 2)
+	f.waitReady(t)
+	load := startKeptLoad(f, "draft", "swap", "view")
+	time.Sleep(500 * time.Millisecond) // load before the refusals
+	const pause = 2 * time.Second
+	refusing := []*tpguestfake.Server{f.servers[1], f.servers[2], f.servers[3], f.servers[4]}
+	for _, s := range refusing {
+		s.SetRetryAfter("2")
+	}
+	refusedAt := time.Now()
+	time.Sleep(5 * time.Second) // load over two pauses
+	for _, s := range refusing {
+		s.SetRetryAfter("")
+	}
+	servingAt := time.Now()
+	time.Sleep(pause + time.Second) // load after the end of the last pause
+	calls := load.stop()
+	for _, s := range refusing {
+		byNode := make(map[byte][]time.Time) // arrivals while the server refused
+		for _, a := range s.Arrivals() {
+			if a.At.After(refusedAt) && a.At.Before(servingAt) {
+				byNode[a.ID[0]] = append(byNode[a.ID[0]], a.At)
+			}
+		}
+		for node, arrivals := range byNode {
+			most := 0
+			for _, asked := range arrivals {
+				n := 0
+				for _, at := range arrivals {
+					if since := at.Sub(asked); since > pauseSlack && since < pause {
+						n++
+					}
+				}
+				most = max(most, n)
+			}
+			if most > maxRequestsInPause {
+				t.Errorf("%s: %d requests of node %c within one pause, want at most %d", s.ID, most, node, maxRequestsInPause)
+			}
+		}
+	}
+	refused, served := 0, 0
+	for _, c := range calls {
+		switch {
+		case c.err != nil:
+			t.Errorf("request %s: %v", c.id, c.err)
+		case c.sentAt.After(servingAt.Add(pause)) && c.status == http.StatusOK:
+			served++
+		case c.status == http.StatusServiceUnavailable && c.sentAt.After(refusedAt):
+			refused++
+			if c.header.Get("Retry-After") == "" || c.endedAt.Sub(c.sentAt) > time.Second {
+				t.Errorf("request %s was refused after %v with Retry-After %q, want at once and with a delay", c.id, c.endedAt.Sub(c.sentAt), c.header.Get("Retry-After"))
+			}
+		}
+	}
+	if refused == 0 || served == 0 {
+		t.Errorf("got %d refusals during the pauses and %d answers after them, want both", refused, served)
+	}
+}
--- a/internal/relay/stage2/tpplace/notice.go
+++ b/internal/relay/stage2/tpplace/notice.go
@@ -31,17 +31,22 @@
 
 // noticeState is the sum of the notices of one process.
 type noticeState struct {
-	leaving bool
-	lastAt  time.Time // arrival of the last notice
+	leaving     bool
+	pausedUntil time.Time // the latest end of the pauses asked for
+	lastAt      time.Time // arrival of the last notice
 }
 
 // HandleNotice records a notice. It reports whether the notice says something
-// that was not in force for the process yet.
+// that was not in force for the process yet. Another pause during a pause is
+// not new.
 func (p *Placer[P]) HandleNotice(n Notice) bool {
 	key := processOf(&n.Target)
 	state := p.notices[key]
-	isNew := n.Leaving && !state.leaving
+	isNew := n.Leaving && !state.leaving || n.Pause > 0 && !n.At.Before(state.pausedUntil)
 	state.leaving = state.leaving || n.Leaving
+	if until := n.At.Add(n.Pause); n.Pause > 0 && until.After(state.pausedUntil) {
+		state.pausedUntil = until
+	}
 	state.lastAt = n.At
 	p.notices[key] = state
 	if t, ok := p.targets[n.Target.Name]; ok && processOf(&t.RelayTarget) == key {
@@ -64,3 +69,9 @@
 // isLeaving reports whether the target's registration or one of its answers
 // says that it takes no new work.
 func (t *target) isLeaving() bool { return t.Draining || t.notices.leaving }
+
+// pauseLeft returns the rest of the pause that the target has asked for, or zero
+// if there is none.
+func (t *target) pauseLeft(now time.Time) time.Duration {
+	return max(0, t.notices.pausedUntil.Sub(now))
+}
--- a/internal/relay/stage2/tpplace/notice_test.go
+++ b/internal/relay/stage2/tpplace/notice_test.go
@@ -144,3 +144,167 @@
 		t.Error("notice of a process that has gone two hours ago: got known, want forgotten")
 	}
 }
+
+func pause(d time.Duration) tpmessage.TargetNotice { return tpmessage.TargetNotice{Pause: d} }
+
+// Guards against a prompt, a run, a retry, a resume or a call at a target that
+// has asked for a pause, and against one that stays out of use after it.
+func TestPausedTargetGetsNoStep(t *testing.T) {
+	list := append(fleet(2, 2), service("s0"), service("s1"))
+	p := newPlacer(tpplace.Affinity{}, list)
+	for _, i := range []int{0, 2, 4} { // p0, d0, s0
+		p.Step(epoch, notice(epoch, list[i], pause(2*time.Second)))
+	}
+	for _, test := range []struct {
+		name, want string
+		in         func(at time.Time) tpplace.Input
+	}{
+		{"prefill", "p1", func(at time.Time) tpplace.Input {
+			return targetRequest(requestAt(at), tpplace.StepPrefill)
+		}},
+		{"run", "d1", func(at time.Time) tpplace.Input { return targetRequest(requestAt(at), tpplace.StepRun) }},
+		{"resume", "d1", func(at time.Time) tpplace.Input {
+			req := requestAt(at)
+			req.ResumeAfter = 4
+			return targetRequest(req, tpplace.StepRun)
+		}},
+		{"call", "s1", call},
+	} {
+		for _, isRetry := range []bool{false, true} {
+			at := epoch.Add(1999 * time.Millisecond)
+			in := test.in(at)
+			in.TargetRequest.IsRetry = isRetry
+			if got := mustGrant(t, p, at, in).Target.Name; got != test.want {
+				t.Errorf("%s, retry %v: got %s, want %s", test.name, isRetry, got, test.want)
+			}
+			in.TargetRequest.Exclude = []string{test.want}
+			if g, _ := p.Step(at, in); g.Refusal == nil {
+				t.Errorf("%s, retry %v, as the last target: got %s, want a refusal", test.name, isRetry, g.Target.Name)
+			}
+			at = epoch.Add(2 * time.Second)
+			in = test.in(at)
+			in.TargetRequest.Exclude = []string{test.want}
+			mustGrant(t, p, at, in)
+		}
+	}
+}
+
+// requestAt returns a short request that arrives at the given time.
+func requestAt(at time.Time) *tpmessage.RelayRequest {
+	req := request(0, 0, 100)
+	req.Arrived, req.Deadline = at, at.Add(5*time.Second)
+	return req
+}
+
+// Guards against a pause that a shorter one, an answer to a request in flight, a
+// refusal, a change of role or another list of the same process ends early.
+func TestNothingEndsAPauseEarly(t *testing.T) {
+	d0 := engine("d0", tpmessage.RoleDecode)
+	changed := d0
+	changed.Role, changed.Revision = tpmessage.RoleMixed, 9
+	targets := func(list ...tpmessage.RelayTarget) tpplace.Input {
+		return tpplace.Input{Kind: tpplace.InputTargets, Targets: list}
+	}
+	result := func(o tpplace.Outcome) tpplace.Input {
+		return tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
+			Reservation: tpplace.Reservation{Target: "d0"}, Outcome: o,
+		}}
+	}
+	for _, test := range []struct {
+		name string
+		in   []tpplace.Input
+	}{
+		{"shorter pause later", []tpplace.Input{notice(epoch.Add(time.Second), d0, pause(time.Second))}},
+		{"longer pause later", []tpplace.Input{notice(epoch.Add(time.Second), d0, pause(3*time.Second))}},
+		{"leaving without a pause", []tpplace.Input{notice(epoch.Add(time.Second), d0, tpmessage.TargetNotice{})}},
+		{"served", []tpplace.Input{result(tpplace.OutcomeServed)}},
+		{"refused", []tpplace.Input{result(tpplace.OutcomeRefused)}},
+		{"change of role", []tpplace.Input{targets(changed)}},
+		{"lapsed registration", []tpplace.Input{targets(), targets(d0)}},
+	} {
+		p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{d0})
+		p.Step(epoch, notice(epoch, d0, pause(4*time.Second)))
+		for _, in := range test.in {
+			p.Step(epoch.Add(time.Second), in)
+		}
+		at := epoch.Add(3999 * time.Millisecond)
+		if g, _ := p.Step(at, targetRequest(requestAt(at), tpplace.StepRun)); g.Refusal == nil {
+			t.Errorf("%s: got a run within the pause, want a refusal", test.name)
+		}
+		at = epoch.Add(4 * time.Second)
+		mustGrant(t, p, at, targetRequest(requestAt(at), tpplace.StepRun))
+	}
+}
+
+// Guards against a pause that counts from the time at which the placer handles
+// the notice, and against one that a new process inherits.
+func TestPauseCountsFromTheAnswer(t *testing.T) {
+	p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{service("s0")})
+	at := epoch.Add(time.Second)
+	p.Step(at, notice(epoch, service("s0"), pause(time.Second)))
+	mustGrant(t, p, at, call(at))
+	p.Step(at, notice(at, service("s0"), pause(time.Minute)))
+	restarted := service("s0")
+	restarted.StartedMs = 2
+	p.Step(at, tpplace.Input{Kind: tpplace.InputTargets, Targets: []tpmessage.RelayTarget{restarted}})
+	mustGrant(t, p, at, call(at))
+}
+
+// Guards against a client that is told to return long before or after the first
+// target of the pool takes requests again, and against a retry that is counted
+// although nothing was sent.
+func TestRefusalNamesTheShortestPause(t *testing.T) {
+	p := tpplace.New(tpplace.Settings{
+		Node: "node-0", Zone: "a", Budget: tpplace.BudgetSettings{Slack: 2, Window: 10 * time.Second},
+	}, tpplace.Affinity{})
+	p.Step(epoch, tpplace.Input{Kind: tpplace.InputTargets, Targets: []tpmessage.RelayTarget{service("s0"), service("s1")}})
+	p.Step(epoch, notice(epoch, service("s0"), pause(2*time.Second)))
+	in := call(epoch)
+	in.TargetRequest.IsRetry, in.TargetRequest.Exclude = true, []string{"s1"}
+	if g, _ := p.Step(epoch, in); g.Refusal == nil || g.Refusal.RetryAfter != 200*time.Millisecond {
+		t.Errorf("with a target that does not pause: got %+v, want the shortest delay of a refusal", g.Refusal)
+	}
+	p.Step(epoch, notice(epoch, service("s1"), pause(3*time.Second)))
+	for _, test := range []struct{ after, want time.Duration }{
+		{0, time.Second}, {1300 * time.Millisecond, 700 * time.Millisecond}, {1950 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		at := epoch.Add(test.after)
+		in := call(at)
+		in.TargetRequest.IsRetry, in.TargetRequest.Exclude = true, []string{"s0"}
+		g, _ := p.Step(at, in)
+		if g.Refusal == nil || g.Refusal.Status != tpmessage.StatusUnavailable || g.Refusal.RetryAfter != test.want {
+			t.Errorf("after %v: got %+v, want a refusal with a delay of %v", test.after, g.Refusal, test.want)
+		}
+	}
+	at := epoch.Add(2 * time.Second)
+	in = call(at)
+	in.TargetRequest.IsRetry = true
+	if got := mustGrant(t, p, at, in).Target.Name; got != "s0" {
+		t.Errorf("after the shortest pause: got %s, want s0", got)
+	}
+}
+
+// Guards against a prompt that makes its target fetch a prefix from a target
+// that has asked for a pause.
+func TestPausedTargetIsNoPrefixSource(t *testing.T) {
+	p := newPlacer(tpplace.Affinity{}, fleet(2, 1))
+	g := mustGrant(t, p, epoch, targetRequest(request(7, 13000, 3000), tpplace.StepFirst))
+	p.Step(epoch, notice(epoch, g.Target, pause(time.Second)))
+	next := mustGrant(t, p, epoch, targetRequest(request(7, 13000, 3000), tpplace.StepFirst))
+	if next.Target.Name == g.Target.Name || next.FetchAddress != "" {
+		t.Errorf("next prompt: got target %s and source %q, want another target than %s and no source", next.Target.Name, next.FetchAddress, g.Target.Name)
+	}
+}
+
+// Guards against a log line for each refusal of a target during its pause.
+func TestPauseIsNewOnce(t *testing.T) {
+	p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{service("s0")})
+	for _, test := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {500 * time.Millisecond, false}, {1499 * time.Millisecond, false}, {2499 * time.Millisecond, true}} {
+		if got := p.HandleNotice(notice(epoch.Add(test.after), service("s0"), pause(time.Second)).Notice); got != test.want {
+			t.Errorf("pause after %v: got new %v, want %v", test.after, got, test.want)
+		}
+	}
+}
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -174,13 +174,14 @@
 // prefixSource returns the target from which others fetch a prefix, or nil. It
 // is the prefill target with the highest rendezvous weight among those that
 // hold the prefix. A leaving target is no source, because it may exit before or
-// during the transfer, and no request is sent there that would reveal it.
+// during the transfer, and no request is sent there that would reveal it. Nor is
+// a target that has asked for a pause, because a transfer loads it, too.
 func (p *Placer[P]) prefixSource(now time.Time, prefix uint64, pool string) *target {
 	var source *target
 	var weight, maxWeight uint64
 	for _, h := range p.prefixes.holders[prefix] {
 		t, ok := p.targets[h.target]
-		if !ok || t.isLeaving() || t.Pool != pool || t.Role != tpmessage.RolePrefill || now.Sub(h.lastUse) >= prefixTTL || t.rank(now) > 1 {
+		if !ok || t.isLeaving() || t.pauseLeft(now) > 0 || t.Pool != pool || t.Role != tpmessage.RolePrefill || now.Sub(h.lastUse) >= prefixTTL || t.rank(now) > 1 {
 			continue
 		}
 		if weight = homeWeight(prefix, t); source == nil || weight > maxWeight {
@@ -190,12 +191,23 @@
 	return source
 }
 
-// candidates returns the targets of the best rank that can do a step.
+// candidates returns the targets of the best rank that can do a step. If all
+// that could do it have asked for a pause, it sets shortestPause.
 func (p *Placer[P]) candidates(now time.Time, r *TargetRequest, step Step) []*target {
-	bestRank := -1
-	p.view.targets = p.view.targets[:0]
+	bestRank, hasUnpaused := -1, false
+	p.view.targets, p.shortestPause = p.view.targets[:0], 0
 	for _, t := range p.pools[r.Work.Request.Pool.Name] {
-		if t.isLeaving() || !p.fits(now, t, r, step) || slices.Contains(r.Exclude, t.Name) {
+		if t.isLeaving() || !p.fits(now, t, r, step) {
+			continue
+		}
+		if left := t.pauseLeft(now); left > 0 {
+			if p.shortestPause == 0 || left < p.shortestPause {
+				p.shortestPause = left
+			}
+			continue
+		}
+		hasUnpaused = true
+		if slices.Contains(r.Exclude, t.Name) {
 			continue
 		}
 		rank := t.rank(now)
@@ -208,6 +220,9 @@
 		}
 		p.view.targets = append(p.view.targets, t)
 	}
+	if hasUnpaused {
+		p.shortestPause = 0
+	}
 	return p.view.targets
 }
 
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -66,6 +66,9 @@
 	prefillDemand, decodeDemand         rate
 	prefillTimeFactor, decodeTimeFactor timeFactor
 	meanOutputs                         map[string]float64 // mean tokens of an answer, by route
+	// shortestPause is the shortest rest of a pause among the targets that could
+	// do the last step, if all of them have asked for one. Otherwise it is zero.
+	shortestPause time.Duration
 	// view and fetchSource are scratch values of one placement. The chosen
 	// target can fetch the prefix of the request from fetchSource, which may be
 	// nil.
@@ -223,6 +226,10 @@
 		p.budget(req.Pool.Name).countRequest(now)
 	}
 	best, found := p.choose(now, r)
+	if !found && p.shortestPause > 0 {
+		g.Refusal = refuse("every target of pool "+req.Pool.Name+" that could take the request has asked for a pause", p.shortestPause)
+		return g
+	}
 	if !found {
 		g.Refusal = refuse("no target of pool "+req.Pool.Name+" takes new work", minRetryAfter)
 		return g
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -57,6 +57,7 @@
 	silences       []Silence // of the next requests
 	silentUntil    time.Time
 	leaving        bool
+	retryAfter     string
 	kvHandles      map[string]bool
 	orderCount     uint64
 	acceptedOrders []map[string]any
@@ -85,6 +86,14 @@
 	return s.leaving
 }
 
+// SetRetryAfter makes the server refuse each request with 503 and the given
+// Retry-After header, in seconds. An empty text ends the refusals.
+func (s *Server) SetRetryAfter(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = text
+}
+
 // Arrivals returns the requests that have reached the server, oldest first.
 func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
@@ -169,6 +178,10 @@
 	if len(s.faults) > 0 {
 		fault, s.faults = s.faults[0], s.faults[1:]
 	}
+	retryAfter := s.retryAfter
+	if retryAfter != "" {
+		fault = FaultNotRun
+	}
 	expectedInstance := r.Header.Get("X-Teaselpin-Expect-Instance")
 	run := fault != FaultNotRun && (expectedInstance == "" || expectedInstance == s.ID) && !prefill
 	index := len(s.arrivals)
@@ -189,6 +202,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case fault == FaultNotRun:
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
 		w.Header().Set("X-Teaselpin-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -103,6 +103,10 @@
 // is an answer that says nothing.
 type TargetNotice struct {
 	Leaving bool // the target will exit and takes no new work
+	// Pause is the time for which the target wants no request from this node,
+	// from the arrival of the answer on. Zero means that it does not ask for
+	// one.
+	Pause time.Duration
 }
 
 // PromptPart is one part of a prompt. Requests can have parts in common. A
