Order no engine to another role that has said it is leaving

What callers saw: the holder of the lease ordered engines that had said in their answers that they were leaving to another role, and counted them as capacity. An engine that leaves after an order, or instead of carrying it out, is missing in both roles until its registration says so.

Cause: the roles knew only the registrations, and the header of a state report was not read.

Change: the placement filter publishes an immutable copy of the notices. The role filter marks leaving targets as draining in the list that the controller gets, so that they are neither ordered nor counted. An engine that is leaving, or has asked for a pause, gets neither the order nor the request for its state.

The header of the answer to an order itself is not read; the state report before it has it.

--- a/internal/node/tprelaynode/node_test.go
+++ b/internal/node/tprelaynode/node_test.go
@@ -36,10 +36,17 @@
 // newSite registers four engines and one plain service, and writes the first
 // configuration.
 func newSite(t *testing.T) *site {
+	t.Helper()
+	return newSiteOf(t, "prefill", "prefill", "decode", "decode")
+}
+
+// newSiteOf registers an engine for each stage and one plain service, and writes
+// the first configuration.
+func newSiteOf(t *testing.T, stages ...string) *site {
 	t.Helper()
 	s := &site{}
 	s.address = tpguestfake.Listen(t, &s.store)
-	for i, stage := range []string{"prefill", "prefill", "decode", "decode"} {
+	for i, stage := range stages {
 		s.register(t, &tpguestfake.Server{ID: fmt.Sprint("e", i), Stage: stage, EventsPerStream: 5}, "llm")
 	}
 	s.register(t, &tpguestfake.Server{ID: "u0"}, "app")
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/guard/tpcrash"
@@ -57,6 +58,8 @@
 	// if that report is not empty.
 	evidence *tpring.Ring[[]tpmessage.SuspectRequest]
 	reported bool
+	// notices holds the notices that the placer knows, for other filters.
+	notices atomic.Pointer[tpplace.Notices]
 }
 
 func newPlacementFilter(n *Node) *placementFilter {
@@ -71,6 +74,7 @@
 			Budget: tpplace.BudgetSettings{Ratio: n.cfg.Budget.Ratio, Slack: n.cfg.Budget.Slack, Window: n.cfg.Budget.Window},
 		}, placePolicy{}),
 	}
+	p.notices.Store(&tpplace.Notices{})
 	n.deps.Rings.Add("placement", p.in)
 	n.deps.Rings.Add("tasks", p.tasks)
 	return p
@@ -140,7 +144,10 @@
 // handleNotice passes what a target has said about itself to the placer, and
 // logs it unless it was known.
 func (n *Node) handleNotice(notice tpplace.Notice) {
-	if n.placement.placer.HandleNotice(notice) {
+	isNew := n.placement.placer.HandleNotice(notice)
+	notices := n.placement.placer.Notices()
+	n.placement.notices.Store(&notices)
+	if isNew {
 		n.log.Info().Str("event", "targetNotice").Str("target", notice.Target.Name).Str("address", notice.Target.Address).
 			Int64("startedMs", notice.Target.StartedMs).Bool("leaving", notice.Leaving).
 			Int64("pauseMs", notice.Pause.Milliseconds()).Send()
--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -46,6 +46,7 @@
 	orders     *tpring.Ring[tprolecontrol.Order]
 	loads      *tpring.Ring[[]tpmessage.NodeLoad] // the latest, from the membership filter
 	controller *tprolecontrol.Controller[*tprolecontrol.Balance]
+	targets    []tpmessage.RelayTarget // as registered
 	// publishedChanging holds the names that publishChanging last passed on.
 	publishedChanging []string
 }
@@ -140,12 +141,14 @@
 	case in.config != nil:
 		f.controller.SetConfig(in.config)
 	case in.targets != nil:
-		f.controller.SetTargets(in.targets)
+		f.targets = in.targets
+		f.controller.SetTargets(f.markLeaving())
 	case in.authority != nil:
 		f.controller.SetAuthority(now, *in.authority)
 	case in.answer != nil:
 		f.controller.HandleAnswer(now, in.order, *in.answer)
 	default:
+		f.controller.SetTargets(f.markLeaving())
 		for _, o := range f.controller.Step(now) {
 			if err := f.orders.TryPut(o); err != nil {
 				f.controller.HandleAnswer(now, o, tprolecontrol.AnswerRefused)
@@ -154,6 +157,17 @@
 	}
 }
 
+// markLeaving returns the targets, with those draining that have said in an
+// answer that they are leaving.
+func (f *roleFilter) markLeaving() []tpmessage.RelayTarget {
+	notices := f.node.placement.notices.Load()
+	list := slices.Clone(f.targets)
+	for i := range list {
+		list[i].Draining = list[i].Draining || notices.IsLeaving(&list[i])
+	}
+	return list
+}
+
 // publishChanging passes the names of the engines that may be changing their
 // role to the placement filter if the list has changed.
 func (f *roleFilter) publishChanging() {
@@ -167,20 +181,32 @@
 
 // sendOrder reads the engine's state and sends one order. It sends none if the
 // state cannot be read, if the engine is busy or already has the role, or if
-// the authority expired while the order waited.
+// the authority expired while the order waited. It sends nothing at all, not
+// even the request for the state, to an engine that is leaving or has asked for
+// a pause.
 func (f *roleFilter) sendOrder(ctx context.Context, o tprolecontrol.Order) {
 	n := f.node
 	answer := tprolecontrol.AnswerRefused
-	state, err := n.deps.Engines.State(ctx, o.Target)
+	blocked := n.placement.notices.Load().IsBlocked(n.clock.Now(), &o.Target)
+	var state tprolecontrol.EngineState
+	var err error
+	if !blocked {
+		state, err = n.deps.Engines.State(ctx, o.Target)
+	}
+	if state.Notice != (tpmessage.TargetNotice{}) {
+		_ = n.placement.in.Put(tpplace.Input{Kind: tpplace.InputNotice, Notice: tpplace.Notice{
+			TargetNotice: state.Notice, Target: o.Target, At: n.clock.Now(),
+		}})
+	}
 	switch {
-	case err != nil || state.Busy:
+	case blocked || err != nil || state.Busy || state.Notice.Leaving:
 	case state.Role == o.Role:
 		answer = tprolecontrol.AnswerHolds
 	case n.leaseClock.Now().Before(o.Until):
 		answer, err = n.deps.Engines.SendOrder(ctx, o, state.Orders)
 	}
 	n.log.Info().Str("event", "order").Str("target", o.Target.Name).Str("role", string(o.Role)).
-		Uint64("fencing", o.Fencing).Uint64("orders", state.Orders).Bool("busy", state.Busy).
+		Uint64("fencing", o.Fencing).Uint64("orders", state.Orders).Bool("busy", state.Busy).Bool("blocked", blocked).
 		Float64("prefillDemand", o.Demand.Prefill).Float64("decodeDemand", o.Demand.Decode).
 		Uint64("revision", o.Target.Revision).Str("answer", answer.String()).Err(err).Send()
 	if ctx.Err() == nil {
--- a/internal/relay/stage2/tpplace/notice.go
+++ b/internal/relay/stage2/tpplace/notice.go
@@ -1,12 +1,13 @@
 package tpplace
 
 import (
+	"maps"
 	"time"
 
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
-// noticeTTL is the time after its last notice for which a process that is no
+// noticeTTL is the time after its last new notice for which a process that is no
 // longer registered is remembered. Its registration may lapse and return while
 // the platform is disturbed.
 const noticeTTL = time.Hour
@@ -33,35 +34,68 @@
 type noticeState struct {
 	leaving     bool
 	pausedUntil time.Time // the latest end of the pauses asked for
-	lastAt      time.Time // arrival of the last notice
+	changedAt   time.Time // arrival of the last notice that said something new
 }
 
+// Notices holds what processes have said about themselves. It does not change,
+// so that other filters can read a copy. The zero value holds nothing.
+type Notices struct {
+	states map[process]noticeState
+}
+
+// IsLeaving reports whether the target's process has said that it is leaving.
+func (n *Notices) IsLeaving(t *tpmessage.RelayTarget) bool { return n.states[processOf(t)].leaving }
+
+// IsBlocked reports whether nothing may be sent to the target, because its
+// process is leaving or has asked for a pause.
+func (n *Notices) IsBlocked(now time.Time, t *tpmessage.RelayTarget) bool {
+	state := n.states[processOf(t)]
+	return state.leaving || now.Before(state.pausedUntil)
+}
+
+// Notices returns the notices that are known now.
+func (p *Placer[P]) Notices() Notices { return p.notices }
+
 // HandleNotice records a notice. It reports whether the notice says something
 // that was not in force for the process yet. Another pause during a pause is
 // not new.
 func (p *Placer[P]) HandleNotice(n Notice) bool {
 	key := processOf(&n.Target)
-	state := p.notices[key]
-	isNew := n.Leaving && !state.leaving || n.Pause > 0 && !n.At.Before(state.pausedUntil)
+	old := p.notices.states[key]
+	state := old
 	state.leaving = state.leaving || n.Leaving
 	if until := n.At.Add(n.Pause); n.Pause > 0 && until.After(state.pausedUntil) {
 		state.pausedUntil = until
 	}
-	state.lastAt = n.At
-	p.notices[key] = state
+	if state == old {
+		return false
+	}
+	state.changedAt = n.At
+	states := maps.Clone(p.notices.states)
+	if states == nil {
+		states = make(map[process]noticeState)
+	}
+	states[key] = state
+	p.notices = Notices{states: states}
 	if t, ok := p.targets[n.Target.Name]; ok && processOf(&t.RelayTarget) == key {
 		t.notices = state
 	}
-	return isNew
+	return state.leaving != old.leaving || n.Pause > 0 && !n.At.Before(old.pausedUntil)
 }
 
 // expireNotices removes the notices of processes that are not registered and
-// have sent none for noticeTTL.
+// have said nothing new for noticeTTL.
 func (p *Placer[P]) expireNotices(now time.Time) {
-	for key, state := range p.notices {
+	isOld := func(key process, state noticeState) bool {
 		t, ok := p.targets[key.name]
-		if (!ok || processOf(&t.RelayTarget) != key) && now.Sub(state.lastAt) >= noticeTTL {
-			delete(p.notices, key)
+		return (!ok || processOf(&t.RelayTarget) != key) && now.Sub(state.changedAt) >= noticeTTL
+	}
+	for key, state := range p.notices.states {
+		if isOld(key, state) {
+			states := maps.Clone(p.notices.states)
+			maps.DeleteFunc(states, isOld)
+			p.notices = Notices{states: states}
+			return
 		}
 	}
 }
--- a/internal/relay/stage2/tpplace/notice_test.go
+++ b/internal/relay/stage2/tpplace/notice_test.go
@@ -308,3 +308,35 @@
 		}
 	}
 }
+
+// Guards against a copy of the notices that changes while another filter reads
+// it, and against one that blocks a target for longer than the placer does.
+func TestCopyOfNotices(t *testing.T) {
+	p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{service("s0"), service("s1")})
+	s0, s1 := service("s0"), service("s1")
+	empty := p.Notices()
+	p.HandleNotice(notice(epoch, s0, pause(time.Second)).Notice)
+	paused := p.Notices()
+	p.HandleNotice(notice(epoch, s1, saysLeaving).Notice)
+	all := p.Notices()
+	for _, test := range []struct {
+		name    string
+		notices tpplace.Notices
+		target  tpmessage.RelayTarget
+		after   time.Duration
+		want    bool
+	}{
+		{"before the notices", empty, s0, 0, false},
+		{"pause", paused, s0, 999 * time.Millisecond, true},
+		{"after the pause", paused, s0, time.Second, false},
+		{"later notice", paused, s1, 0, false},
+		{"leaving", all, s1, time.Minute, true},
+	} {
+		if got := test.notices.IsBlocked(epoch.Add(test.after), &test.target); got != test.want {
+			t.Errorf("%s: got blocked %v, want %v", test.name, got, test.want)
+		}
+	}
+	if all.IsLeaving(&s0) || !all.IsLeaving(&s1) {
+		t.Errorf("leaving: got s0 %v, s1 %v, want false, true", all.IsLeaving(&s0), all.IsLeaving(&s1))
+	}
+}
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -56,7 +56,7 @@
 	oldestLoad time.Time
 	// changing names the targets that this node has ordered to another role.
 	changing []string
-	notices  map[process]noticeState
+	notices  Notices
 	prefixes prefixes
 	random   *rand.Rand // chooses samples of the targets
 	arrivals rate       // of target requests at this node
@@ -88,7 +88,6 @@
 		targets:     make(map[string]*target),
 		pools:       make(map[string][]*target),
 		budgets:     make(map[string]*budget),
-		notices:     make(map[process]noticeState),
 		meanOutputs: make(map[string]float64),
 	}
 }
@@ -155,7 +154,7 @@
 			t.avoidUntil = time.Time{}
 		}
 		t.RelayTarget = rt
-		t.notices = p.notices[processOf(&rt)]
+		t.notices = p.notices.states[processOf(&rt)]
 		p.targets[rt.Name] = t
 		p.pools[rt.Pool] = append(p.pools[rt.Pool], t)
 	}
--- a/internal/relay/tprolecontrol/controller.go
+++ b/internal/relay/tprolecontrol/controller.go
@@ -46,11 +46,14 @@
 	Role   tpmessage.Role
 	Busy   bool   // an order is being carried out
 	Orders uint64 // number of orders accepted since the engine started
+	// Notice is what the engine says about itself in the header of its report.
+	Notice tpmessage.TargetNotice
 }
 
 // Engines exchanges orders and states with engines.
 type Engines interface {
-	// State requests the state of an engine.
+	// State requests the state of an engine. With an error, only the Notice of
+	// the state may be set.
 	State(ctx context.Context, t tpmessage.RelayTarget) (EngineState, error)
 	// SendOrder sends an order. The engine accepts it only if the number of
 	// orders that it has accepted so far equals orders.
