Withhold a granted step if its target has been blocked since

What callers saw: a request that was granted a target and then waited for a worker, because all were busy with streams, was sent to that target although it had said meanwhile that it was leaving or had asked for a pause. The release of a handle went to such a target, too.

Cause: the notices had an effect only when a target was chosen.

Change: before a step is sent, the task looks at the published notices. A withheld step counts as not sent: nothing was written, so another target is asked for, or the request is refused as not run. It is reported as abandoned, so that the target does not count as lost here and at the peers. A handle at a blocked target is left to expire.

--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -86,6 +86,7 @@
 		Upstream: n.deps.Upstream, Clock: n.clock, Log: &n.log, Counters: &tprelay.Counters{},
 		Place:     func(in tpplace.Input) { _ = p.in.Put(in) }, // the ring is closed only after the node has stopped
 		RecordEnd: n.latency.record,
+		IsBlocked: func(t *tpmessage.RelayTarget) bool { return p.notices.Load().IsBlocked(n.clock.Now(), t) },
 	}
 	// The placement filter stops last, because running tasks use it until they
 	// end.
--- a/internal/relay/stage3/tprelay/notice.go
+++ b/internal/relay/stage3/tprelay/notice.go
@@ -1,6 +1,8 @@
 package tprelay
 
 import (
+	"errors"
+
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
@@ -12,3 +14,27 @@
 		TargetNotice: n, Target: t.grant.Target, At: t.r.Clock.Now(),
 	}})
 }
+
+var errWithheld = errors.New("the target is leaving or has asked for a pause since it was chosen")
+
+func (t *task) isBlocked(target *tpmessage.RelayTarget) bool {
+	return t.r.IsBlocked != nil && t.r.IsBlocked(target)
+}
+
+// withhold ends the granted step without sending anything. A granted request
+// waits for a worker while all of them are busy with streams, and its target may
+// be blocked by then. The placer learns nothing about the target.
+func (t *task) withhold() Action {
+	now := t.r.Clock.Now()
+	res := Result{End: EndNotSent, Err: errWithheld}
+	t.eventCount = 0
+	t.reportResult(Result{End: EndCancelled}, 0)
+	var action Action
+	if t.grant.Step == tpplace.StepPrefill {
+		action = t.plan.AfterPrefill(now, t.grant.Target.Name, res.End)
+	} else {
+		action = t.plan.AfterRun(now, t.grant.Target.Name, res, t.delivered)
+	}
+	t.logStep(res, 0)
+	return action
+}
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -113,6 +113,9 @@
 	Counters *Counters
 	// Place passes an input to the placer.
 	Place func(tpplace.Input)
+	// IsBlocked reports whether nothing may be sent to a target now. If it is
+	// nil, no target is blocked.
+	IsBlocked func(*tpmessage.RelayTarget) bool
 	// RecordEnd is called at the end of each request with its outcome and the
 	// time since its arrival.
 	RecordEnd func(outcome string, took time.Duration)
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -63,6 +63,7 @@
 	cancel          context.CancelFunc
 	reply           *tpring.Ring[tpplace.Grant]
 	handle          Handle
+	holder          tpmessage.RelayTarget // target that keeps the handle
 
 	answerBegun   bool                   // a part of the answer of the current run has arrived
 	delivered     bool                   // at least one part was delivered to the client
@@ -144,6 +145,9 @@
 
 // step executes the granted step and returns the next action.
 func (t *task) step() Action {
+	if t.isBlocked(&t.grant.Target) {
+		return t.withhold()
+	}
 	if t.grant.Step == tpplace.StepPrefill {
 		return t.prefill()
 	}
@@ -177,7 +181,7 @@
 	}
 	t.logStep(res, now.Sub(started))
 	if res.End == EndComplete {
-		t.handle = h
+		t.handle, t.holder = h, t.grant.Target
 	}
 	return action
 }
@@ -529,7 +533,12 @@
 // refused. Nodes avoid a target with a full batch for about that time.
 const retryAfter = 300 * time.Millisecond
 
+// freeHandle releases the handle, unless its target takes no more requests. The
+// handle then expires there.
 func (t *task) freeHandle() {
+	if t.isBlocked(&t.holder) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), freeTimeout)
 	defer cancel()
 	t.r.Upstream.Free(ctx, t.handle)
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -95,6 +95,12 @@
 // runScript runs one request against a scripted upstream. The placer grants the
 // given number of further steps and refuses the rest.
 func runScript(t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute, step tpplace.Step, grants int) (clientAnswer, []tpplace.StepResult) {
+	t.Helper()
+	return runScriptBlocked(t, u, route, step, grants, nil)
+}
+
+// runScriptBlocked is runScript with targets to which nothing may be sent.
+func runScriptBlocked(t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute, step tpplace.Step, grants int, isBlocked func(*tpmessage.RelayTarget) bool) (clientAnswer, []tpplace.StepResult) {
 	t.Helper()
 	defer goleak.VerifyNone(t)
 	log := zerolog.Nop()
@@ -102,7 +108,7 @@
 	var results []tpplace.StepResult
 	r := &tprelay.Relay{
 		Upstream: u, Clock: tpclock.System{}, Log: &log, Counters: &tprelay.Counters{},
-		RecordEnd: func(string, time.Duration) {},
+		RecordEnd: func(string, time.Duration) {}, IsBlocked: isBlocked,
 	}
 	pool := tpmessage.RelayPool{Name: "p"}
 	if step != tpplace.StepCall {
