Keep the delay after a refused order at each tick of the roles

Cause, found while reading the change: to mark leaving targets, the role filter set the controller's targets at every tick. The controller ends an order in flight as soon as a list has the expected role, and after a refused order that is the role that the engine has. So the 2 s after a refusal ended at the next tick, and an engine that refuses was asked for its state twice a second.

Change: the targets are set at a tick only if a mark differs.

Result: TestRefusedOrderIsDelayed failed before with "e0: requests for its state 501.376689ms apart, want at least 1s". go test -race -run 'TestRefusedOrder|TestLeavingEng' ./internal/node/tprelaynode passes.

--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -47,6 +47,7 @@
 	loads      *tpring.Ring[[]tpmessage.NodeLoad] // the latest, from the membership filter
 	controller *tprolecontrol.Controller[*tprolecontrol.Balance]
 	targets    []tpmessage.RelayTarget // as registered
+	marked     []tpmessage.RelayTarget // as the controller has them, with leaving ones marked
 	// publishedChanging holds the names that publishChanging last passed on.
 	publishedChanging []string
 }
@@ -142,13 +143,19 @@
 		f.controller.SetConfig(in.config)
 	case in.targets != nil:
 		f.targets = in.targets
-		f.controller.SetTargets(f.markLeaving())
+		f.marked = f.markLeaving()
+		f.controller.SetTargets(f.marked)
 	case in.authority != nil:
 		f.controller.SetAuthority(now, *in.authority)
 	case in.answer != nil:
 		f.controller.HandleAnswer(now, in.order, *in.answer)
 	default:
-		f.controller.SetTargets(f.markLeaving())
+		// Setting the same targets again would end the delay after a refused
+		// order.
+		if marked := f.markLeaving(); !slices.Equal(marked, f.marked) {
+			f.marked = marked
+			f.controller.SetTargets(marked)
+		}
 		for _, o := range f.controller.Step(now) {
 			if err := f.orders.TryPut(o); err != nil {
 				f.controller.HandleAnswer(now, o, tprolecontrol.AnswerRefused)
