Replace a silent target only by one without a known fault

What callers saw: streams broken off, although their server was silent for a moment only. Cause: the placer grants targets that fail or are avoided if no other one is left. For a target that is silent and may go on, such a replacement is worse than none; when many servers are silent at once it is the usual one. Evidence: found in review. Without the condition TestSilentTargetIsNotReplacedByAFailingOne: got d1, which has a loss, want a refusal. Change: a target request for a replacement asks for sound targets only.

--- a/internal/relay/stage2/tpplace/late_test.go
+++ b/internal/relay/stage2/tpplace/late_test.go
@@ -45,3 +45,19 @@
 		t.Errorf("resumption 3 s after the arrival, 7 s before the deadline: got %q, want a grant", g.Refusal.Reason)
 	}
 }
+
+func TestSilentTargetIsNotReplacedByAFailingOne(t *testing.T) {
+	p := newPlacer(tpplace.Affinity{}, fleet(0, 2))
+	p.Step(epoch, tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
+		Reservation: tpplace.Reservation{Target: "d1"}, Outcome: tpplace.OutcomeLost,
+	}})
+	in := targetRequest(request(7, 1000, 100), tpplace.StepRun)
+	in.TargetRequest.Exclude = []string{"d0"}
+	if g, _ := p.Step(epoch, in); g.Refusal != nil {
+		t.Fatalf("last target, with a loss: got %q, want a grant", g.Refusal.Reason)
+	}
+	in.TargetRequest.SoundOnly = true
+	if g, _ := p.Step(epoch, in); g.Refusal == nil {
+		t.Errorf("replacement of a silent target: got %s, which has a loss, want a refusal", g.Target.Name)
+	}
+}
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -42,6 +42,9 @@
 	// Begun is true if the client has received a part of the answer, so that it
 	// does not wait for the first event any more.
 	Begun bool
+	// SoundOnly is true if the target replaces a silent one, which may go on. A
+	// target with a known fault is then worse than none.
+	SoundOnly bool
 	// Exclude names the targets that must not be chosen.
 	Exclude []string
 	// Reply receives the grant for a further step of a running task. It is nil
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -211,7 +211,7 @@
 			continue
 		}
 		rank := t.rank(now)
-		if bestRank >= 0 && rank > bestRank {
+		if bestRank >= 0 && rank > bestRank || r.SoundOnly && rank > 0 {
 			continue
 		}
 		if rank != bestRank {
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -271,7 +271,7 @@
 	}
 	next, action := t.plan.AfterSilence(now, t.grant.Target.Name, t.grant.Step)
 	if action == ActionRun || action == ActionPrefill {
-		if g := t.requestStep(&next, action, false, begun); g.Refusal == nil {
+		if g := t.requestStep(&next, action, false, begun, true); g.Refusal == nil {
 			t.replacement = &g
 			return 0
 		}
@@ -401,7 +401,7 @@
 	if t.replacement != nil {
 		g, t.replacement = *t.replacement, nil
 	} else {
-		g = t.requestStep(&t.plan, action, t.handle.ID != "", t.delivered)
+		g = t.requestStep(&t.plan, action, t.handle.ID != "", t.delivered, false)
 	}
 	t.grant, t.granted = g, g.Refusal == nil
 	if t.granted && t.plan.IsRetry() {
@@ -412,12 +412,13 @@
 }
 
 // requestStep requests the grant of the step for an action. Begun reports
-// whether the client has a part of the answer. If no second target
+// whether the client has a part of the answer, and soundOnly whether only a
+// target without a known fault helps. If no second target
 // can read the prompt, the target of the run reads it.
-func (t *task) requestStep(plan *Plan, action Action, hasHandle, begun bool) tpplace.Grant {
+func (t *task) requestStep(plan *Plan, action Action, hasHandle, begun, soundOnly bool) tpplace.Grant {
 	request := tpplace.TargetRequest{
 		Work: t.work, Reply: t.reply, Exclude: slices.Clone(plan.exclude), Step: t.grant.Step,
-		HasHandle: hasHandle, IsRetry: plan.IsRetry(), Begun: begun,
+		HasHandle: hasHandle, IsRetry: plan.IsRetry(), Begun: begun, SoundOnly: soundOnly,
 	}
 	if t.req.Pool.Engine != nil {
 		request.Step = tpplace.StepRun
