--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -325,3 +325,25 @@
 		t.Errorf("reservations returned: got %v, want one of t0 and one of t1", returned)
 	}
 }
+
+func TestSilentTargetIsNotGivenUpForOneThatRefuses(t *testing.T) {
+	runs := 0
+	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+		if runs++; runs > 1 {
+			return tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+		}
+		_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+		for i := range 3 {
+			if i == 2 && !waitInSilence(ctx, s, 1800*time.Millisecond, true) {
+				return tprelay.Result{End: tprelay.EndTimeout}
+			}
+			_ = deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", i), Event: i})
+		}
+		_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+		return tprelay.Result{Status: 200}
+	}}
+	got, _ := runFunc(t, u, resumable, tpplace.StepRun, 1)
+	if got.text != "0 1 2 " || !got.ended || got.broken {
+		t.Errorf("target silent for 1.8 s: got %q, complete %v, broken %v; want %q complete", got.text, got.ended, got.broken, "0 1 2 ")
+	}
+}
