Complete a stream that broke off after its last event

What callers saw: a stream of which they had all events ended as broken. Cause: the check for exact continuations took an answer without events for one that does not go on. After the last event there is nothing to send, and a server that resumes the stream answers just so. Change: an answer without events that says itself where it ends, by a length or in chunks, completes the stream. One that ends with its connection, or that sends earlier events only, does not.

--- a/internal/relay/stage3/tprelay/continuation.go
+++ b/internal/relay/stage3/tprelay/continuation.go
@@ -22,12 +22,15 @@
 	resumed   bool // the current answer has to continue a stream
 	lastEvent int  // number of the last event before the current answer, or -1
 	reached   bool // the current answer has shown this event or a later one
+	earlier   bool // the current answer has shown an earlier event
+	framed    bool // the current answer says itself where it ends
 }
 
 // begin starts the answer of a further target. Resumed is true if the client has
 // a part of the stream, and lastEvent the number of the last event in it, or -1.
 func (c *continuation) begin(resumed bool, lastEvent int) {
-	c.resumed, c.lastEvent, c.reached = resumed, lastEvent, false
+	c.resumed, c.lastEvent = resumed, lastEvent
+	c.reached, c.earlier, c.framed = false, false, false
 }
 
 // check returns an error that matches errNotContinued if the stream cannot go on
@@ -40,13 +43,19 @@
 	if h := part.Head; h != nil && (c.unnumbered || c.head == nil || h.Status != c.head.Status || h.MediaType != c.head.MediaType) {
 		return fmt.Errorf("%w: status %d, type %q", errNotContinued, h.Status, h.MediaType)
 	}
+	if part.Head != nil {
+		c.framed = part.Head.Framed
+	}
 	c.reached = c.reached || part.Event >= 0 && part.Event >= c.lastEvent
+	c.earlier = c.earlier || part.Event >= 0 && part.Event < c.lastEvent
 	switch {
 	case part.Event < 0 && len(part.Data) > 0 && !part.Comment:
 		return fmt.Errorf("%w: event without a number after event %d", errNotContinued, lastEvent)
 	case part.Event > lastEvent+1 && c.steps > 0 && c.gaps == 0:
 		return fmt.Errorf("%w: event %d after event %d", errNotContinued, part.Event, lastEvent)
-	case part.End && !c.reached:
+	case part.End && !c.reached && (c.earlier || !c.framed):
+		// A framed answer without events continues a stream whose last event the
+		// client has.
 		return fmt.Errorf("%w: end before event %d", errNotContinued, c.lastEvent)
 	}
 	return nil
--- a/internal/relay/stage3/tprelay/continuation_test.go
+++ b/internal/relay/stage3/tprelay/continuation_test.go
@@ -61,6 +61,8 @@
 	headOf := func(status int, mediaType string) tpmessage.AnswerPart {
 		return tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: status, MediaType: mediaType}, Event: -1}
 	}
+	framedHead := eventHead()
+	framedHead.Head.Framed = true
 	first := events(0, 1, 2)
 	for _, test := range []struct {
 		name  string
@@ -83,6 +85,8 @@
 		{"no type", first, answer(headOf(200, ""), append(events(3, 4), end)...), "0 1 2 ", false},
 		{"another status", first, answer(headOf(204, "text/event-stream"), end), "0 1 2 ", false},
 		{"empty", first, answer(eventHead(), end), "0 1 2 ", false},
+		{"empty, with an end of its own", first, answer(framedHead, end), "0 1 2 ", true},
+		{"only earlier events, with an end of its own", first, answer(framedHead, append(events(0, 1), end)...), "0 1 2 ", false},
 		{"only a comment", first, answer(eventHead(), comment, end), "0 1 2 ", false},
 		{"only earlier events", first, answer(eventHead(), append(events(0, 1), end)...), "0 1 2 ", false},
 		{"later start", first, answer(eventHead(), append(events(4, 5), end)...), "0 1 2 ", false},
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -170,6 +170,9 @@
 	// MediaType is the type of the answer's content, or empty if the answer
 	// states none.
 	MediaType string
+	// Framed is true if the answer says itself where it ends, by a length or in
+	// chunks, so that the end of its connection alone is no end.
+	Framed bool
 }
 
 // AnswerPart is one part of an answer. The first part of an answer has a Head
