Keep the comments of new tests to one line

Cause: the comments of the tests of this change tell in two to five lines what their names say; two had kept the comment of a test that was moved. Change: at most one line each. No test changes.

--- a/internal/edge/tpplatform/client_test.go
+++ b/internal/edge/tpplatform/client_test.go
@@ -28,8 +28,6 @@
 	})
 }
 
-// Guards against an object, whose value another program wrote, that hides the
-// others in a list or in the result of a watch.
 func TestOddObjectHidesNoOther(t *testing.T) {
 	srv := httptest.NewServer((&tpplatformfake.Platform{WatchTimeout: time.Second}).Handler())
 	defer srv.Close()
--- a/internal/edge/tptarget/transport_test.go
+++ b/internal/edge/tptarget/transport_test.go
@@ -195,9 +195,6 @@
 	}
 }
 
-// Guards against a second copy of a refusal, on a connection that is used again,
-// that counts as the refusal of the next request, which the engine runs, and
-// against a refusal that does not count although it names its request.
 func TestCopyOfRefusalRefusesNothing(t *testing.T) {
 	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 100 * time.Millisecond} {
 		for _, withNext := range []bool{false, true} {
--- a/internal/guard/tpcrash/guard_test.go
+++ b/internal/guard/tpcrash/guard_test.go
@@ -48,8 +48,6 @@
 	}
 }
 
-// Guards against a part that crashes targets without end in requests of which
-// no two are alike, at one node and at several.
 func TestDeadlyPartIsRefused(t *testing.T) {
 	for _, count := range []int{1, 3} {
 		nodes := make([]*tpcrash.Guard, count)
@@ -77,9 +75,7 @@
 	}
 }
 
-// Guards against a request that crashes targets without end and shares no part
-// with others. Another request with the same body to another path is not
-// refused.
+// Guards against a request that crashes targets without end and shares no part with others.
 func TestDeadlyContentIsRefused(t *testing.T) {
 	var g tpcrash.Guard
 	req := &tpmessage.RelayRequest{Method: "POST", Host: "one.example", URI: "/swap/x", Body: []byte("b")}
@@ -96,8 +92,7 @@
 	}
 }
 
-// Guards against refusing sound requests that share their parts with the deadly
-// ones, or that the same crashes have cut, before and after they are answered.
+// Guards against refusing sound requests that share their parts with the deadly ones.
 func TestInnocentPartsAreNotRefused(t *testing.T) {
 	var g tpcrash.Guard
 	for i := range 40 {
@@ -120,10 +115,6 @@
 	}
 }
 
-// Guards against a popular part, or a popular call without a body, that stays
-// blocked because all targets crashed at once, so that no answer cleared it
-// before its quarantine, and against more than single requests that may show
-// that it is sound.
 func TestPopularRequestsAreFreedAfterOutage(t *testing.T) {
 	for name, popularRequest := range map[string]func(int) *tpmessage.RelayRequest{
 		"part": func(number int) *tpmessage.RelayRequest { return request(number, popular) },
@@ -148,9 +139,7 @@
 	}
 }
 
-// Guards against counting one crash several times, because several nodes or
-// several streams saw it, and against counting connections that a live target
-// resets.
+// Guards against counting one crash several times, because several nodes or several streams saw it.
 func TestOneCrashCountsOnce(t *testing.T) {
 	nodes := []*tpcrash.Guard{{}, {}, {}}
 	for i := range 30 {
@@ -164,8 +153,7 @@
 	}
 }
 
-// Guards against crashes that a peer reports again after an answer has cleared
-// them, and against a peer that keeps them although it missed the clearance.
+// Guards against crashes that a peer reports again after an answer has cleared them.
 func TestClearedCrashesDoNotComeBack(t *testing.T) {
 	var a, b tpcrash.Guard
 	for i := range tpcrash.MaxCrashes {
@@ -192,8 +180,7 @@
 	}
 }
 
-// Guards against a quarantine without end, and against three further crashes
-// after its end.
+// Guards against a quarantine without end, and against three further crashes after its end.
 func TestQuarantineEnds(t *testing.T) {
 	nodes := []*tpcrash.Guard{{}, {}}
 	for i := range tpcrash.MaxCrashes {
@@ -226,8 +213,7 @@
 	}
 }
 
-// Guards against a report or a table that grows without a limit, and against a
-// quarantine that is lost because of other keys.
+// Guards against a report or a table that grows without a limit.
 func TestEvidenceIsBounded(t *testing.T) {
 	var g, peer tpcrash.Guard
 	for i := range tpcrash.MaxCrashes {
--- a/internal/guard/tpcrash/region_test.go
+++ b/internal/guard/tpcrash/region_test.go
@@ -204,10 +204,7 @@
 	return float64(begun) / float64(sent)
 }
 
-// Guards against more than three deadly requests that reach targets later than
-// 3 s after the fifth crash, and against sound requests with the same first
-// part that are not served from 6 s after it, in regions of several sizes and
-// with rare and frequent requests.
+// Guards against more than three deadly requests that reach targets later than 3 s after the fifth crash.
 func TestRegionStopsDeadlyPart(t *testing.T) {
 	for _, cfg := range []regionSettings{
 		{nodes: 8, targets: 24, soundEvery: 20 * time.Millisecond, deadlyEvery: 500 * time.Millisecond},
@@ -242,8 +239,7 @@
 	}
 }
 
-// Guards against sound requests that are refused for long after all targets
-// have crashed together.
+// Guards against sound requests that are refused for long after all targets have crashed together.
 func TestRegionServesAfterOutage(t *testing.T) {
 	for _, cfg := range []regionSettings{
 		{nodes: 8, targets: 24, soundEvery: 20 * time.Millisecond, outage: true},
--- a/internal/node/tpnode/continuation_test.go
+++ b/internal/node/tpnode/continuation_test.go
@@ -28,8 +28,6 @@
 	return b.String()
 }
 
-// Guards against callers that find an error of the next engine in the middle of
-// a stream that broke off, miss a piece, or take the stream for complete.
 func TestNextEngineAnswersWithAnError(t *testing.T) {
 	const errorHead = "HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\n\r\nerror of the engine\n\n"
 	type answer struct {
--- a/internal/node/tprelaynode/continuation_test.go
+++ b/internal/node/tprelaynode/continuation_test.go
@@ -58,8 +58,6 @@
 	return b.String()
 }
 
-// Guards against clients that find an error of the next server in the middle of
-// a stream that broke off, miss a piece, or take the stream for complete.
 func TestNextServerAnswersWithAnError(t *testing.T) {
 	const named = "X-Teaselpin-Request-Id: ID\r\nX-Teaselpin-Response-Stamp: second\r\n"
 	const stream = "HTTP/1.1 200 OK\r\n" + named + "Content-Type: text/event-stream\r\n\r\n"
--- a/internal/node/tprelaynode/entries_test.go
+++ b/internal/node/tprelaynode/entries_test.go
@@ -42,9 +42,7 @@
 	"metadata not decoded": `{"metadata":{"name":%q,"revision":-%d},"spec":{}}`,
 }
 
-// Guards against an odd registration, written by another program, that keeps
-// nodes from following the others: one that reads the store, one that gets its
-// views from a peer, and one that starts while the registration exists.
+// Guards against an odd registration that keeps nodes from following the others.
 func TestOddRegistrationStopsNoNode(t *testing.T) {
 	for fault, format := range oddObjects {
 		for _, name := range []string{"a", "f", "z"} { // first, in the middle, last
@@ -90,8 +88,7 @@
 	}
 }
 
-// Guards against an odd registration that is logged again whenever its writer
-// writes it, or another registration changes.
+// Guards against an odd registration that is logged again whenever its writer writes it.
 func TestOddRegistrationIsLoggedOnce(t *testing.T) {
 	const line = "registrationUnreadable"
 	s := newSite(t)
@@ -117,9 +114,7 @@
 	}
 }
 
-// Guards against an odd object among the configurations, or in place of the
-// newest one, that takes the configuration in force from a node or keeps it from
-// the next one.
+// Guards against an odd object that takes the configuration in force from a node, or keeps it from the next one.
 func TestOddConfigurationChangesNothing(t *testing.T) {
 	for fault, spec := range map[string]string{
 		"nested":              strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000),
--- a/internal/node/tprelaynode/exchange_test.go
+++ b/internal/node/tprelaynode/exchange_test.go
@@ -102,9 +102,6 @@
 		status, r.Header.Get("X-Teaselpin-Request-Id"))
 }
 
-// Guards against an answer that is lost or changed because it is empty, has no
-// length, is announced by another answer, or belongs to a HEAD request, and
-// against a kept connection that serves no further request.
 func TestUnusualAnswers(t *testing.T) {
 	for _, test := range []struct {
 		name, method, answer string
@@ -154,8 +151,7 @@
 	}
 }
 
-// Guards against a body that ends exactly at the limit and is refused, and
-// against a body over the limit whose client gets no answer.
+// Guards against a body that ends exactly at the limit and is refused.
 func TestBodyAtTheLimit(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
 		for _, size := range []int{rawBodyLimit, rawBodyLimit + 1, 2 * rawBodyLimit} {
@@ -189,8 +185,7 @@
 	}
 }
 
-// Guards against pipelined requests that are lost, or whose answers change
-// places, while the server is silent for a moment.
+// Guards against pipelined requests that are lost, or whose answers change places.
 func TestPipelinedRequests(t *testing.T) {
 	c := startRaw(t, func(c net.Conn, r *http.Request) bool {
 		time.Sleep(300 * time.Millisecond) // the silence of the simulated server
@@ -257,9 +252,6 @@
 	}
 }
 
-// Guards against a long body whose server answers before it has read it, keeps
-// the connection and reads on: the answer is lost, or the next request gets
-// other bytes.
 func TestAnswerBeforeLongBody(t *testing.T) {
 	for _, status := range []int{200, 503} {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
@@ -291,8 +283,6 @@
 	}
 }
 
-// Guards against a request that a stopping node reads from a connection that it
-// accepted before, and that gets no answer.
 func TestFirstRequestAtPlannedStop(t *testing.T) {
 	n := startRawNode(t, func(c net.Conn, r *http.Request) bool {
 		_, _ = io.WriteString(c, serverHead(r, 200)+"Content-Length: 6\r\n\r\nanswer")
@@ -328,8 +318,7 @@
 	<-stopped
 }
 
-// Guards against a planned stop that waits for seconds because a client has
-// opened a connection and sends nothing.
+// Guards against a planned stop that waits for seconds because a client has opened a connection and sends nothing.
 func TestUnusedConnectionAtPlannedStop(t *testing.T) {
 	n := startRawNode(t, func(net.Conn, *http.Request) bool { return false })
 	unused := n.dial(t)
--- a/internal/node/tprelaynode/guard_test.go
+++ b/internal/node/tprelaynode/guard_test.go
@@ -70,8 +70,7 @@
 	}
 }
 
-// Guards against a request that crashes targets and is sent once more, as a new
-// request or as a further step, and against a refusal that advises a retry.
+// Guards against a request that crashes targets and is sent once more, as a new request or as a further step.
 func TestCrashingRequestIsNotSent(t *testing.T) {
 	n := newGuardedNode()
 	crashTargets(n)
@@ -102,8 +101,7 @@
 	}
 }
 
-// Guards against a quarantine that is not sent to the members at once, and
-// against heartbeats that carry evidence although there is none.
+// Guards against a quarantine that is not sent to the members at once.
 func TestQuarantineIsAnnounced(t *testing.T) {
 	n := newGuardedNode()
 	n.handlePlacement(tpplace.Input{Kind: tpplace.InputTick})
@@ -146,9 +144,7 @@
 	return n.members
 }
 
-// Guards against nodes that each have to see all crashes themselves, because
-// heartbeats or their answers do not carry the evidence. In the process test of
-// three nodes that took nine crashes.
+// Guards against nodes that each have to see all crashes themselves.
 func TestHeartbeatsCarryEvidence(t *testing.T) {
 	a, b := newGuardedNode(), newGuardedNode()
 	membersA, membersB := newEvidenceMembers(a, "node-a"), newEvidenceMembers(b, "node-b")
@@ -165,8 +161,7 @@
 	}
 }
 
-// Guards against evidence that reaches the nodes late. Each of three nodes sees
-// one crash, and no quarantine is announced at once.
+// Guards against evidence that reaches the nodes late.
 func TestEvidenceReachesAllNodes(t *testing.T) {
 	for _, test := range []struct {
 		size int
--- a/internal/node/tprelaynode/notice_test.go
+++ b/internal/node/tprelaynode/notice_test.go
@@ -9,9 +9,7 @@
 	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
 )
 
-// Guards against an order to an engine that says in its state report that it is
-// leaving, and against one that counts as capacity, so that no other engine is
-// ordered in its place.
+// Guards against an order to an engine that says in its state report that it is leaving.
 func TestLeavingEngineIsNotOrdered(t *testing.T) {
 	s := newSiteOf(t, "decode", "decode", "decode") // half are ordered to the prefill role
 	s.servers[0].SetLeaving(true)
@@ -31,8 +29,6 @@
 	}
 }
 
-// Guards against an engine that is asked for its state at every tick because the
-// delay after a refused order ends early.
 func TestRefusedOrderIsDelayed(t *testing.T) {
 	s := newSiteOf(t)
 	var mu sync.Mutex
--- a/internal/proof/relay_crash_test.go
+++ b/internal/proof/relay_crash_test.go
@@ -64,9 +64,6 @@
 }
 
 // Guards against a part of a prompt that crashes one server after the other.
-// Requests with it come at all nodes and no two are alike, so a guard that
-// knows whole requests finds none of them. Sound requests with the same first
-// parts must be served.
 func TestDeadlyPartStopsCrashing(t *testing.T) {
 	f := newCrashFleet(t, 3)
 	for _, n := range f.nodes {
--- a/internal/proof/relay_notices_test.go
+++ b/internal/proof/relay_notices_test.go
@@ -121,9 +121,7 @@
 	return first
 }
 
-// Guards against requests that go on reaching a server that has said in its
-// answers that it is leaving, while the platform still lists it as ready or
-// refuses all calls.
+// Guards against requests that go on reaching a server that has said in its answers that it is leaving.
 func TestServerThatLeavesInItsAnswersGetsNothing(t *testing.T) {
 	f := newRelayFleet(t, 2)
 	f.waitReady(t)
@@ -178,9 +176,6 @@
 	pauseSlack         = 500 * time.Millisecond
 )
 
-// Guards against requests that go on reaching servers which have refused with
-// Retry-After, although no other server of their service is left, and against
-// clients that are held or get no delay meanwhile.
 func TestServersThatAskForAPauseGetNothing(t *testing.T) {
 	f := newRelayFleet(t, 2)
 	f.waitReady(t)
--- a/internal/proof/relay_silence_test.go
+++ b/internal/proof/relay_silence_test.go
@@ -111,10 +111,7 @@
 	timeouts   map[string][]routeTimeout
 }
 
-// Guards against a request that a node has read and that ends without an answer
-// around planned work, while servers fall silent and go on, against a call that
-// may not be repeated and runs twice or is refused although it ran, and against
-// an answer or a request that is changed on the way.
+// Guards against a request that a node has read and that ends without an answer around planned work.
 func TestRelayWithSilentServers(t *testing.T) {
 	for i := range *silenceSeeds {
 		seed := *silenceSeed + uint64(i)
--- a/internal/relay/stage2/tpplace/late_test.go
+++ b/internal/relay/stage2/tpplace/late_test.go
@@ -32,8 +32,7 @@
 	}
 }
 
-// Guards against a stream that has begun and cannot be resumed because the time
-// for its first event is over.
+// Guards against a stream that has begun and cannot be resumed because the time for its first event is over.
 func TestBegunStreamMayBeResumedLate(t *testing.T) {
 	p := newPlacer(tpplace.Affinity{}, fleet(0, 4))
 	req := request(7, 1000, 100)
--- a/internal/relay/stage2/tpplace/notice_test.go
+++ b/internal/relay/stage2/tpplace/notice_test.go
@@ -28,8 +28,6 @@
 
 var saysLeaving = tpmessage.TargetNotice{Leaving: true}
 
-// Guards against a prompt, a run, a retry, a resume or a call at a target that
-// has said that it is leaving while its registration says ready.
 func TestLeavingTargetGetsNoStep(t *testing.T) {
 	list := append(fleet(2, 2), service("s0"), service("s1"))
 	p := newPlacer(tpplace.Affinity{}, list)
@@ -68,9 +66,7 @@
 	}
 }
 
-// Guards against a leaving target that is used again because another list of
-// the same process arrives, and against a new process of the same name that
-// stays out of use.
+// Guards against a leaving target that is used again because another list of the same process arrives.
 func TestLeavingBelongsToTheProcess(t *testing.T) {
 	ready := service("s0")
 	p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{ready})
@@ -100,8 +96,7 @@
 	}
 }
 
-// Guards against a late answer of an ended process that takes the new process
-// of the same name out of use.
+// Guards against a late answer of an ended process that takes the new process of the same name out of use.
 func TestNoticeOfAnEndedProcess(t *testing.T) {
 	restarted := service("s0")
 	restarted.StartedMs = 2
@@ -110,8 +105,7 @@
 	mustGrant(t, p, epoch, call(epoch))
 }
 
-// Guards against a prompt that makes its target fetch a prefix from a target
-// that is leaving.
+// Guards against a prompt that makes its target fetch a prefix from a target that is leaving.
 func TestLeavingTargetIsNoPrefixSource(t *testing.T) {
 	list := fleet(2, 1)
 	p := newPlacer(tpplace.Affinity{}, list)
@@ -123,8 +117,7 @@
 	}
 }
 
-// Guards against a log line for each answer of a leaving target, and against
-// notices that are kept for ever after their process has gone.
+// Guards against a log line for each answer of a leaving target.
 func TestNoticesAreNewOnceAndExpire(t *testing.T) {
 	p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{service("s0")})
 	n := notice(epoch, service("s0"), saysLeaving).Notice
@@ -147,8 +140,7 @@
 
 func pause(d time.Duration) tpmessage.TargetNotice { return tpmessage.TargetNotice{Pause: d} }
 
-// Guards against a prompt, a run, a retry, a resume or a call at a target that
-// has asked for a pause, and against one that stays out of use after it.
+// Guards against a prompt, a run, a retry, a resume or a call at a target that has asked for a pause.
 func TestPausedTargetGetsNoStep(t *testing.T) {
 	list := append(fleet(2, 2), service("s0"), service("s1"))
 	p := newPlacer(tpplace.Affinity{}, list)
@@ -196,8 +188,6 @@
 	return req
 }
 
-// Guards against a pause that a shorter one, an answer to a request in flight, a
-// refusal, a change of role or another list of the same process ends early.
 func TestNothingEndsAPauseEarly(t *testing.T) {
 	d0 := engine("d0", tpmessage.RoleDecode)
 	changed := d0
@@ -236,8 +226,7 @@
 	}
 }
 
-// Guards against a pause that counts from the time at which the placer handles
-// the notice, and against one that a new process inherits.
+// Guards against a pause that counts from the time at which the placer handles the notice.
 func TestPauseCountsFromTheAnswer(t *testing.T) {
 	p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{service("s0")})
 	at := epoch.Add(time.Second)
@@ -250,9 +239,6 @@
 	mustGrant(t, p, at, call(at))
 }
 
-// Guards against a client that is told to return long before or after the first
-// target of the pool takes requests again, and against a retry that is counted
-// although nothing was sent.
 func TestRefusalNamesTheShortestPause(t *testing.T) {
 	p := tpplace.New(tpplace.Settings{
 		Node: "node-0", Zone: "a", Budget: tpplace.BudgetSettings{Slack: 2, Window: 10 * time.Second},
@@ -284,8 +270,7 @@
 	}
 }
 
-// Guards against a prompt that makes its target fetch a prefix from a target
-// that has asked for a pause.
+// Guards against a prompt that makes its target fetch a prefix from a target that has asked for a pause.
 func TestPausedTargetIsNoPrefixSource(t *testing.T) {
 	p := newPlacer(tpplace.Affinity{}, fleet(2, 1))
 	g := mustGrant(t, p, epoch, targetRequest(request(7, 13000, 3000), tpplace.StepFirst))
@@ -309,8 +294,7 @@
 	}
 }
 
-// Guards against a copy of the notices that changes while another filter reads
-// it, and against one that blocks a target for longer than the placer does.
+// Guards against a copy of the notices that changes while another filter reads it.
 func TestCopyOfNotices(t *testing.T) {
 	p := newPlacer(tpplace.Affinity{}, []tpmessage.RelayTarget{service("s0"), service("s1")})
 	s0, s1 := service("s0"), service("s1")
--- a/internal/relay/stage3/tprelay/continuation_test.go
+++ b/internal/relay/stage3/tprelay/continuation_test.go
@@ -49,8 +49,7 @@
 	return parts
 }
 
-// Guards against a stream that broke off and goes on with what is no exact
-// continuation, such as the text of an error, or ends as if it were complete.
+// Guards against a stream that broke off and goes on with what is no exact continuation.
 func TestOnlyExactContinuationIsJoined(t *testing.T) {
 	end := tpmessage.AnswerPart{Event: -1, End: true}
 	text := tpmessage.AnswerPart{Data: []byte("error "), Event: -1}
--- a/internal/relay/stage3/tprelay/notice_test.go
+++ b/internal/relay/stage3/tprelay/notice_test.go
@@ -19,9 +19,7 @@
 	}
 }
 
-// Guards against a granted request that is sent although its target said that it
-// is leaving, or asked for a pause, while the request waited for a worker, and
-// against a target that counts as lost because of it.
+// Guards against a granted request that is sent although its target said that it is leaving, or asked for a pause.
 func TestGrantedRequestIsWithheld(t *testing.T) {
 	u := &scriptedUpstream{attempts: []attempt{{0, tprelay.EndComplete, 200}}}
 	out, results := runScriptBlocked(t, u, notRepeatable, tpplace.StepCall, 1, blocks("t0"))
@@ -38,9 +36,7 @@
 	}
 }
 
-// Guards against an answer other than a promise that the request has not run
-// when all its targets are blocked, and against a stream that was begun and then
-// ends as complete.
+// Guards against an answer other than a promise that the request has not run when all its targets are blocked.
 func TestWithheldRequestIsRefused(t *testing.T) {
 	out, _ := runScriptBlocked(t, &scriptedUpstream{}, notRepeatable, tpplace.StepCall, 0, blocks("t0"))
 	if out.refusal == nil || out.refusal.Status != tpmessage.StatusUnavailable || out.refusal.RetryAfter <= 0 {
@@ -56,8 +52,6 @@
 	}
 }
 
-// Guards against a request that releases a handle at a target that has said that
-// it is leaving while it read the prompt.
 func TestHandleOfBlockedTargetExpires(t *testing.T) {
 	u := &scriptedUpstream{prefill: []tprelay.End{tprelay.EndComplete}}
 	wasRead := false
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -86,8 +86,6 @@
 	return readAnswer(work.Answer), results
 }
 
-// Guards against a reservation that is lost when a target answers while its
-// replacement is being granted, and falls silent once more.
 func TestEachReplacementIsReturned(t *testing.T) {
 	u := &funcUpstream{run: func(_ context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
 		_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
@@ -115,10 +113,6 @@
 	}
 }
 
-// Guards against a sound target that is given up for one that does not take the
-// request, while no third target is granted.
-// Guards against a prompt that is given up although its target would have read
-// it in time and no other target is granted.
 func TestSilentPrefillIsKeptWithoutAnother(t *testing.T) {
 	u := &funcUpstream{
 		prefillFunc: func(ctx context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
@@ -200,8 +194,7 @@
 	return readAnswer(work.Answer), results
 }
 
-// Guards against a target that hangs and stays the first choice for new
-// requests because its exchanges are kept.
+// Guards against a target that hangs and stays the first choice for new requests because its exchanges are kept.
 func TestHungTargetIsReportedWithoutAnother(t *testing.T) {
 	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, _ func(tpmessage.AnswerPart) error) tprelay.Result {
 		waitInSilence(ctx, s, time.Minute, false)
@@ -219,10 +212,6 @@
 	t.Errorf("target silent for 5 s: got results %+v, want one that makes the placer avoid it", results)
 }
 
-// Guards against the joined bodies of two runs after the first one was cut
-// beyond the part that is buffered.
-// Guards against a request that gets neither an answer nor a refusal while it
-// waits for a free worker beyond its deadline.
 func TestRequestThatWaitsForAWorkerIsAnsweredInTime(t *testing.T) {
 	release := make(chan struct{})
 	u := &funcUpstream{run: func(ctx context.Context, _ *tprelay.UpstreamRequest, _ func(tpmessage.AnswerPart) error) tprelay.Result {
@@ -270,8 +259,6 @@
 	}
 }
 
-// Guards against a replacement that is granted just before the time for a
-// further attempt is over, and is neither used nor returned.
 func TestReplacementGrantedTooLateIsReturned(t *testing.T) {
 	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, _ func(tpmessage.AnswerPart) error) tprelay.Result {
 		if waitInSilence(ctx, s, time.Minute, false) || ctx.Err() != nil {
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -393,9 +393,6 @@
 	}
 }
 
-// Guards against a target's crash that is not reported, against one that is
-// held against a request whose answer had begun, or whose prompt was only read,
-// and against an answer that clears a request although it shows nothing.
 func TestCutsAndAnswersAreReported(t *testing.T) {
 	for _, test := range []struct {
 		name          string
@@ -427,8 +424,6 @@
 	}
 }
 
-// Guards against an answer of a plain service that was passed on in part, broke
-// off and went on with the whole answer of another target.
 func TestLongAnswerThatBrokeOffIsNotJoined(t *testing.T) {
 	for _, next := range []attempt{{1, tprelay.EndComplete, 200}, {0, 0, 500}} {
 		u := &scriptedUpstream{attempts: []attempt{{40, tprelay.EndIncomplete, 200}, next}, eventBytes: 10 << 10}
