--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -223,7 +223,7 @@
 		return
 	}
 	if s.CrashPart != "" && strings.Contains(r.Header.Get("X-Teaselpin-Prefix-Hash"), s.CrashPart+":") {
-		time.Sleep(crashDelay)
+		time.Sleep(crashDelay) // injected fault: works on the request before it crashes
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
