--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -121,6 +121,17 @@
 	return l.Addr().String()
 }
 
+// freeAddress returns an address of a machine with a port that is free. No other
+// process of the run takes it: connections come from another loopback address.
+func freeAddress(ip string) string {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		cannotRun("listen: %v", err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // addNodes adds n machines over the zones, in turn. The first three are the
 // seeds.
 func (f *fleet) addNodes(n int, zones ...string) {
@@ -131,7 +142,7 @@
 		ip := newHost()
 		m := &node{
 			f: f, zone: zone, region: "cz-central", name: "front-" + zone + "-" + strconv.Itoa(count[zone]),
-			front: ip + ":8149", ready: ip + ":8141", peers: ip + ":8144", metrics: ip + ":9102",
+			front: freeAddress(ip), ready: freeAddress(ip), peers: freeAddress(ip), metrics: freeAddress(ip),
 			watches: map[string]int{},
 			client: &http.Client{Transport: &http.Transport{
 				MaxIdleConnsPerHost: 64, DisableCompression: true, IdleConnTimeout: 10 * time.Second,
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,7 +10,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*fleet, bool) bool{"herd": herd, "poison": poison, "slashes": slashes, "regions": regions}
+	cases := map[string]func(*fleet, bool) bool{"herd": herd, "poison": poison, "slashes": slashes, "regions": regions, "silent": silent, "dark": dark}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/_standin/poison.go
+++ b/review/_standin/poison.go
@@ -40,16 +40,8 @@
 		}
 	}
 	press(8 * time.Second)
-	crashes := func() (list []time.Time) {
-		for _, s := range f.servers {
-			s.mu.Lock()
-			list = append(list, s.crashTimes...)
-			s.mu.Unlock()
-		}
-		return list
-	}
-	if len(crashes()) < 3 {
-		cannotRun("%d crashes", len(crashes()))
+	if len(f.crashTimes()) < 3 {
+		cannotRun("%d crashes", len(f.crashTimes()))
 	}
 	if trouble {
 		f.rec.add("kill all nodes")
@@ -69,7 +61,7 @@
 	time.Sleep(stableWindow + time.Second) // the machines are in touch
 	f.rec.add("the nodes have been ready for over %v", stableWindow)
 	press(10 * time.Second)
-	list := crashes()
+	list := f.crashTimes()
 	third := thirdOf(list)
 	late := 0
 	for _, s := range f.servers {
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -23,22 +23,25 @@
 
 // server is a server of the platform. It answers as the pages say.
 type server struct {
-	f                          *fleet
-	id, service, zone, stage   string
-	address                    string
-	born                       int64
-	work                       time.Duration
-	state                      string
-	crashes                    func(r *http.Request) bool // whether a request crashes the server that runs it
-	downTime                   time.Duration
-	mu                         sync.Mutex
-	arrivals                   []arrival
-	crashTimes                 []time.Time
-	running                    *http.Server
-	down                       bool
-	withhold, leaving, noEvent bool
-	behave                     func(w http.ResponseWriter, r *http.Request, body []byte) bool
-	orders                     []order // accepted
+	f                        *fleet
+	id, service, zone, stage string
+	address                  string
+	born                     int64
+	work                     time.Duration
+	state                    string
+	crashes                  func(r *http.Request) bool // whether a request crashes the server that runs it
+	downTime                 time.Duration
+	mu                       sync.Mutex
+	arrivals                 []arrival
+	crashTimes               []time.Time
+	running                  *http.Server
+	listener                 net.Listener
+	down                     bool
+	fixed                    bool // rejects orders to change its stage
+	dark                     bool // a crash leaves its channels silent until the server is back
+	back                     chan struct{}
+	behave                   func(w http.ResponseWriter, r *http.Request, body []byte) bool
+	orders                   []order // accepted
 }
 
 // order is an order as a server receives it.
@@ -109,7 +112,7 @@
 
 func (s *server) serve(l net.Listener) {
 	h := &http.Server{Handler: s}
-	s.running = h
+	s.running, s.listener = h, l
 	go func() { _ = h.Serve(l) }()
 }
 
@@ -123,9 +126,17 @@
 	s.down = true
 	s.crashTimes = append(s.crashTimes, time.Now())
 	h := s.running
+	s.back = make(chan struct{})
+	back := s.back
 	s.mu.Unlock()
-	_ = h.Close()
+	if s.dark {
+		s.listener.Close()
+	} else {
+		_ = h.Close()
+	}
 	time.AfterFunc(s.downTime, func() {
+		_ = h.Close()
+		close(back)
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return
@@ -148,7 +159,7 @@
 	switch {
 	case r.URL.Path == "/teaselpin/report":
 		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprintf(w, `{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":%d,"waiting":0,"running":0,"kv_used":0,"kv_total":400000,"handles":0}`, s.stage, len(s.orders))
+		fmt.Fprintf(w, `{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":%d,"waiting":0,"running":0,"kv_used":0,"kv_total":400000,"handles":0}`, s.currentStage(), len(s.orders))
 		return
 	case r.URL.Path == "/teaselpin/order":
 		s.order(w, body)
@@ -164,6 +175,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	prefill := r.Header.Get("X-Teaselpin-Stage") == "prefill"
+	if stage := s.currentStage(); stage != "" && prefill != (stage == "prefill") {
+		w.Header().Set("X-Teaselpin-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if prefill {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, `{"handle":"h%s","tokens":300,"version":1}`, id)
+		return
+	}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{id: id, server: s.id, service: s.service, path: r.URL.Path, at: time.Now(), run: true})
 	s.mu.Unlock()
@@ -171,6 +193,12 @@
 		s.f.rec.add("server %s runs %s and crashes", s.id, id)
 		time.Sleep(5 * time.Millisecond)
 		s.crash()
+		if s.dark {
+			s.mu.Lock()
+			back := s.back
+			s.mu.Unlock()
+			<-back
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if s.behave != nil && s.behave(w, r, body) {
@@ -183,6 +211,12 @@
 	_, _ = io.WriteString(w, text)
 }
 
+func (s *server) currentStage() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stage
+}
+
 func (s *server) seen() []arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
