--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -121,15 +121,18 @@
 	return l.Addr().String()
 }
 
-// freeAddress returns an address of a machine with a port that is free. No other
-// process of the run takes it: connections come from another loopback address.
-func freeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		cannotRun("listen: %v", err)
+// freeAddresses returns n addresses of a machine with ports that are free.
+func freeAddresses(ip string, n int) []string {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			cannotRun("listen: %v", err)
+		}
+		defer l.Close() // all are kept until the end, so that they differ
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addresses
 }
 
 // addNodes adds n machines over the zones, in turn. The first three are the
@@ -139,10 +142,10 @@
 	for i := range n {
 		zone := zones[i%len(zones)]
 		count[zone]++
-		ip := newHost()
+		free := freeAddresses(newHost(), 4)
 		m := &node{
 			f: f, zone: zone, region: "cz-central", name: "front-" + zone + "-" + strconv.Itoa(count[zone]),
-			front: freeAddress(ip), ready: freeAddress(ip), peers: freeAddress(ip), metrics: freeAddress(ip),
+			front: free[0], ready: free[1], peers: free[2], metrics: free[3],
 			watches: map[string]int{},
 			client: &http.Client{Transport: &http.Transport{
 				MaxIdleConnsPerHost: 64, DisableCompression: true, IdleConnTimeout: 10 * time.Second,
@@ -259,7 +262,8 @@
 	for _, m := range nodes {
 		for !m.isReady() {
 			if time.Now().After(deadline) {
-				cannotRun("%s is not ready", m.name)
+				log, _ := os.ReadFile(filepath.Join(f.dir, m.name+".log"))
+				cannotRun("%s is not ready; the end of its log:\n%s", m.name, log[max(0, len(log)-1500):])
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
--- a/review/_standin/regions.go
+++ b/review/_standin/regions.go
@@ -31,7 +31,7 @@
 	for _, s := range f.servers {
 		s.mu.Lock()
 		by := map[uint64]string{}
-		for _, o := range s.orders {
+		for _, o := range s.received {
 			if h, ok := by[o.Fencing]; ok && h != o.Holder {
 				broken++
 				f.rec.add("ONE: %s got orders of %s and %s with generation number %d", s.id, h, o.Holder, o.Fencing)
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -42,6 +42,7 @@
 	back                     chan struct{}
 	behave                   func(w http.ResponseWriter, r *http.Request, body []byte) bool
 	orders                   []order // accepted
+	received                 []order // accepted or not
 }
 
 // order is an order as a server receives it.
@@ -65,11 +66,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.f.rec.add("order to %s: stage %s, holder %s, generation number %d", s.id, o.Stage, o.Holder, o.Fencing)
+	o.at = time.Now()
+	s.received = append(s.received, o)
 	if o.Expected != nil && *o.Expected != uint64(len(s.orders)) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	o.at = time.Now()
 	s.orders = append(s.orders, o)
 	if s.stage == o.Stage {
 		w.WriteHeader(http.StatusOK)
