--- a/review/_standin/regions.go
+++ b/review/_standin/regions.go
@@ -7,8 +7,10 @@
 
 // regions starts the nodes in two regions before the engines of one service.
 func regions(f *fleet, trouble bool) bool {
-	llm := map[string]any{"name": "ladle-llm", "health_path": "/health", "max_conns": 370, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": 64, "kv_capacity": 491555, "kv_token_bytes": 18432, "stride": 13, "handle_ttl_s": 5.0, "role_switch_s": 3.0}}
+	llm := map[string]any{
+		"name": "ladle-llm", "health_path": "/health", "max_conns": 370, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": 64, "kv_capacity": 491555, "kv_token_bytes": 18432, "stride": 13, "handle_ttl_s": 5.0, "role_switch_s": 3.0},
+	}
 	f.configure(1, []any{llm}, route("draft", "stream", "ladle-llm"))
 	for i := range 18 {
 		stage := "decode"
--- a/review/_standin/silent.go
+++ b/review/_standin/silent.go
@@ -23,8 +23,10 @@
 // silent stops a node as planned while it serves streams. Their server falls
 // silent and goes on. The other servers are full meanwhile.
 func silent(f *fleet, trouble bool) bool {
-	llm := map[string]any{"name": "ladle-llm", "health_path": "/health", "max_conns": 370, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": 64, "kv_capacity": 491555, "kv_token_bytes": 18432, "stride": 13, "handle_ttl_s": 5.0, "role_switch_s": 3.0}}
+	llm := map[string]any{
+		"name": "ladle-llm", "health_path": "/health", "max_conns": 370, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": 64, "kv_capacity": 491555, "kv_token_bytes": 18432, "stride": 13, "handle_ttl_s": 5.0, "role_switch_s": 3.0},
+	}
 	quick := route("ask", "stream", "ladle-llm")
 	quick["latency_goal_ms"], quick["target_gap_ms"], quick["priority"] = 400, 400, 0
 	f.configure(1, []any{llm}, quick)
