Build the stand-ins of the review by a tag of their own

The default build, the linter and the tests leave them out, and the folders under review are the cases alone.

--- a/review/_standin/dark.go
+++ b/review/dark.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/_standin/fleet.go
+++ b/review/fleet.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command review-standin plays the cases of the review: it starts nodes of the
 // product as separate processes between stand-ins of the platform, its servers
 // and its clients, and judges what these have seen.
