--- a/review/herd.go
+++ b/review/herd.go
@@ -62,7 +62,7 @@
 		for _, m := range watching {
 			m.kill()
 		}
-		time.AfterFunc(2200*time.Millisecond, func() {
+		time.AfterFunc(2000*time.Millisecond, func() {
 			for _, m := range watching {
 				f.rec.add("start %s", m.name)
 				m.start(false)
