Keep a silent target until its replacement accepts the request

Cause: the task ended the exchange with the silent target when the placer granted another one. A grant follows from loads that are some hundred milliseconds old; the target itself may still refuse. Then the silent target was gone.

Evidence: in the step lines of the node the step at the silent server ends first, and the refusals come after it. Ruled out: the adapter, which only asks the task, and the plan of the node's own interface, which asks the silent engine again (TestStalledTargetIsAskedAgainWhenOthersRefuse).

Change: the replacement is tried while the exchange with the silent target goes on. A trial that is refused or fails costs an attempt and a retry, and the silent target keeps the request.

TestEachReplacementIsReturned let its target go on after the exchange had been told to end. The race that it guards against is now an event that arrives before the grant; its assertions are the same, with one more.

--- a/internal/relay/stage3/tprelay/continuation.go
+++ b/internal/relay/stage3/tprelay/continuation.go
@@ -40,8 +40,8 @@
 	if !c.resumed {
 		return nil
 	}
-	if h := part.Head; h != nil && (c.unnumbered || c.head == nil || h.Status != c.head.Status || h.MediaType != c.head.MediaType) {
-		return fmt.Errorf("%w: status %d, type %q", errNotContinued, h.Status, h.MediaType)
+	if err := c.checkHead(part.Head, true); err != nil {
+		return err
 	}
 	if part.Head != nil {
 		c.framed = part.Head.Framed
@@ -61,6 +61,16 @@
 	return nil
 }
 
+// checkHead returns an error that matches errNotContinued if an answer with this
+// head cannot continue the stream. Resumed is true if the client has a part of
+// the stream.
+func (c *continuation) checkHead(h *tpmessage.AnswerHead, resumed bool) error {
+	if resumed && h != nil && (c.unnumbered || c.head == nil || h.Status != c.head.Status || h.MediaType != c.head.MediaType) {
+		return fmt.Errorf("%w: status %d, type %q", errNotContinued, h.Status, h.MediaType)
+	}
+	return nil
+}
+
 // record adds a part that is delivered to the client after event lastEvent. The
 // first number of a stream need not be 0.
 func (c *continuation) record(part *tpmessage.AnswerPart, lastEvent int) {
--- a/internal/relay/stage3/tprelay/notice.go
+++ b/internal/relay/stage3/tprelay/notice.go
@@ -7,11 +7,10 @@
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
-// reportNotice passes what the target of the current step says about itself to
-// the placer.
-func (t *task) reportNotice(n tpmessage.TargetNotice) {
+// reportNotice passes what a target says about itself to the placer.
+func (t *task) reportNotice(target *tpmessage.RelayTarget, n tpmessage.TargetNotice) {
 	t.r.Place(tpplace.Input{Kind: tpplace.InputNotice, Notice: tpplace.Notice{
-		TargetNotice: n, Target: t.grant.Target, At: t.r.Clock.Now(),
+		TargetNotice: n, Target: *target, At: t.r.Clock.Now(),
 	}})
 }
 
@@ -35,6 +34,6 @@
 	} else {
 		action = t.plan.AfterRun(now, t.grant.Target.Name, res, t.delivered)
 	}
-	t.logStep(res, 0)
+	t.logStep(&t.grant, res, 0)
 	return action
 }
--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -59,14 +59,7 @@
 // AfterPrefill returns the action after an attempt of a prefill step. If a
 // second arrival fails, the target of the run reads the prompt instead.
 func (p *Plan) AfterPrefill(now time.Time, target string, end End) Action {
-	p.attempts++
-	if end != EndNotSent {
-		p.prefills++
-		if end != EndComplete || p.promptRead {
-			p.arrivals++
-		}
-		p.promptRead = p.promptRead || end == EndComplete
-	}
+	p.countPrefill(end)
 	switch {
 	case end == EndComplete:
 		return ActionRun
@@ -86,15 +79,7 @@
 // of res is used only for a complete answer. Delivered is true if the client has
 // received a part of the answer.
 func (p *Plan) AfterRun(now time.Time, target string, res Result, delivered bool) Action {
-	p.attempts++
-	switch res.End {
-	case EndNotSent:
-	case EndNotRun, EndMisdirected:
-		p.arrivals++
-	default:
-		p.arrivals++
-		p.possibleRuns++
-	}
+	p.countRun(res.End)
 	// Only a stream can continue at another target.
 	again := p.mayRunAgain() && (!delivered || p.Request.Route.Stream)
 	switch res.End {
@@ -126,6 +111,41 @@
 	return next, next.AfterRun(now, target, Result{End: EndTimeout}, false)
 }
 
+// AfterTrial records an attempt that failed while another target kept the
+// request.
+func (p *Plan) AfterTrial(target string, step tpplace.Step, end End) {
+	if step == tpplace.StepPrefill {
+		p.countPrefill(end)
+	} else {
+		p.countRun(end)
+	}
+	p.exclude = append(p.exclude, target)
+}
+
+func (p *Plan) countPrefill(end End) {
+	p.attempts++
+	if end == EndNotSent {
+		return
+	}
+	p.prefills++
+	if end != EndComplete || p.promptRead {
+		p.arrivals++
+	}
+	p.promptRead = p.promptRead || end == EndComplete
+}
+
+func (p *Plan) countRun(end End) {
+	p.attempts++
+	switch end {
+	case EndNotSent:
+	case EndNotRun, EndMisdirected:
+		p.arrivals++
+	default:
+		p.arrivals++
+		p.possibleRuns++
+	}
+}
+
 // GiveUp returns the action that ends a request whose next step was refused by
 // the placer.
 func (p *Plan) GiveUp(now time.Time) Action { return p.finalAction(now) }
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -78,9 +78,6 @@
 	// zero to end the exchange with EndTimeout. It is never called after the
 	// exchange has ended. If it is nil, the first timeout ends the exchange.
 	OnSilence func(begun bool) time.Duration
-	// OnResume is called if the target sent a part while OnSilence decided to
-	// end the exchange. The exchange goes on.
-	OnResume func()
 	// Notice, if it is not nil, is called when the head of an answer arrives in
 	// which the target says something about itself. The end of the answer may be
 	// many seconds later.
@@ -121,6 +118,7 @@
 	RecordEnd func(outcome string, took time.Duration)
 
 	workers    pond.Pool
+	trials     pond.Pool // runs the steps that begin while the target before keeps the request
 	window     int64
 	inProgress atomic.Int64 // tasks that have been started and have not ended
 }
@@ -130,7 +128,13 @@
 func (r *Relay) Start(window int) func() {
 	r.window = int64(window)
 	r.workers = pond.NewPool(window, pond.WithQueueSize(window))
-	return r.workers.StopAndWait
+	// A task has at most one trial with which it proceeds and another one that
+	// replaces it.
+	r.trials = pond.NewPool(2*window, pond.WithQueueSize(2*window))
+	return func() {
+		r.workers.StopAndWait()
+		r.trials.StopAndWait()
+	}
 }
 
 // Handle starts the task of a granted request. If all workers are busy, it
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,15 @@
 // runFunc runs one request. The placer grants t1, t2, ... for the given number
 // of further steps and refuses the rest.
 func runFunc(t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute, step tpplace.Step, grants int) (clientAnswer, []tpplace.StepResult) {
+	t.Helper()
+	return runFuncBeforeGrants(t, u, route, step, grants, func() {})
+}
+
+// runFuncBeforeGrants is runFunc with a function that is called before each
+// grant.
+func runFuncBeforeGrants(
+	t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute, step tpplace.Step, grants int, beforeGrant func(),
+) (clientAnswer, []tpplace.StepResult) {
 	t.Helper()
 	defer goleak.VerifyNone(t)
 	log := zerolog.Nop()
@@ -46,6 +56,9 @@
 	}
 	granted := 0
 	r.Place = func(in tpplace.Input) {
+		if in.Kind == tpplace.InputTargetRequest {
+			beforeGrant()
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		if in.Kind == tpplace.InputStepResult {
@@ -87,18 +100,25 @@
 }
 
 func TestEachReplacementIsReturned(t *testing.T) {
+	var next func() // delivers the next event of t0
 	u := &funcUpstream{run: func(_ context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
 		_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
-		for i := range 3 {
-			_ = deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", i), Event: i})
-			if i < 2 {
-				_ = s.OnSilence(true) // the next event arrives meanwhile, so the exchange goes on
+		number := 0
+		next = func() {
+			_ = deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", number), Event: number})
+			number++
+		}
+		next()
+		for range 2 {
+			// The next event arrives before the grant, so the exchange goes on.
+			if wait := s.OnSilence(true); wait <= 0 {
+				t.Errorf("wait after an event that arrived before the grant: got %v, want a positive one", wait)
 			}
 		}
 		_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
 		return tprelay.Result{Status: 200}
 	}}
-	got, results := runFunc(t, u, resumable, tpplace.StepRun, 2)
+	got, results := runFuncBeforeGrants(t, u, resumable, tpplace.StepRun, 2, func() { next() })
 	if got.text != "0 1 2 " || !got.ended {
 		t.Errorf("answer: got %q, complete %v, want a complete one", got.text, got.ended)
 	}
@@ -334,3 +354,156 @@
 		t.Errorf("target silent for 1.8 s: got %q, complete %v, broken %v; want %q complete", got.text, got.ended, got.broken, "0 1 2 ")
 	}
 }
+
+// Guards against an answer that is broken off because the target that replaces a silent one cannot be reached, has no room, or fails.
+func TestSilentTargetIsKeptUntilAnotherAccepts(t *testing.T) {
+	for _, end := range []tprelay.Result{
+		{End: tprelay.EndNotSent},
+		{End: tprelay.EndMisdirected, Status: 421},
+		{End: tprelay.EndNotRun, Status: 503},
+		{End: tprelay.EndIncomplete, Cut: true},
+	} {
+		var runs atomic.Int32
+		u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+			if runs.Add(1) > 1 {
+				return end
+			}
+			return sendWithPause(ctx, s, deliver, 2*time.Second)
+		}}
+		route := resumable
+		route.MaxAttempts = 3
+		got, results := runFunc(t, u, route, tpplace.StepRun, 2)
+		if got.text != "0 1 2 " || !got.ended || got.broken {
+			t.Errorf("replacement that ends as %v: got %q, complete %v, broken %v; want %q complete", end.End, got.text, got.ended, got.broken, "0 1 2 ")
+		}
+		if n := runs.Load(); n != 3 {
+			t.Errorf("replacement that ends as %v: got %d exchanges, want 3", end.End, n)
+		}
+		for _, name := range []string{"t1", "t2"} {
+			n := 0
+			for _, r := range results {
+				if r.Reservation.Target == name {
+					n++
+				}
+			}
+			if n != 1 {
+				t.Errorf("replacement that ends as %v: reservation at %s returned %d times, want once", end.End, name, n)
+			}
+		}
+	}
+}
+
+// Guards against a repeatable call that fails because the target that replaces a silent one refuses it.
+func TestSilentCallIsKeptUntilAnotherAccepts(t *testing.T) {
+	var runs atomic.Int32
+	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+		if runs.Add(1) > 1 {
+			return tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+		}
+		if !waitInSilence(ctx, s, time.Second, false) {
+			return tprelay.Result{End: tprelay.EndTimeout}
+		}
+		_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+		_ = deliver(tpmessage.AnswerPart{Data: []byte("whole"), Event: -1, End: true})
+		return tprelay.Result{Status: 200}
+	}}
+	route := tpmessage.RelayRoute{Idempotent: true, MaxAttempts: 2, LatencyGoal: 100 * time.Millisecond}
+	got, _ := runFunc(t, u, route, tpplace.StepCall, 1)
+	if got.text != "whole" || !got.ended {
+		t.Errorf("call silent for 1 s: got %q, complete %v, refusal %+v; want the whole answer", got.text, got.ended, got.refusal)
+	}
+}
+
+// Guards against a prompt that is given up because the target that replaces a silent one refuses to read it.
+func TestSilentPrefillIsKeptUntilAnotherAccepts(t *testing.T) {
+	var prefills atomic.Int32
+	u := &funcUpstream{
+		prefillFunc: func(ctx context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
+			if prefills.Add(1) > 1 {
+				return tprelay.Handle{}, tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+			}
+			if !waitInSilence(ctx, s, 3*time.Second, false) {
+				return tprelay.Handle{}, tprelay.Result{End: tprelay.EndTimeout}
+			}
+			return tprelay.Handle{Address: "t0:1", ID: "h"}, tprelay.Result{Status: 200}
+		},
+		run: func(_ context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+			if s.Handle.ID != "h" {
+				return tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+			}
+			_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+			_ = deliver(tpmessage.AnswerPart{Data: []byte("0 "), Event: 0})
+			_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+			return tprelay.Result{Status: 200}
+		},
+	}
+	got, _ := runFunc(t, u, resumable, tpplace.StepPrefill, 3)
+	if got.text != "0 " || !got.ended {
+		t.Errorf("prompt read in 3 s of 5 s: got %q, complete %v, refusal %+v; want a complete answer", got.text, got.ended, got.refusal)
+	}
+}
+
+// Guards against a stream that is in progress at two targets because the silent one goes on after another has accepted.
+func TestSilentTargetEndsOnceAnotherAccepts(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay time.Duration // until the answer of the replacement begins
+		pause time.Duration // after which the silent target goes on
+	}{
+		{"answers at once", 0, 1300 * time.Millisecond},
+		{"queues the request", time.Second, 1300 * time.Millisecond},
+		{"queues the request, and the silent target stays silent", time.Second, time.Minute},
+	} {
+		var runs atomic.Int32
+		var accepted, ended atomic.Int64 // times in nanoseconds
+		u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+			if runs.Add(1) == 1 {
+				defer func() { ended.Store(time.Now().UnixNano()) }()
+				return sendWithPause(ctx, s, deliver, test.pause)
+			}
+			accepted.Store(time.Now().UnixNano())
+			select {
+			case <-time.After(test.delay):
+			case <-ctx.Done():
+				return tprelay.Result{End: tprelay.EndCancelled}
+			}
+			_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+			for i := s.ResumeAfter + 1; i < 3; i++ {
+				_ = deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", i), Event: i})
+			}
+			_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+			return tprelay.Result{Status: 200}
+		}}
+		got, results := runFunc(t, u, resumable, tpplace.StepRun, 1)
+		if got.text != "0 1 2 " || !got.ended || got.broken {
+			t.Errorf("%s: got %q, complete %v, broken %v; want %q complete", test.name, got.text, got.ended, got.broken, "0 1 2 ")
+		}
+		if runs.Load() != 2 {
+			t.Fatalf("%s: got %d runs, want 2", test.name, runs.Load())
+		}
+		if both := time.Duration(ended.Load() - accepted.Load()); both > 400*time.Millisecond {
+			t.Errorf("%s: in progress at two targets for %v, want 400 ms at most", test.name, both)
+		}
+		if len(results) != 2 || results[0].Reservation.Target != "t0" || results[0].Outcome != tpplace.OutcomeLost || results[1].Outcome != tpplace.OutcomeServed {
+			t.Errorf("%s: results reported to the placer: got %+v, want a loss at t0 and one served", test.name, results)
+		}
+	}
+}
+
+// sendWithPause sends three events with a pause before the last one. It ends as
+// tpguest.Upstream does when an event cannot be delivered.
+func sendWithPause(
+	ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error, pause time.Duration,
+) tprelay.Result {
+	_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+	for i := range 3 {
+		if i == 2 && !waitInSilence(ctx, s, pause, true) {
+			return tprelay.Result{End: tprelay.EndTimeout}
+		}
+		if err := deliver(tpmessage.AnswerPart{Data: fmt.Appendf(nil, "%d ", i), Event: i}); err != nil {
+			return tprelay.Result{End: tprelay.EndIncomplete, Err: err}
+		}
+	}
+	_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+	return tprelay.Result{Status: 200}
+}
--- a/internal/relay/stage3/tprelay/silence.go
+++ b/internal/relay/stage3/tprelay/silence.go
@@ -1,6 +1,7 @@
 package tprelay
 
 import (
+	"errors"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
@@ -34,13 +35,15 @@
 
 // timeouts returns the silences after which another target is requested. They
 // are 0 for a request that may not run again: it waits until its deadline.
-func (t *task) timeouts() (firstByte, gap time.Duration) {
+func (t *task) timeouts(g *tpplace.Grant) (firstByte, gap time.Duration) {
 	route := &t.req.Route
 	switch {
+	case g.Step == tpplace.StepPrefill:
+		return prefillTimeoutMargin + g.QueueDelay + g.ReadTime, 0
 	case !route.Retryable():
 		return 0, 0
 	case route.Stream:
-		return firstEventTimeoutMargin + t.grant.QueueDelay + t.grant.ReadTime, max(minGapTimeout, gapTimeoutFactor*route.EventGapGoal)
+		return firstEventTimeoutMargin + g.QueueDelay + g.ReadTime, max(minGapTimeout, gapTimeoutFactor*route.EventGapGoal)
 	}
 	return callTimeoutFactor * route.LatencyGoal, 0
 }
@@ -56,10 +59,15 @@
 	return min(timeout, left)
 }
 
-// resolveDeadline changes a timeout of the target to a cancelled exchange if
-// the request's deadline has passed, so that it does not count as a fault of
-// the target.
-func (t *task) resolveDeadline(now time.Time, res Result) Result {
+// resolveEnd returns the result of a step. A step whose answer a trial has
+// replaced ended because its target was silent. After the request's deadline,
+// that does not count as a fault of the target.
+func (t *task) resolveEnd(now time.Time, end stepEnd) Result {
+	res := end.result
+	abandoned := res.End == EndComplete && len(end.failure) == 0 || errors.Is(res.Err, errReplaced)
+	if t.trial != nil && abandoned {
+		res = Result{End: EndTimeout, Err: errReplaced}
+	}
 	if res.End == EndTimeout && !now.Before(t.req.Deadline) {
 		res.End = EndCancelled
 	}
@@ -68,9 +76,9 @@
 
 // handleSilence decides whether the step in progress, whose target is silent,
 // ends. Silence alone does not end it, because a sound target may go on: either
-// another target has been granted, or the deadline for the beginning of the
-// answer has passed. Begun reports whether the answer has begun. It returns the
-// time until the next decision, or zero if the step ends.
+// another target has accepted the request, or the deadline for the beginning of
+// the answer has passed. Begun reports whether the answer has begun. It returns
+// the time until the next decision, or zero if the step ends.
 func (t *task) handleSilence(begun bool) (wait time.Duration) {
 	defer func() {
 		if value := recover(); value != nil {
@@ -78,26 +86,63 @@
 			wait = 0
 		}
 	}()
-	t.releaseReplacement()
-	now := t.r.Clock.Now()
-	left := t.req.Deadline.Sub(now)
-	if !begun && left <= 0 {
+	if !t.delivery.TryLock() {
+		return replacementInterval // a part is being delivered
+	}
+	parts, replaced := t.parts, t.trial != nil
+	t.delivery.Unlock()
+	left := t.req.Deadline.Sub(t.r.Clock.Now())
+	if replaced || !begun && left <= 0 {
 		return 0
 	}
-	next, action := t.plan.AfterSilence(now, t.grant.Target.Name, t.grant.Step)
-	if action == ActionRun || action == ActionPrefill {
-		if g := t.requestStep(&next, action, false, begun, true); g.Refusal == nil {
-			t.replacement = &g
-			return 0
-		}
+	if t.replace(begun, parts) {
+		return 0
 	}
-	t.reportSilence()
 	if !begun {
-		return min(replacementInterval, left)
+		return max(time.Millisecond, min(replacementInterval, t.req.Deadline.Sub(t.r.Clock.Now())))
 	}
 	return replacementInterval
 }
 
+// replace requests a target that replaces the silent one and tries it. It
+// reports whether that target has accepted the request. Parts is the number of
+// parts that the silent target had sent before.
+func (t *task) replace(begun bool, parts int) bool {
+	next, action := t.planAfterSilence()
+	if action != ActionRun && action != ActionPrefill {
+		t.reportSilence()
+		return false
+	}
+	g := t.requestStep(&next, action, false, begun, true)
+	if g.Refusal != nil {
+		t.reportSilence()
+		return false
+	}
+	if !t.delivery.TryLock() {
+		t.returnReservation(&g)
+		return false
+	}
+	defer t.delivery.Unlock()
+	// The grant may have taken so long that the target has gone on, or that the
+	// time left is too short.
+	_, action = t.planAfterSilence()
+	late := action != ActionRun && action != ActionPrefill
+	if late || t.parts != parts || t.ctx.Err() != nil || t.isBlocked(&g.Target) {
+		t.returnReservation(&g)
+		return false
+	}
+	t.countRetry(&next)
+	if t.try(g) {
+		return true
+	}
+	t.reportSilence()
+	return false
+}
+
+func (t *task) planAfterSilence() (Plan, Action) {
+	return t.plan.AfterSilence(t.r.Clock.Now(), t.grant.Target.Name, t.grant.Step)
+}
+
 // reportSilence has the placer avoid the target of the step in progress. The
 // reservation of the step stays.
 func (t *task) reportSilence() {
@@ -110,13 +155,10 @@
 	}})
 }
 
-// releaseReplacement returns the reservation of a replacement that is not used.
-func (t *task) releaseReplacement() {
-	if t.replacement == nil {
-		return
-	}
+// returnReservation returns the reservation of a grant whose step does not take
+// place.
+func (t *task) returnReservation(g *tpplace.Grant) {
 	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
-		Reservation: t.replacement.Reservation, Outcome: tpplace.OutcomeAbandoned, Route: t.req.Route.Name,
+		Reservation: g.Reservation, Outcome: tpplace.OutcomeAbandoned, Route: t.req.Route.Name,
 	}})
-	t.replacement = nil
 }
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
@@ -29,9 +30,13 @@
 	grant tpplace.Grant
 	// granted is true while the reservation of grant counts at its target.
 	granted bool
-	// replacement is the grant of the step that follows the one in progress,
-	// whose target is silent. It is nil if none is held.
-	replacement *tpplace.Grant
+	// trial is the step that follows the one in progress, whose target is
+	// silent. It is nil if none has been accepted.
+	trial *trial
+	// delivery is held while a part of the answer is delivered, and while it is
+	// open whether a trial is accepted. It guards parts.
+	delivery sync.Mutex
+	parts    int // delivered parts that show progress of the target
 	// silenceReported is true if the placer knows of a silence in the step in
 	// progress.
 	silenceReported bool
@@ -83,7 +88,7 @@
 		return
 	}
 	t.logPanic(value)
-	t.releaseReplacement()
+	t.abandonTrial()
 	if t.granted {
 		t.reportResult(Result{End: EndIncomplete}, 0)
 	}
@@ -122,7 +127,7 @@
 
 // step executes the granted step and returns the next action.
 func (t *task) step() Action {
-	if t.isBlocked(&t.grant.Target) {
+	if t.trial == nil && t.isBlocked(&t.grant.Target) {
 		return t.withhold()
 	}
 	if t.grant.Step == tpplace.StepPrefill {
@@ -131,86 +136,107 @@
 	return t.generate()
 }
 
-func (t *task) newUpstreamRequest() *UpstreamRequest {
-	return &UpstreamRequest{
-		Request: t.req, Target: t.grant.Target, Deadline: t.req.CompletionDeadline, FetchAddress: t.grant.FetchAddress,
-		Priority:    t.grant.Reservation.Priority,
-		ResumeAfter: t.lastEvent,
-		Notice:      t.reportNotice,
-	}
-}
-
 func (t *task) prefill() Action {
-	t.r.Counters.Prefills.Add(1)
-	s := t.newUpstreamRequest()
-	started := t.r.Clock.Now()
-	s.FirstByteTimeout = t.limitToDeadline(started, prefillTimeoutMargin+t.grant.QueueDelay+t.grant.ReadTime)
-	t.silenceReported = false
-	s.OnSilence = func(bool) time.Duration { return t.handleSilence(false) }
-	s.OnResume = t.releaseReplacement
-	h, res := t.r.Upstream.Prefill(t.ctx, s)
+	end, started := t.execute()
 	now := t.r.Clock.Now()
-	res = t.resolveDeadline(now, res)
+	res := t.resolveEnd(now, end)
 	t.reportResult(res, now.Sub(started))
-	action := t.plan.AfterPrefill(now, t.grant.Target.Name, res.End)
-	if res.End != EndTimeout || action == ActionRefuse {
-		t.releaseReplacement()
-	}
-	t.logStep(res, now.Sub(started))
+	action := t.afterTrial(t.plan.AfterPrefill(now, t.grant.Target.Name, res.End))
+	t.logStep(&t.grant, res, now.Sub(started))
 	if res.End == EndComplete {
-		t.handle, t.holder = h, t.grant.Target
+		t.handle, t.holder = end.handle, t.grant.Target
 	}
 	return action
 }
 
 func (t *task) generate() Action {
-	t.countRun()
-	s := t.newUpstreamRequest()
-	s.Handle = t.handle
-	started := t.r.Clock.Now()
-	s.FirstByteTimeout, s.GapTimeout = t.timeouts()
-	resumed := t.delivered
-	if !resumed {
-		s.FirstByteTimeout = t.limitToDeadline(started, s.FirstByteTimeout)
-	}
-	t.silenceReported = false
-	s.OnSilence = func(begun bool) time.Duration { return t.handleSilence(begun || resumed) }
-	s.OnResume = t.releaseReplacement
 	t.buffered, t.bufferedBytes, t.eventCount, t.answerBegun = nil, 0, 0, false
 	t.continuation.begin(t.delivered, t.lastEvent)
-	res, failure := t.r.Upstream.Run(t.ctx, s, t.deliver)
+	end, started := t.execute()
 	now := t.r.Clock.Now()
-	res = t.resolveDeadline(now, res)
+	res := t.resolveEnd(now, end)
 	if res.End == EndComplete || res.End == EndIncomplete || res.End == EndTimeout {
 		t.handle = Handle{} // taken over by the target
 	}
 	t.reportResult(res, 0)
-	if len(failure) > 0 || res.End == EndComplete {
-		t.failedAnswer = failure
+	if len(end.failure) > 0 || res.End == EndComplete {
+		t.failedAnswer = end.failure
 	}
-	action := t.plan.AfterRun(now, t.grant.Target.Name, res, t.delivered)
-	if res.End != EndTimeout || action != ActionRun {
-		t.releaseReplacement()
-	}
-	t.logStep(res, now.Sub(started))
+	action := t.afterTrial(t.plan.AfterRun(now, t.grant.Target.Name, res, t.delivered))
+	t.logStep(&t.grant, res, now.Sub(started))
 	return action
 }
 
-func (t *task) countRun() {
-	if t.grant.Step == tpplace.StepCall {
-		t.r.Counters.Calls.Add(1)
-		return
+// execute carries out the granted step, or the rest of it if it began as a
+// trial.
+func (t *task) execute() (end stepEnd, started time.Time) {
+	t.silenceReported = false
+	if tr := t.trial; tr != nil {
+		t.trial = nil
+		return tr.proceed(), tr.started
 	}
-	t.r.Counters.Runs.Add(1)
-	if t.delivered {
-		t.r.Counters.Resumes.Add(1)
+	t.countStep(&t.grant)
+	s := t.newUpstreamRequest(&t.grant)
+	s.Handle = t.handle
+	begun := t.delivered
+	s.OnSilence = func(b bool) time.Duration { return t.handleSilence(b || begun) }
+	started = t.r.Clock.Now()
+	return t.exchange(t.ctx, &t.grant, s, t.deliver), started
+}
+
+// exchange sends a step to its target.
+func (t *task) exchange(ctx context.Context, g *tpplace.Grant, s *UpstreamRequest, deliver func(tpmessage.AnswerPart) error) (end stepEnd) {
+	if g.Step == tpplace.StepPrefill {
+		end.handle, end.result = t.r.Upstream.Prefill(ctx, s)
+	} else {
+		end.result, end.failure = t.r.Upstream.Run(ctx, s, deliver)
+	}
+	return end
+}
+
+func (t *task) newUpstreamRequest(g *tpplace.Grant) *UpstreamRequest {
+	target := g.Target
+	s := &UpstreamRequest{
+		Request: t.req, Target: target, Deadline: t.req.CompletionDeadline, FetchAddress: g.FetchAddress,
+		Priority:    g.Reservation.Priority,
+		ResumeAfter: t.lastEvent,
+		Notice:      func(n tpmessage.TargetNotice) { t.reportNotice(&target, n) },
+	}
+	now := t.r.Clock.Now()
+	s.FirstByteTimeout, s.GapTimeout = t.timeouts(g)
+	if g.Step == tpplace.StepPrefill || !t.delivered {
+		s.FirstByteTimeout = t.limitToDeadline(now, s.FirstByteTimeout)
+	}
+	return s
+}
+
+func (t *task) countStep(g *tpplace.Grant) {
+	switch g.Step {
+	case tpplace.StepPrefill:
+		t.r.Counters.Prefills.Add(1)
+	case tpplace.StepCall:
+		t.r.Counters.Calls.Add(1)
+	default:
+		t.r.Counters.Runs.Add(1)
+		if t.delivered {
+			t.r.Counters.Resumes.Add(1)
+		}
 	}
 }
 
 // deliver receives a part of a successful answer. It holds the head of a stream
 // until the first event, and the answer of a plain service until its end, so
-// that another attempt can still replace them.
+// that another attempt can still replace them. While it is open whether a trial
+// is accepted, it waits; after that it returns errReplaced.
 func (t *task) deliver(part tpmessage.AnswerPart) error {
+	t.delivery.Lock()
+	defer t.delivery.Unlock()
+	if t.trial != nil {
+		return errReplaced
+	}
+	if part.Event >= 0 || !t.req.Route.Stream {
+		t.parts++
+	}
 	t.noteBegin(&part)
 	if !t.req.Route.Stream {
 		return t.buffer(part)
@@ -281,22 +307,28 @@
 	return nil
 }
 
-// requestNext takes over the grant of the next step: the replacement that was
-// granted while the last target was silent, or a new one. It returns false if
-// the placer refuses.
+// requestNext takes over the step that began as a trial while the last target
+// was silent, or requests a new one. It returns false if the placer refuses.
 func (t *task) requestNext(action Action) bool {
-	var g tpplace.Grant
-	if t.replacement != nil {
-		g, t.replacement = *t.replacement, nil
-	} else {
-		g = t.requestStep(&t.plan, action, t.handle.ID != "", t.delivered, false)
+	if t.trial != nil {
+		t.grant, t.granted = t.trial.grant, true
+		return true
 	}
+	g := t.requestStep(&t.plan, action, t.handle.ID != "", t.delivered, false)
 	t.grant, t.granted = g, g.Refusal == nil
-	if t.granted && t.plan.IsRetry() {
+	if t.granted {
+		t.countRetry(&t.plan)
+	}
+	return t.granted
+}
+
+// countRetry counts the arrival of a granted step if it counts against the retry
+// budget after the arrivals of plan.
+func (t *task) countRetry(plan *Plan) {
+	if plan.IsRetry() {
 		t.plan.CountRetry()
 		t.r.Counters.Retries.Add(1)
 	}
-	return t.granted
 }
 
 // requestStep requests the grant of the step for an action. Begun reports
@@ -332,10 +364,20 @@
 	return g
 }
 
-// reportResult reports the result of a step to the placer.
+// reportResult reports the result of the step in progress to the placer.
 func (t *task) reportResult(res Result, took time.Duration) {
 	t.granted = false
+	r := t.stepResult(&t.grant, res)
 	ran := t.grant.Step != tpplace.StepPrefill
+	r.Elapsed, r.Streamed = took, t.lastEventAt.Sub(t.firstEventAt)
+	r.Events, r.EventTokens = t.eventCount, t.eventTokens()
+	r.Cut = res.Cut && ran && !t.answerBegun
+	r.Answered = res.End == EndComplete && ran && res.Status/100 == 2 && (t.answerBegun || !t.req.Route.Stream)
+	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: r})
+}
+
+// stepResult returns the result of a step without an answer.
+func (t *task) stepResult(g *tpplace.Grant, res Result) tpplace.StepResult {
 	outcome := tpplace.OutcomeServed
 	switch res.End {
 	case EndComplete:
@@ -353,12 +395,10 @@
 	case EndCancelled:
 		outcome = tpplace.OutcomeAbandoned
 	}
-	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
-		Reservation: t.grant.Reservation, Outcome: outcome, Route: t.req.Route.Name, Elapsed: took,
-		Events: t.eventCount, EventTokens: t.eventTokens(), Streamed: t.lastEventAt.Sub(t.firstEventAt),
-		Request: t.req, StartedMs: t.grant.Target.StartedMs, Cut: res.Cut && ran && !t.answerBegun,
-		Answered: res.End == EndComplete && ran && res.Status/100 == 2 && (t.answerBegun || !t.req.Route.Stream),
-	}})
+	return tpplace.StepResult{
+		Reservation: g.Reservation, Outcome: outcome, Route: t.req.Route.Name, Request: t.req,
+		StartedMs: g.Target.StartedMs, Cut: res.Cut && g.Step != tpplace.StepPrefill,
+	}
 }
 
 func (t *task) eventTokens() int {
@@ -433,17 +473,17 @@
 	t.r.Upstream.Free(ctx, t.handle)
 }
 
-func (t *task) logStep(res Result, took time.Duration) {
+func (t *task) logStep(g *tpplace.Grant, res Result, took time.Duration) {
 	t.attemptCount++
-	e := t.r.Log.Info().Str("event", "step").Str("request", t.req.ID).Str("step", t.grant.Step.String()).
-		Int("send", t.attemptCount).Str("target", t.grant.Target.Name).Str("end", res.End.String()).
-		Int64("tookMs", took.Milliseconds()).Int64("waitMs", t.grant.QueueDelay.Milliseconds()).
-		Int64("readMs", t.grant.ReadTime.Milliseconds()).Int("candidates", t.grant.Diagnostics.Candidates).
-		Int("priority", t.grant.Reservation.Priority).Int("rank", t.grant.Diagnostics.Rank).Int("runs", t.grant.Diagnostics.Runs).Int("prefill", t.grant.Diagnostics.Prefill).
-		Int("nodes", t.grant.Diagnostics.Nodes).Int64("loadAgeMs", t.grant.Diagnostics.OldestLoad.Milliseconds()).
-		Uint64("registration", t.grant.Target.Revision)
-	if t.grant.FetchAddress != "" {
-		e = e.Str("fetch", t.grant.FetchAddress)
+	e := t.r.Log.Info().Str("event", "step").Str("request", t.req.ID).Str("step", g.Step.String()).
+		Int("send", t.attemptCount).Str("target", g.Target.Name).Str("end", res.End.String()).
+		Int64("tookMs", took.Milliseconds()).Int64("waitMs", g.QueueDelay.Milliseconds()).
+		Int64("readMs", g.ReadTime.Milliseconds()).Int("candidates", g.Diagnostics.Candidates).
+		Int("priority", g.Reservation.Priority).Int("rank", g.Diagnostics.Rank).Int("runs", g.Diagnostics.Runs).Int("prefill", g.Diagnostics.Prefill).
+		Int("nodes", g.Diagnostics.Nodes).Int64("loadAgeMs", g.Diagnostics.OldestLoad.Milliseconds()).
+		Uint64("registration", g.Target.Revision)
+	if g.FetchAddress != "" {
+		e = e.Str("fetch", g.FetchAddress)
 	}
 	if res.Status != 0 {
 		e = e.Int("status", res.Status)
--- a/internal/request/stage5/tpsender/plan_test.go
+++ b/internal/request/stage5/tpsender/plan_test.go
@@ -175,3 +175,22 @@
 		t.Errorf("used: got %d, want %d", got, tpsender.BudgetBurst)
 	}
 }
+
+// Guards against a stream that is given up at a silent target although all others refuse it.
+func TestStalledTargetIsAskedAgainWhenOthersRefuse(t *testing.T) {
+	a := assignment(true)
+	p := tpsender.NewPlan(a)
+	now := a.Work.Request.Deadline.Add(-time.Minute)
+	usable := func(string) bool { return true }
+	first := p.First()
+	step, ok := p.Next(now, tpsender.AttemptEnd{Outcome: tpmessage.OutcomeInterrupted, Stalled: true}, usable)
+	for range len(p.Targets()) - 1 {
+		if !ok || step.Target.Name == first.Name {
+			t.Fatalf("step after a silence or a refusal: got %v at %q, want one at another target", ok, step.Target.Name)
+		}
+		step, ok = p.Next(now, tpsender.AttemptEnd{Outcome: tpmessage.OutcomeRefused}, usable)
+	}
+	if !ok || step.Target.Name != first.Name {
+		t.Errorf("step after all others have refused: got %v at %q, want one at %q", ok, step.Target.Name, first.Name)
+	}
+}
