Let a failure of the store age when nodes tell each other of it

Cause, the first of two for that grace: a passive node that heard of a failed call took the time of hearing for the time of the failure and told others of it in turn, so that passive nodes kept the store disturbed for good after one failed call.

Evidence: TestDisturbanceEndsAtNodesThatTellEachOther, eight followers, fails on the code before (node 1 still disturbed 3.1 s after the calls succeed again; 3 s are allowed).

Change: heartbeats carry the age of the failure, as of the moment at which they are sent, also after a wait in the ring. A receiver adds 50 ms, more than a heartbeat takes on its way, so that no failure becomes younger. A node of an earlier version sends no age, which counts as a failure now.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -93,7 +93,8 @@
 	}
 	for _, v := range hb.Views {
 		m.Views = append(m.Views, &tpwire.ViewMark{
-			Kind: v.Kind, Version: v.Version, Digest: v.Digest, Disturbed: v.Disturbed,
+			Kind: v.Kind, Version: v.Version, Digest: v.Digest,
+			Disturbed: v.Disturbed, DisturbedAgeMs: uint32(v.DisturbedAge.Milliseconds()),
 		})
 	}
 	for _, l := range hb.Leaving {
@@ -130,7 +131,8 @@
 	}
 	for _, v := range m.GetViews() {
 		hb.Views = append(hb.Views, tpmessage.ViewVersion{
-			Kind: v.GetKind(), Version: v.GetVersion(), Digest: v.GetDigest(), Disturbed: v.GetDisturbed(),
+			Kind: v.GetKind(), Version: v.GetVersion(), Digest: v.GetDigest(),
+			Disturbed: v.GetDisturbed(), DisturbedAge: time.Duration(v.GetDisturbedAgeMs()) * time.Millisecond,
 		})
 	}
 	for _, l := range m.GetLeavingTargets() {
--- a/internal/node/tprelaynode/guard_test.go
+++ b/internal/node/tprelaynode/guard_test.go
@@ -136,7 +136,7 @@
 	n.placement.in = tpring.New[tpplace.Input](tpring.Settings{Capacity: 4})
 	n.members = &members{
 		node: n, collector: tpcollect.New(self), pendingReports: make(map[string]time.Time),
-		newViewVersions: tpring.New[[]tpmessage.ViewVersion](tpring.Settings{Capacity: 1}),
+		newViewVersions: tpring.New[datedVersions](tpring.Settings{Capacity: 1}),
 		table: tpmember.NewTable(tpmember.Settings{
 			Self: self, Random: rand.New(rand.NewPCG(1, 2)), SuspectAfter: suspectAfter, DropAfter: suspectAfter + dropDelay,
 		}),
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -86,9 +86,12 @@
 	reply     *tpring.Ring[tpmessage.Heartbeat] // of a received heartbeat
 }
 
+// outgoingHeartbeat is a heartbeat that waits for a sender, which adds the view
+// versions.
 type outgoingHeartbeat struct {
 	address   string
 	heartbeat tpmessage.Heartbeat
+	views     datedVersions
 }
 
 // members holds the rings and the state of the membership filter:
@@ -98,11 +101,11 @@
 	node            *Node
 	in              *tpring.Ring[memberInput]
 	out             *tpring.Ring[outgoingHeartbeat]
-	newViewVersions *tpring.Ring[[]tpmessage.ViewVersion] // the latest, from the object filter
+	newViewVersions *tpring.Ring[datedVersions] // the latest, from the object filter
 	table           *tpmember.Table
 	client          *tppeer.Client
 	ownLoad         tpmessage.NodeLoad
-	viewVersions    []tpmessage.ViewVersion
+	views           datedVersions
 	evidence        []tpmessage.SuspectRequest // of the placement filter, for heartbeats
 	reportInterval  atomic.Int64               // time between two load reports of this zone
 	// collector merges the loads of the nodes. reportsSent counts this node's
@@ -127,7 +130,7 @@
 		node:            n,
 		in:              tpring.New[memberInput](tpring.Settings{Capacity: memberRingCapacity}),
 		out:             tpring.New[outgoingHeartbeat](tpring.Settings{Capacity: heartbeatRingCapacity}),
-		newViewVersions: tpring.New[[]tpmessage.ViewVersion](tpring.Settings{Capacity: 1}),
+		newViewVersions: tpring.New[datedVersions](tpring.Settings{Capacity: 1}),
 		table: tpmember.NewTable(tpmember.Settings{
 			Self: self, Seeds: n.cfg.Seeds, Random: n.random,
 			SuspectAfter: suspectAfter, DropAfter: suspectAfter + dropDelay, SameZoneFanout: sameZonePeers,
@@ -180,8 +183,8 @@
 	if ownLoad, err := n.placement.load.TryTake(); err == nil {
 		m.ownLoad = ownLoad
 	}
-	if viewVersions, err := m.newViewVersions.TryTake(); err == nil {
-		m.viewVersions = viewVersions
+	if views, err := m.newViewVersions.TryTake(); err == nil {
+		m.views = views
 	}
 	if evidence, err := n.placement.evidence.TryTake(); err == nil {
 		m.evidence = evidence
@@ -197,7 +200,7 @@
 		r := m.table.Tick(now)
 		hb := m.completeHeartbeat(r.Heartbeat, m.ownLoad)
 		for _, address := range r.Addresses {
-			_ = m.out.PutDropOldest(outgoingHeartbeat{address: address, heartbeat: hb})
+			m.send(address, hb)
 		}
 		m.loadsChanged = true // old loads may have expired
 		m.publishLoads(now)
@@ -206,7 +209,7 @@
 	case memberViewChanged, memberQuarantined:
 		hb := m.completeHeartbeat(m.table.BriefTick(now), m.ownLoad)
 		for _, member := range m.table.Members()[1:] {
-			_ = m.out.PutDropOldest(outgoingHeartbeat{address: member.Address, heartbeat: hb})
+			m.send(member.Address, hb)
 		}
 	case memberHeartbeat:
 		m.answerHeartbeat(now, in)
@@ -230,7 +233,9 @@
 	if len(in.heartbeat.Loads) > 0 {
 		answerLoad = m.collector.Answer(now, m.ownLoad, in.heartbeat.Loads[0])
 	}
-	_ = in.reply.Put(m.completeHeartbeat(answer, answerLoad))
+	out := m.completeHeartbeat(answer, answerLoad)
+	out.Views = m.views.ageTo(now)
+	_ = in.reply.Put(out)
 	m.processHeartbeat(now, in.heartbeat, "")
 }
 
@@ -252,7 +257,7 @@
 		}
 		load := m.collector.Report(now, m.ownLoad)
 		load.Report = true
-		_ = m.out.PutDropOldest(outgoingHeartbeat{address: address, heartbeat: m.completeHeartbeat(update, load)})
+		m.send(address, m.completeHeartbeat(update, load))
 	}
 	m.publishLoads(now)
 }
@@ -267,15 +272,19 @@
 	return unservedFanout, sameZonePeers
 }
 
-// completeHeartbeat adds a load, the view versions and the evidence about
-// requests that crash targets to a heartbeat.
+// completeHeartbeat adds a load and the evidence about requests that crash
+// targets to a heartbeat.
 func (m *members) completeHeartbeat(hb tpmessage.Heartbeat, load tpmessage.NodeLoad) tpmessage.Heartbeat {
 	hb.Loads = []tpmessage.NodeLoad{load}
-	hb.Views = m.viewVersions
 	hb.Suspects = m.evidence
 	return hb
 }
 
+// send passes a heartbeat with the current view versions to the senders.
+func (m *members) send(address string, hb tpmessage.Heartbeat) {
+	_ = m.out.PutDropOldest(outgoingHeartbeat{address: address, heartbeat: hb, views: m.views})
+}
+
 // processHeartbeat passes the loads of a peer's heartbeat to the collector, its
 // evidence to the placement filter and its view versions to the object filter.
 // A full placement ring discards the evidence; the next heartbeat repeats it. If address is empty, it uses the
@@ -334,6 +343,7 @@
 // does not report a failure, because the filter suspects a peer that does not
 // answer.
 func (m *members) sendHeartbeat(ctx context.Context, o outgoingHeartbeat) {
+	o.heartbeat.Views = o.views.ageTo(m.node.clock.Now())
 	answer, err := m.client.Heartbeat(ctx, o.address, o.heartbeat)
 	if err != nil {
 		return
--- a/internal/node/tprelaynode/members_test.go
+++ b/internal/node/tprelaynode/members_test.go
@@ -151,3 +151,17 @@
 		}
 	}
 }
+
+// Guards against a failure of the platform that becomes younger while a heartbeat that tells of it waits for a sender.
+func TestDisturbanceAgesInTheQueue(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	v := datedVersions{at: at, versions: []tpmessage.ViewVersion{
+		{Kind: "servers", Disturbed: true, DisturbedAge: time.Second}, {Kind: "config"},
+	}}
+	for range 2 {
+		got := v.ageTo(at.Add(800 * time.Millisecond))
+		if got[0].DisturbedAge != 1800*time.Millisecond || got[1].DisturbedAge != 0 {
+			t.Errorf("ages after 0.8 s in the queue: got %v and %v, want 1.8 s and 0", got[0].DisturbedAge, got[1].DisturbedAge)
+		}
+	}
+}
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -59,6 +59,23 @@
 	viewVersions []tpmessage.ViewVersion
 }
 
+// datedVersions are the versions of the node's views at a time.
+type datedVersions struct {
+	versions []tpmessage.ViewVersion
+	at       time.Time
+}
+
+// ageTo returns the versions as of a later time.
+func (v datedVersions) ageTo(now time.Time) []tpmessage.ViewVersion {
+	versions := slices.Clone(v.versions)
+	for i := range versions {
+		if versions[i].Disturbed {
+			versions[i].DisturbedAge += now.Sub(v.at)
+		}
+	}
+	return versions
+}
+
 // fetch is a call to the platform or to a peer, which a duty makes.
 type fetch struct {
 	kind   string
@@ -347,11 +364,11 @@
 	for _, w := range f.followers {
 		if _, known := w.View(); known {
 			m := w.CurrentVersion()
-			m.Disturbed = w.Disturbed(now)
+			m.Disturbed, m.DisturbedAge = w.Disturbance(now)
 			viewVersions = append(viewVersions, m)
 		}
 	}
-	_ = f.node.members.newViewVersions.PutDropOldest(viewVersions)
+	_ = f.node.members.newViewVersions.PutDropOldest(datedVersions{versions: viewVersions, at: now})
 	contentChanged := !slices.EqualFunc(viewVersions, f.publishedVersions, func(a, b tpmessage.ViewVersion) bool { return a.Digest == b.Digest })
 	f.publishedVersions = viewVersions
 	if contentChanged && f.serving.Load() {
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -31,6 +31,10 @@
 	// counts as disturbed. Registrations lapse while their owners cannot reach
 	// the platform.
 	disturbedPeriod = 3 * time.Second
+	// relayAllowance is added to the age of a failure of which a peer tells. It
+	// exceeds the time that a heartbeat is on its way, so that a failure does not
+	// become younger when nodes tell each other of it.
+	relayAllowance = 50 * time.Millisecond
 )
 
 // ActionKind is the kind of a call that a follower requests.
@@ -69,7 +73,7 @@
 	platformCallPending bool          // a call to the platform is in progress
 	canWatch            bool          // a watch can start from view.Version
 	failures            int           // consecutive failed calls
-	failedAt            time.Time     // last failure, or zero
+	failedAt            time.Time     // last failure here or, of a passive follower, at a peer; or zero
 	watchedAt           time.Time     // last result of a watch, or zero
 	watchPause          time.Duration // delay of the next watch
 	peerCallPending     bool          // a call to a peer is in progress
@@ -94,6 +98,14 @@
 	return f.failures > 0 || (!f.failedAt.IsZero() && now.Sub(f.failedAt) < disturbedPeriod)
 }
 
+// Disturbance returns Disturbed and the time since the last failure.
+func (f *Follower) Disturbance(now time.Time) (disturbed bool, age time.Duration) {
+	if !f.Disturbed(now) || f.failures > 0 {
+		return f.failures > 0, 0
+	}
+	return true, now.Sub(f.failedAt)
+}
+
 // SetPassive sets whether other nodes watch the platform for this one. A
 // passive follower calls the platform only until it has a view and has called the
 // platform once: a peer that has lost the platform may send an old view to a
@@ -206,11 +218,11 @@
 }
 
 // HandlePeerVersion processes the version and the digest of a peer's view. A
-// passive follower relies on the peer's Disturbed flag, because it makes no
-// calls that could fail.
+// passive follower relies on the failure of which the peer tells, because it
+// makes no calls that could fail. It tells others of it in turn, with its age.
 func (f *Follower) HandlePeerVersion(now time.Time, peer string, version tpmessage.ViewVersion) {
-	if version.Disturbed && f.passive {
-		f.failedAt = now
+	if failedAt := now.Add(-version.DisturbedAge - relayAllowance); version.Disturbed && f.passive && failedAt.After(f.failedAt) {
+		f.failedAt = failedAt
 	}
 	if version.Version == 0 || (f.known && (version.Version <= f.view.Version || version.Digest == f.digest)) {
 		return
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -209,6 +210,44 @@
 	}
 }
 
+// Guards against passive nodes that keep the platform disturbed for good because they tell each other of one failure.
+func TestDisturbanceEndsAtNodesThatTellEachOther(t *testing.T) {
+	const nodes, transit = 8, 20 * time.Millisecond
+	rng := rand.New(rand.NewPCG(20261205, 1))
+	followers := make([]*tpfollow.Follower, nodes)
+	for i := range followers {
+		followers[i] = newFollower(t, view(5))
+		followers[i].SetPassive(i > 0)
+	}
+	followers[0].HandleWatch(epoch, nil, 0, errors.New("turned away"))
+	served := epoch.Add(time.Second)
+	heard := 0
+	for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		if now.Equal(served) {
+			followers[0].HandleWatch(now, nil, 5, nil)
+		}
+		for _, from := range rng.Perm(nodes) {
+			m := followers[from].CurrentVersion()
+			m.Disturbed, m.DisturbedAge = followers[from].Disturbance(now)
+			for _, to := range rng.Perm(nodes)[:3] {
+				followers[to].HandlePeerVersion(now.Add(transit), "peer:1", m)
+			}
+		}
+		for i, f := range followers {
+			disturbed := f.Disturbed(now.Add(transit))
+			if disturbed && i > 0 {
+				heard++
+			}
+			if after := now.Sub(served); disturbed && after > 3*time.Second {
+				t.Fatalf("node %d: disturbed %v after the calls succeed again, want 3 s at most", i, after)
+			}
+		}
+	}
+	if heard == 0 {
+		t.Error("passive nodes that hear of a failure: got none, want all")
+	}
+}
+
 // Guards against one call to the platform for each of many changes that come
 // within milliseconds, and against a change that waits although no other one has
 // come before it.
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -1,5 +1,7 @@
 package tpmessage
 
+import "time"
+
 // Heartbeat is the state of the region that one node sends to another. The
 // receiver answers with a heartbeat of its own.
 type Heartbeat struct {
@@ -20,10 +22,12 @@
 	Kind    string
 	Version uint64 // version of the store
 	Digest  uint64 // hash of the content
-	// Disturbed is true if calls of the node to the platform have recently
-	// failed, so that registrations may have expired although their targets are
-	// up.
-	Disturbed bool
+	// Disturbed is true if calls to the platform have recently failed, at the
+	// node or at one of which it has heard, so that registrations may have
+	// expired although their targets are up. DisturbedAge is the time since the
+	// last such failure.
+	Disturbed    bool
+	DisturbedAge time.Duration
 }
 
 // MemberState is the state of one member at one of its heartbeats. Name,
