End the failures of a node that leaves the calls to the store to others

A watcher that the store turned away became passive right after, made no further call that could have succeeded, and so was disturbed for good and told all others.

Change: a follower that leaves the calls to others keeps the time of its last failure, which ends after 3 s, and not their number. One that still has to call, because it has no view, keeps its backoff (TestPassiveFollowerWithoutViewWaitsBetweenCalls).

--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -109,8 +109,16 @@
 // SetPassive sets whether other nodes watch the platform for this one. A
 // passive follower calls the platform only until it has a view and has called the
 // platform once: a peer that has lost the platform may send an old view to a
-// node that has just started.
-func (f *Follower) SetPassive(passive bool) { f.passive = passive }
+// node that has just started. The failures of a follower that makes no more calls
+// end with their disturbedPeriod, because no call can end them.
+func (f *Follower) SetPassive(passive bool) {
+	f.passive = passive
+	if f.leavesCallsToOthers() {
+		f.failures = 0
+	}
+}
+
+func (f *Follower) leavesCallsToOthers() bool { return f.passive && f.known && f.contacted }
 
 // Serving reports whether a watch is in progress and the last call to the
 // platform succeeded.
@@ -123,7 +131,7 @@
 // Next returns the call to the platform to make now. It returns no call while
 // another one is in progress.
 func (f *Follower) Next() Action {
-	if f.platformCallPending || (f.passive && f.known && f.contacted) {
+	if f.platformCallPending || f.leavesCallsToOthers() {
 		return Action{}
 	}
 	f.platformCallPending = true
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -248,6 +248,35 @@
 	}
 }
 
+// Guards against a node that counts the platform as disturbed for good because it leaves the calls to others after a failed one.
+func TestFailureOfAPassiveFollowerEnds(t *testing.T) {
+	f := newFollower(t, view(5))
+	f.HandleWatch(epoch, nil, 0, errors.New("turned away"))
+	if !f.Disturbed(epoch.Add(time.Hour)) {
+		t.Error("an hour after a failed call that was not repeated: got undisturbed, want disturbed")
+	}
+	f.SetPassive(true)
+	if !f.Disturbed(epoch.Add(2*time.Second)) || f.Disturbed(epoch.Add(4*time.Second)) {
+		t.Error("a passive node is not disturbed for three seconds after its failed call")
+	}
+	f.SetPassive(false)
+	if a := f.Next(); a.Kind != tpfollow.ActionWatch || a.Delay != 0 {
+		t.Errorf("call after the others stopped theirs: got %+v, want a watch without delay", a)
+	}
+}
+
+// Guards against a store that is asked without pause by a node that has no view yet.
+func TestPassiveFollowerWithoutViewWaitsBetweenCalls(t *testing.T) {
+	f := &tpfollow.Follower{Kind: "servers"}
+	f.SetPassive(true)
+	f.Next()
+	f.HandleView(epoch, tpobject.View{}, errors.New("down"))
+	f.SetPassive(true)
+	if a := f.Next(); a.Kind != tpfollow.ActionView || a.Delay == 0 {
+		t.Errorf("call after a failed one: got %+v, want one with a delay", a)
+	}
+}
+
 // Guards against one call to the platform for each of many changes that come
 // within milliseconds, and against a change that waits although no other one has
 // come before it.
