Suspect dead members in time when the collector is dead too

Cause: a node takes over the watch of the store once the watchers ahead are suspected. Members were checked for silence only when a heartbeat was due. A report to a dead collector stays pending for a second, so that the suspicion came up to 2.2 s after the kill instead of 1.5 s; the list of members was then up to 200 ms old.

Evidence: TestDeadMembersAreSuspectedWithoutACollector fails on the commit before (four dead watchers still count after 1.6 s).

Change: members are checked every 100 ms, whether or not a report is due, and the list is read at once when a member's state changes. The timeouts stay as they are.

--- a/internal/membership/tpmember/table.go
+++ b/internal/membership/tpmember/table.go
@@ -149,8 +149,7 @@
 // Tick marks silent members as suspected or dropped and returns the next
 // heartbeat.
 func (t *Table) Tick(now time.Time) OutgoingHeartbeat {
-	t.extendDeadlinesAfterPause(now)
-	t.updateStatus(now)
+	t.Check(now)
 	if t.self.Address == "" {
 		return OutgoingHeartbeat{}
 	}
@@ -158,11 +157,16 @@
 	return OutgoingHeartbeat{Heartbeat: t.heartbeat(now, nil, false), Addresses: t.choosePeers()}
 }
 
+// Check marks silent members as suspected or dropped without a heartbeat.
+func (t *Table) Check(now time.Time) {
+	t.extendDeadlinesAfterPause(now)
+	t.updateStatus(now)
+}
+
 // BriefTick is Tick for a heartbeat that contains only the entry of this node and
 // whose addresses the caller chooses.
 func (t *Table) BriefTick(now time.Time) tpmessage.Heartbeat {
-	t.extendDeadlinesAfterPause(now)
-	t.updateStatus(now)
+	t.Check(now)
 	t.heartbeatCounter++
 	return tpmessage.Heartbeat{
 		Generation: t.self.Generation, Brief: true,
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -42,7 +42,7 @@
 	// and without a collector that answers the node's reports.
 	servedFanout, unservedFanout = 1, 3
 	// memberRefreshInterval is the time between two reads of the live members
-	// from the table, which copy all of them.
+	// from the table, which copy all of them, while the state of none changes.
 	memberRefreshInterval = 200 * time.Millisecond
 	// reportTickInterval is the interval at which the filter checks which load
 	// reports to the collector are due. The intervals of the collection are
@@ -205,6 +205,8 @@
 		m.loadsChanged = true // old loads may have expired
 		m.publishLoads(now)
 	case memberReport:
+		// No report may be due for a second while the collector does not answer.
+		m.table.Check(now)
 		m.sendReports(now)
 	case memberViewChanged, memberQuarantined:
 		hb := m.completeHeartbeat(m.table.BriefTick(now), m.ownLoad)
@@ -218,7 +220,11 @@
 		m.table.Answer(now, in.heartbeat)
 		m.processHeartbeat(now, in.heartbeat, in.address)
 	}
-	for _, c := range m.table.Changes() {
+	changes := m.table.Changes()
+	if len(changes) > 0 {
+		m.refreshMembers(now)
+	}
+	for _, c := range changes {
 		n.log.Info().Str("event", string(c.Kind)).Str("member", c.Member.Name).Str("address", c.Member.Address).
 			Str("incarnation", c.Member.Incarnation).Send()
 	}
@@ -310,12 +316,7 @@
 // role filters, if they may have changed since the last call.
 func (m *members) publishLoads(now time.Time) {
 	if now.Sub(m.refreshedAt) >= memberRefreshInterval {
-		m.refreshedAt = now
-		liveMembers := m.table.Members()
-		m.liveMembers.Store(&liveMembers)
-		m.collector.SetMembers(liveMembers)
-		m.table.SetTimeouts(memberTimeouts(m.collector.ReportInterval()))
-		m.reportInterval.Store(int64(m.collector.ReportInterval()))
+		m.refreshMembers(now)
 	}
 	if !m.loadsChanged {
 		return
@@ -329,6 +330,16 @@
 	_ = m.node.roles.loads.PutDropOldest(append(loads, ownLoad))
 }
 
+// refreshMembers reads the live members from the table.
+func (m *members) refreshMembers(now time.Time) {
+	m.refreshedAt = now
+	liveMembers := m.table.Members()
+	m.liveMembers.Store(&liveMembers)
+	m.collector.SetMembers(liveMembers)
+	m.table.SetTimeouts(memberTimeouts(m.collector.ReportInterval()))
+	m.reportInterval.Store(int64(m.collector.ReportInterval()))
+}
+
 // receive passes a heartbeat from a peer to the filter and returns the answer.
 // It returns an error if the ring is full.
 func (m *members) receive(hb tpmessage.Heartbeat) (tpmessage.Heartbeat, error) {
--- a/internal/node/tprelaynode/members_test.go
+++ b/internal/node/tprelaynode/members_test.go
@@ -9,7 +9,9 @@
 
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/internal/relay/tpcollect"
+	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
+	"teaselpin.example/teaselpin/pkg/tpring"
 )
 
 // simulated is the membership and the load collection of one node without its
@@ -165,3 +167,35 @@
 		}
 	}
 }
+
+// Guards against dead watchers that are suspected late because the collector of the zone, which is dead too, does not answer.
+func TestDeadMembersAreSuspectedWithoutACollector(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	clock := tpclock.NewFake(start)
+	n := newGuardedNode()
+	n.clock = clock
+	n.roles = &roleFilter{loads: tpring.New[[]tpmessage.NodeLoad](tpring.Settings{Capacity: 1})}
+	m := newEvidenceMembers(n, "node-5")
+	m.out = tpring.New[outgoingHeartbeat](tpring.Settings{Capacity: heartbeatRingCapacity})
+	m.table.SetAddress("node-5")
+	m.liveMembers.Store(&[]tpmessage.Member{})
+	var others []tpmessage.MemberState
+	for i := range 5 {
+		name := fmt.Sprint("node-", i)
+		others = append(others, tpmessage.MemberState{Beat: 1, Member: tpmessage.Member{Name: name, Address: name, Incarnation: name, Watching: true}})
+	}
+	m.table.Answer(start, tpmessage.Heartbeat{Members: others})
+	// The rounds to random members come once a second, just before the time at which the members become suspect.
+	nextRound := start.Add(400 * time.Millisecond)
+	for now := start; now.Before(start.Add(suspectAfter + reportTickInterval + time.Millisecond)); now = now.Add(reportTickInterval) {
+		m.handle(memberInput{kind: memberReport})
+		if !now.Before(nextRound) {
+			nextRound = nextRound.Add(heartbeatInterval)
+			m.handle(memberInput{kind: memberTick})
+		}
+		clock.Advance(reportTickInterval)
+	}
+	if got := m.watchersAhead(); got != 0 {
+		t.Errorf("%v after the last sign of life: got %d watchers ahead, want 0", suspectAfter+reportTickInterval, got)
+	}
+}
