Refuse requests that may outlast a planned stop

Cause: a node that takes no new connections waits up to a second for the first requests on those that it has accepted. Such a request was passed on whatever its time budget.

Evidence: TestLateRequestAtPlannedStopIsRefused fails on the code before (the request runs, the client gets unexpected EOF).

Change: a request that comes after stopDelay and whose budget ends after the grace is refused with 503, not run, with a delay of 10 ms. One that ends in time is served. Ruled out: refusing all late requests, as the listed tests of first requests want their answers; the own interface, which waits for all requests until their deadlines.

--- a/internal/node/tprelaynode/exchange_test.go
+++ b/internal/node/tprelaynode/exchange_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"teaselpin.example/teaselpin/internal/node/tprelaynode"
 	"teaselpin.example/teaselpin/internal/proof/tpprocess"
 	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
 )
@@ -59,6 +61,12 @@
 }
 
 func startRawNode(t *testing.T, answer func(c net.Conn, r *http.Request) bool) *node {
+	t.Helper()
+	return startRawNodeWith(t, tprelaynode.Settings{}, answer)
+}
+
+// startRawNodeWith is startRawNode with settings.
+func startRawNodeWith(t *testing.T, cfg tprelaynode.Settings, answer func(c net.Conn, r *http.Request) bool) *node {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -87,7 +95,8 @@
 	s.store.Set("servers", "r0", map[string]any{
 		"service": "raw", "address": l.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "stage": "", "born": 1,
 	})
-	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
+	cfg.Name, cfg.Peers = "node-0", tpprocess.FreeAddress(t)
+	n := s.startWith(t, cfg)
 	n.untilReady(t)
 	return n
 }
@@ -331,3 +340,45 @@
 		t.Errorf("unused connection: got error %v, want EOF", err)
 	}
 }
+
+// Guards against a request that a stopping node takes late and cuts off without an answer at the end of its grace.
+func TestLateRequestAtPlannedStopIsRefused(t *testing.T) {
+	var ran atomic.Int32
+	n := startRawNodeWith(t, tprelaynode.Settings{StopGrace: 2 * time.Second}, func(c net.Conn, r *http.Request) bool {
+		if ran.Add(1) > 1 {
+			time.Sleep(3 * time.Second) // longer than the grace, within the time budget
+		}
+		_, _ = io.WriteString(c, serverHead(r, 200)+"Content-Length: 6\r\n\r\nanswer")
+		return true
+	})
+	short, long := n.dial(t), n.dial(t)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.stop()
+	}()
+	eventually(t, func() string {
+		c, err := net.Dial("tcp", n.front)
+		if err != nil {
+			return ""
+		}
+		c.Close()
+		return "the node accepts connections"
+	})
+	for _, test := range []struct {
+		c      net.Conn
+		budget time.Duration
+		status int
+	}{{short, 500 * time.Millisecond, 200}, {long, 4 * time.Second, 503}} {
+		_, _ = fmt.Fprintf(test.c, "POST /raw/x HTTP/1.1\r\nHost: one.example\r\nX-Teaselpin-Request-Id: r%d\r\nX-Teaselpin-Deadline: %d\r\nContent-Length: 0\r\n\r\n",
+			test.status, test.budget.Milliseconds())
+		res, err := http.ReadResponse(bufio.NewReader(test.c), nil)
+		if err != nil || res.StatusCode != test.status {
+			t.Errorf("request with %v left, late in a planned stop: got %+v, error %v, want status %d", test.budget, res, err, test.status)
+		}
+	}
+	if got := ran.Load(); got != 1 {
+		t.Errorf("requests that the server ran: got %d, want only the one that ends in time", got)
+	}
+	<-stopped
+}
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -88,7 +88,10 @@
 	leaving      atomic.Bool
 	started      time.Time
 	stopDeadline time.Time // servers close requests in progress at this time
-	random       *rand.Rand
+	// drainsUntil is stopDeadline once the node accepts no new connections, and
+	// nil before.
+	drainsUntil atomic.Pointer[time.Time]
+	random      *rand.Rand
 
 	placement *placementFilter
 	objects   *objectFilter
@@ -251,7 +254,8 @@
 
 // stop is the planned stop. The node first reports that it is not ready and
 // still serves the requests that arrive during StopDelay. It then closes its
-// idle connections and finishes the requests in progress.
+// idle connections and finishes the requests in progress. Of the requests that
+// still arrive on its connections, it takes those that end before stopDeadline.
 func (n *Node) stop() {
 	n.leaving.Store(true)
 	n.stopDeadline = n.clock.Now().Add(n.cfg.StopGrace - exitReserve)
@@ -259,6 +263,7 @@
 	if n.front != nil {
 		<-n.clock.After(n.cfg.StopDelay)
 	}
+	n.drainsUntil.Store(&n.stopDeadline)
 	for i := len(n.cleanup) - 1; i >= 0; i-- {
 		n.cleanup[i]()
 	}
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -37,6 +37,9 @@
 	// unavailableRetryAfter is the retry delay in a refusal of a node that has
 	// no configuration yet or that has no room for the request.
 	unavailableRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the retry delay in a refusal of a node that is
+	// stopping. Other nodes can take the request at once.
+	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // placePolicy is the policy by which the placer chooses targets. To compare
@@ -213,6 +216,11 @@
 		limit, latest = min(limit, timeLeft), min(latest, timeLeft)
 	}
 	req.Deadline, req.CompletionDeadline = req.Arrived.Add(limit-deadlineMargin), req.Arrived.Add(latest-deadlineMargin)
+	if until := n.drainsUntil.Load(); until != nil && req.CompletionDeadline.After(*until) {
+		ref := n.rejectRequest(req, tpmessage.StatusUnavailable, "the node is stopping and may end before the request")
+		ref.RetryAfter = stoppingRetryAfter
+		return ref
+	}
 	in := tpplace.Input{Kind: tpplace.InputTargetRequest, TargetRequest: tpplace.TargetRequest{Work: *work}}
 	if err := n.placement.in.TryPutBelow(in, newRequestLimit); err != nil {
 		return n.rejectRequest(req, tpmessage.StatusUnavailable, err.Error())
