Hold the pieces of an answer in one buffer

A faulty server that sends its answer a byte at a time could fill the memory of a node, and end the requests of all its clients (a report of other operators).

Cause: an answer of a plain service is held up to 256 KiB of data, but each piece kept its read buffer of 16 KiB and an entry of its own.

Change: the pieces are joined, and a piece that is passed on holds no more than its data.

--- a/internal/node/tprelaynode/exchange_test.go
+++ b/internal/node/tprelaynode/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -382,3 +383,36 @@
 	}
 	<-stopped
 }
+
+// Guards against an answer in very small pieces that fills the memory of the node before it is complete.
+func TestTrickledAnswerTakesLittleMemory(t *testing.T) {
+	const requests, most = 8, 64 << 20
+	var sent atomic.Int64
+	n := startRawNode(t, func(c net.Conn, r *http.Request) bool {
+		_, err := io.WriteString(c, serverHead(r, 200)+"\r\n")
+		for err == nil {
+			if _, err = io.WriteString(c, "x"); err == nil {
+				sent.Add(1)
+			}
+			time.Sleep(50 * time.Microsecond) // so that the node reads each piece by itself
+		}
+		return false
+	})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range requests {
+		_, _ = io.WriteString(n.dial(t), rawHead("GET", fmt.Sprint("trickle-", i))+"\r\n")
+	}
+	eventually(t, func() string {
+		if got := sent.Load(); got < requests*3000 {
+			return fmt.Sprintf("the servers have sent %d pieces", got)
+		}
+		return ""
+	})
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if got := int64(after.HeapAlloc) - int64(before.HeapAlloc); got > most {
+		t.Errorf("heap after %d pieces of %d answers: grew by %d bytes, want %d at most", sent.Load(), requests, got, most)
+	}
+}
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -290,9 +290,15 @@
 }
 
 // buffer holds the parts of a plain service's answer until the answer is
-// complete or larger than maxBufferedBytes.
+// complete or larger than maxBufferedBytes. It joins their data, because an
+// answer may come in pieces of a byte.
 func (t *task) buffer(part tpmessage.AnswerPart) error {
-	t.buffered = append(t.buffered, part)
+	if last := len(t.buffered) - 1; last >= 0 && part.Head == nil {
+		t.buffered[last].Data = append(t.buffered[last].Data, part.Data...)
+		t.buffered[last].End = part.End
+	} else {
+		t.buffered = append(t.buffered, part)
+	}
 	t.bufferedBytes += len(part.Data)
 	if !part.End && t.bufferedBytes <= maxBufferedBytes && !t.delivered {
 		return nil
@@ -303,7 +309,7 @@
 			return err
 		}
 	}
-	t.buffered = t.buffered[:0]
+	t.buffered = nil
 	return nil
 }
 
