--- a/internal/edge/tptarget/transport_test.go
+++ b/internal/edge/tptarget/transport_test.go
@@ -284,3 +284,39 @@
 		mu.Unlock()
 	}
 }
+
+// Guards against an answer whose head was cut off and that counts as complete.
+func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Type: text/plain\r\n"
+	for name, end := range map[string]string{"with a length": "Content-Length: 12\r\n\r\n", "without a length": "\r\n", "in chunks": "Transfer-Encoding: chunked\r\n\r\n"} {
+		whole := head + end
+		for length := range len(whole) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, whole[:length])
+				c.Close()
+			}()
+			tr, cleanup := tptarget.NewTransport(tptarget.Settings{})
+			req := tpmessage.Request{ID: "r", Kind: tpmessage.KindServiceCall, Body: []byte("x")}
+			delivered := 0
+			res := tr.Run(t.Context(), &req, tpmessage.Target{Name: "a", Address: l.Addr().String()}, 0, func(tpmessage.Chunk) error {
+				delivered++
+				return nil
+			})
+			if res.Outcome != tpmessage.OutcomeInterrupted || delivered > 0 {
+				t.Errorf("answer %s, cut after %d of %d bytes of the head: got outcome %d with %d chunks, want an interrupted one",
+					name, length, len(whole), res.Outcome, delivered)
+			}
+			cleanup()
+			l.Close()
+		}
+	}
+}
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -95,6 +95,11 @@
 }
 
 func (f *relayFleet) startNode(t *testing.T, i int, peers []string, store string) *relayNode {
+	t.Helper()
+	return f.startNodeWith(t, i, peers, store, tpprocess.Teaselpin)
+}
+
+func (f *relayFleet) startNodeWith(t *testing.T, i int, peers []string, store, program string) *relayNode {
 	t.Helper()
 	n := &relayNode{name: fmt.Sprint("node-", i), frontAddress: tpprocess.FreeAddress(t), readyAddress: tpprocess.FreeAddress(t)}
 	settings := fmt.Sprintf("name: node-%d\nregion: r\nzone: z\nfront: %s\nready: %s\npeers: %s\nseeds: [%q]\nstore: %s\n"+
@@ -104,7 +109,7 @@
 	if err := os.WriteFile(n.settings, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n.restart(t)
+	n.restartWith(t, program)
 	return n
 }
 
@@ -112,7 +117,12 @@
 // the process before it.
 func (n *relayNode) restart(t *testing.T) {
 	t.Helper()
-	n.process = tpprocess.Start(t, n.name, tpprocess.Teaselpin, "relay", "--settings", n.settings)
+	n.restartWith(t, tpprocess.Teaselpin)
+}
+
+func (n *relayNode) restartWith(t *testing.T, program string) {
+	t.Helper()
+	n.process = tpprocess.Start(t, n.name, program, "relay", "--settings", n.settings)
 }
 
 // claimForFault reserves the node for a fault. It returns false if another
