Count an abandoned trial among the possible runs

A trial that its target had accepted, and with which the task did not proceed, did not count as a possible run. Found while reading the change before it landed. If the silent target then refused too late for another attempt, the task asked only afterwards whether the trial might have run; the plan now counts it, as any other arrival. A prompt that is read while a trial is accepted is used, and the trial abandoned.

--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -111,8 +111,8 @@
 	return next, next.AfterRun(now, target, Result{End: EndTimeout}, false)
 }
 
-// AfterTrial records an attempt that failed while another target kept the
-// request.
+// AfterTrial records an attempt that has ended without an answer while another
+// target kept the request.
 func (p *Plan) AfterTrial(target string, step tpplace.Step, end End) {
 	if step == tpplace.StepPrefill {
 		p.countPrefill(end)
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -443,6 +443,32 @@
 	}
 }
 
+// Guards against a request that counts as not run although a trial that was accepted and then abandoned may have run it.
+func TestAbandonedTrialMayHaveRun(t *testing.T) {
+	var runs atomic.Int32
+	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, _ func(tpmessage.AnswerPart) error) tprelay.Result {
+		if runs.Add(1) > 1 {
+			<-ctx.Done()
+			return tprelay.Result{End: tprelay.EndCancelled}
+		}
+		waitInSilence(ctx, s, time.Minute, false)
+		time.Sleep(time.Until(s.Deadline.Add(-30 * time.Millisecond))) // too late for another attempt
+		return tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+	}}
+	route := tpmessage.RelayRoute{Idempotent: true, MaxAttempts: 2, LatencyGoal: 100 * time.Millisecond}
+	got, results := runFunc(t, u, route, tpplace.StepCall, 1)
+	if got.refusal == nil || got.refusal.Status != tpmessage.StatusUnknown {
+		t.Errorf("call refused by a silent target after a trial was accepted: got %+v, want status %d", got.refusal, tpmessage.StatusUnknown)
+	}
+	returned := make(map[string]int)
+	for _, r := range results {
+		returned[r.Reservation.Target]++
+	}
+	if runs.Load() != 2 || returned["t0"] != 1 || returned["t1"] != 1 {
+		t.Errorf("got %d runs, reservations returned %v; want two, and one of each target", runs.Load(), returned)
+	}
+}
+
 // Guards against a stream that is in progress at two targets because the silent one goes on after another has accepted.
 func TestSilentTargetEndsOnceAnotherAccepts(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -139,6 +139,9 @@
 func (t *task) prefill() Action {
 	end, started := t.execute()
 	now := t.r.Clock.Now()
+	if end.result.End == EndComplete {
+		t.abandonTrial() // the prompt was read while the trial was accepted
+	}
 	res := t.resolveEnd(now, end)
 	t.reportResult(res, now.Sub(started))
 	action := t.afterTrial(t.plan.AfterPrefill(now, t.grant.Target.Name, res.End))
--- a/internal/relay/stage3/tprelay/trial.go
+++ b/internal/relay/stage3/tprelay/trial.go
@@ -136,20 +136,22 @@
 	if t.trial == nil || action == ActionRun || action == ActionPrefill {
 		return action
 	}
-	mayHaveRun := t.trial.grant.Step != tpplace.StepPrefill
 	t.abandonTrial()
-	if action == ActionRefuse && mayHaveRun {
-		return ActionUnknown
+	if action == ActionRefuse {
+		return t.plan.GiveUp(t.r.Clock.Now())
 	}
 	return action
 }
 
-// abandonTrial ends a trial with which the task does not proceed.
+// abandonTrial ends a trial with which the task does not proceed. Its target may
+// have run the request.
 func (t *task) abandonTrial() {
 	if t.trial == nil {
 		return
 	}
+	g := &t.trial.grant
 	t.trial.cancel()
-	t.returnReservation(&t.trial.grant)
+	t.returnReservation(g)
+	t.plan.AfterTrial(g.Target.Name, g.Step, EndCancelled)
 	t.trial = nil
 }
--- a/internal/standin/tpguestfake/raw.go
+++ b/internal/standin/tpguestfake/raw.go
@@ -94,7 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.Close()
+		_ = c.Close() // the caller may have closed it
 	}
 }
 
@@ -134,7 +134,7 @@
 	s.conns[c] = true
 	s.mu.Unlock()
 	defer func() {
-		c.Close()
+		_ = c.Close() // the caller may have closed it
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
@@ -172,7 +172,7 @@
 	if expected := req.Header.Get("X-Teaselpin-Expect-Instance"); expected != "" && expected != s.ID {
 		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\n"+head, "")
 	}
-	text := ""
+	var text string
 	switch {
 	case fault == rawRefusal:
 		head, text = "HTTP/1.1 503 Service Unavailable\r\nX-Teaselpin-Not-Run: full\r\n"+head, "full"
