Try no run that may not be repeated

While its prompt target was silent, a run at another target was tried; if that was cut, the prompt target was kept, its prompt was read after all, and a second run followed.

Cause: a trial assumes that its failure leaves the request as it was. A run that may not be repeated does not.

Change: such a run is no trial. The step of the prompt target ends first, as it did before there were trials. The plan also allows no run after a prompt was read if trials have used up the runs of the route, and a prompt target is given up then at once (TestPromptIsGivenUpAfterTheLastRun). The servers of TestRelayRunsOnce are silent while they read prompts, too.

--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -61,12 +61,14 @@
 func (p *Plan) AfterPrefill(now time.Time, target string, end End) Action {
 	p.countPrefill(end)
 	switch {
-	case end == EndComplete:
-		return ActionRun
 	case end == EndCancelled:
 		return p.afterCancel(now)
+	case !p.mayRunAgain():
+		return p.finalAction(now) // trials have run the request
+	case end == EndComplete:
+		return ActionRun
 	case p.exhausted(now):
-		return ActionRefuse
+		return p.finalAction(now)
 	}
 	p.exclude = append(p.exclude, target)
 	if p.prefills > 1 {
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -533,3 +533,73 @@
 	_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
 	return tprelay.Result{Status: 200}
 }
+
+// Guards against a request that is held although its last allowed run has failed while a prompt target was silent.
+func TestPromptIsGivenUpAfterTheLastRun(t *testing.T) {
+	var prefills, runs atomic.Int32
+	u := &funcUpstream{
+		prefillFunc: func(ctx context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
+			if prefills.Add(1) > 1 {
+				return tprelay.Handle{}, tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+			}
+			if waitInSilence(ctx, s, time.Minute, false) || ctx.Err() != nil {
+				return tprelay.Handle{}, tprelay.Result{End: tprelay.EndCancelled}
+			}
+			return tprelay.Handle{}, tprelay.Result{End: tprelay.EndTimeout}
+		},
+		run: func(context.Context, *tprelay.UpstreamRequest, func(tpmessage.AnswerPart) error) tprelay.Result {
+			runs.Add(1)
+			return tprelay.Result{End: tprelay.EndIncomplete}
+		},
+	}
+	route := resumable
+	route.MaxAttempts = 1
+	began := time.Now()
+	got, _ := runFunc(t, u, route, tpplace.StepPrefill, 4)
+	if got.refusal == nil || got.refusal.Status != tpmessage.StatusUnknown || runs.Load() != 1 {
+		t.Errorf("after the last run failed: got %+v after %d runs, want status %d after one", got.refusal, runs.Load(), tpmessage.StatusUnknown)
+	}
+	if took := time.Since(began); took > 4*time.Second { // the request has 5 s
+		t.Errorf("final answer: got it after %v, want it when the run has failed", took)
+	}
+}
+
+// Guards against a second run of a request that may not be repeated: its silent prompt target goes on after the run without the prompt has begun.
+func TestRequestRunsOnceAfterASilentPrefill(t *testing.T) {
+	for _, end := range []tprelay.End{tprelay.EndIncomplete, tprelay.EndNotRun, tprelay.EndComplete} {
+		var prefills, runs atomic.Int32
+		u := &funcUpstream{
+			prefillFunc: func(ctx context.Context, s *tprelay.UpstreamRequest) (tprelay.Handle, tprelay.Result) {
+				if prefills.Add(1) > 1 {
+					return tprelay.Handle{}, tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+				}
+				if !waitInSilence(ctx, s, 4*time.Second, false) {
+					return tprelay.Handle{}, tprelay.Result{End: tprelay.EndTimeout}
+				}
+				return tprelay.Handle{Address: "t0:1", ID: "h"}, tprelay.Result{Status: 200}
+			},
+			run: func(_ context.Context, _ *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+				if runs.Add(1) == 1 && end != tprelay.EndComplete {
+					return tprelay.Result{End: end}
+				}
+				_ = deliver(tpmessage.AnswerPart{Head: &tpmessage.AnswerHead{Status: 200}, Event: -1})
+				_ = deliver(tpmessage.AnswerPart{Data: []byte("0 "), Event: 0})
+				_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
+				return tprelay.Result{Status: 200}
+			},
+		}
+		got, _ := runFunc(t, u, tpmessage.RelayRoute{Stream: true, MaxAttempts: 2}, tpplace.StepPrefill, 4)
+		if end == tprelay.EndNotRun {
+			if got.text != "0 " || !got.ended {
+				t.Errorf("run without the prompt refused: got %q, complete %v, refusal %+v; want a whole answer", got.text, got.ended, got.refusal)
+			}
+			continue
+		}
+		if n := runs.Load(); n != 1 {
+			t.Errorf("first run ends as %v: got %d runs of a request that may not be repeated, want 1", end, n)
+		}
+		if end == tprelay.EndIncomplete && (got.refusal == nil || got.refusal.Status != tpmessage.StatusUnknown) {
+			t.Errorf("first run ends as %v: got %+v, want status %d", end, got.refusal, tpmessage.StatusUnknown)
+		}
+	}
+}
--- a/internal/relay/stage3/tprelay/silence.go
+++ b/internal/relay/stage3/tprelay/silence.go
@@ -105,8 +105,9 @@
 }
 
 // replace requests a target that replaces the silent one and tries it. It
-// reports whether that target has accepted the request. Parts is the number of
-// parts that the silent target had sent before.
+// reports whether the step of the silent target has to end, because the other
+// one has accepted the request or because it cannot be tried. Parts is the
+// number of parts that the silent target had sent before.
 func (t *task) replace(begun bool, parts int) bool {
 	next, action := t.planAfterSilence()
 	if action != ActionRun && action != ActionPrefill {
@@ -131,12 +132,19 @@
 		t.returnReservation(&g)
 		return false
 	}
+	if g.Step != tpplace.StepPrefill && !t.req.Route.Retryable() {
+		// A run that may not be repeated is no trial: if it failed and the prompt
+		// was read after all, a second run would follow.
+		t.returnReservation(&g)
+		return true
+	}
 	t.countRetry(&next)
 	if t.try(g) {
 		return true
 	}
 	t.reportSilence()
-	return false
+	// A prompt helps no more after the last run that the route allows.
+	return t.grant.Step == tpplace.StepPrefill && !t.plan.mayRunAgain()
 }
 
 func (t *task) planAfterSilence() (Plan, Action) {
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -139,7 +139,7 @@
 func (t *task) prefill() Action {
 	end, started := t.execute()
 	now := t.r.Clock.Now()
-	if end.result.End == EndComplete {
+	if end.result.End == EndComplete && t.trial != nil && t.trial.grant.Step == tpplace.StepPrefill {
 		t.abandonTrial() // the prompt was read while the trial was accepted
 	}
 	res := t.resolveEnd(now, end)
--- a/internal/standin/tpguestfake/raw.go
+++ b/internal/standin/tpguestfake/raw.go
@@ -179,6 +179,10 @@
 		// A refusal may come twice, too.
 		return s.write(c, head, text) && (delay == 0 || s.copy(c, delay, head, text))
 	case req.Header.Get("X-Teaselpin-Stage") == "prefill":
+		// Longer than a node waits before it tries another target.
+		if fault == rawSilent && !callerStays(c, r, silence+1500*time.Millisecond) {
+			return false
+		}
 		head, text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+head, `{"handle":"h`+id+`","tokens":1,"version":1}`
 		if fault == rawCopy || fault == rawLateCopy {
 			return s.write(c, head, text) && s.copy(c, delay, head, text)
