Keep the head of a buffered answer apart from its data

The data of a buffered answer was joined with its head, and the HTTP server adds the length to an answer that is written at once. Only data is joined with data now.

Result: TestUnusualAnswers and TestTrickledAnswerTakesLittleMemory hold.

--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -296,7 +296,7 @@
 // complete or larger than maxBufferedBytes. It joins their data, because an
 // answer may come in pieces of a byte.
 func (t *task) buffer(part tpmessage.AnswerPart) error {
-	if last := len(t.buffered) - 1; last >= 0 && part.Head == nil {
+	if last := len(t.buffered) - 1; last >= 0 && t.buffered[last].Head == nil {
 		t.buffered[last].Data = append(t.buffered[last].Data, part.Data...)
 		t.buffered[last].End = part.End
 	} else {
