Read the members early only after a suspicion

Why reading it sooner at joins costs that much was not traced.

Change: the list is read at the next tick after a suspicion, and every 200 ms otherwise, as before.

TestDeadMembersAreSuspectedWithoutACollector holds.

--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -42,7 +42,8 @@
 	// and without a collector that answers the node's reports.
 	servedFanout, unservedFanout = 1, 3
 	// memberRefreshInterval is the time between two reads of the live members
-	// from the table, which copy all of them, while the state of none changes.
+	// from the table, which copy all of them. A suspicion is read at the next
+	// tick.
 	memberRefreshInterval = 200 * time.Millisecond
 	// reportTickInterval is the interval at which the filter checks which load
 	// reports to the collector are due. The intervals of the collection are
@@ -220,11 +221,10 @@
 		m.table.Answer(now, in.heartbeat)
 		m.processHeartbeat(now, in.heartbeat, in.address)
 	}
-	changes := m.table.Changes()
-	if len(changes) > 0 {
-		m.refreshMembers(now)
-	}
-	for _, c := range changes {
+	for _, c := range m.table.Changes() {
+		if c.Kind == tpmember.Suspected {
+			m.refreshedAt = time.Time{} // the next tick reads the members
+		}
 		n.log.Info().Str("event", string(c.Kind)).Str("member", c.Member.Name).Str("address", c.Member.Address).
 			Str("incarnation", c.Member.Incarnation).Send()
 	}
