--- a/internal/proof/relay_once_test.go
+++ b/internal/proof/relay_once_test.go
@@ -86,7 +86,7 @@
 	active        sync.WaitGroup
 }
 
-// onceFault is a fault between two times. End is zero while it lasts.
+// onceFault is a fault between two times.
 type onceFault struct {
 	name       string
 	start, end time.Time
@@ -355,21 +355,19 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), route.timeout+time.Second)
 	defer cancel()
-	var body io.Reader
+	var body string
 	if route.method == http.MethodPost {
-		// The client's own transport must not repeat the attempt.
-		body = io.NopCloser(strings.NewReader(strings.Repeat("text;", 120)))
-	} else {
-		body = io.NopCloser(strings.NewReader(""))
+		body = strings.Repeat("text;", 120)
 	}
-	r, err := http.NewRequestWithContext(ctx, route.method, "http://"+c.soak.nodes[node].frontAddress+"/"+route.name+"/x", body)
+	// The client's transport cannot read this body again, so that it does not
+	// repeat the attempt by itself.
+	reader := io.NopCloser(strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, route.method, "http://"+c.soak.nodes[node].frontAddress+"/"+route.name+"/x", reader)
 	if err != nil {
 		a.err = err
 		return a
 	}
-	if route.method == http.MethodPost {
-		r.ContentLength = 600
-	}
+	r.ContentLength = int64(len(body))
 	r.Host = "one.example"
 	r.Header.Set("X-Teaselpin-Request-Id", a.id)
 	r.Header.Set("X-Teaselpin-Deadline", strconv.FormatInt(route.timeout.Milliseconds(), 10))
--- a/internal/standin/tpguestfake/raw.go
+++ b/internal/standin/tpguestfake/raw.go
@@ -23,8 +23,8 @@
 }
 
 // RawServer simulates a model engine or a plain service that writes its answers
-// itself, so that it can send any bytes at any time. About one answer in ten is
-// faulty. Its exported fields must be set before Listen, which sets Address.
+// itself, so that it can send any bytes at any time. About one answer in eight
+// is faulty. Its exported fields must be set before Listen, which sets Address.
 type RawServer struct {
 	ID      string
 	Stage   string // prefill, decode, or empty for a plain service
