Give each test port to one listener

Cause: FreeAddress draws a port, checks that nothing listens there, and returns it. Until its caller listens, it may draw the same port again, for one of the 27 parallel subtests.

Change: no port is returned twice in a process, and test processes draw from different groups of ports by their process IDs.

--- a/internal/proof/tpprocess/wait.go
+++ b/internal/proof/tpprocess/wait.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"testing"
 	"time"
 )
@@ -17,9 +19,16 @@
 const (
 	firstPort    = 12000
 	portCount    = 32768 - firstPort
-	maxPortTries = 100
+	maxPortTries = 1000
+	// portGroups is the number of groups of ports. Test processes that run at
+	// the same time mostly have ports of different groups.
+	portGroups = 16
 )
 
+// usedPorts holds the ports that FreeAddress has returned in this process. The
+// caller may not listen yet.
+var usedPorts sync.Map
+
 // Eventually polls the condition every 5 ms until it holds. It fails the test
 // with the description if the condition does not hold within StartTimeout.
 func Eventually(t testing.TB, description string, condition func() bool) {
@@ -35,11 +44,18 @@
 
 // FreeAddress returns a local host:port on which nothing listens. The port is
 // below those that the kernel gives to outgoing connections and to listeners
-// without a port of their own, which would take it before the caller does.
+// without a port of their own, which would take it before the caller does. No
+// port is returned twice in a process.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
+	const groupSize = portCount / portGroups
+	first := firstPort + os.Getpid()%portGroups*groupSize
 	for range maxPortTries {
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount)))
+		port := first + rand.IntN(groupSize)
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
 		if err != nil {
 			continue
 		}
