--- a/internal/proof/tpprocess/wait.go
+++ b/internal/proof/tpprocess/wait.go
@@ -19,7 +19,7 @@
 const (
 	firstPort    = 12000
 	portCount    = 32768 - firstPort
-	maxPortTries = 1000
+	maxPortTries = 20000
 	// portGroups is the number of groups of ports. Test processes that run at
 	// the same time mostly have ports of different groups.
 	portGroups = 16
@@ -45,12 +45,15 @@
 // FreeAddress returns a local host:port on which nothing listens. The port is
 // below those that the kernel gives to outgoing connections and to listeners
 // without a port of their own, which would take it before the caller does. No
-// port is returned twice in a process.
+// port is returned twice in a process before all others of its group.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
 	const groupSize = portCount / portGroups
 	first := firstPort + os.Getpid()%portGroups*groupSize
-	for range maxPortTries {
+	for try := range maxPortTries {
+		if try == maxPortTries/2 {
+			usedPorts.Clear() // a soak of many seeds has used the group
+		}
 		port := first + rand.IntN(groupSize)
 		if _, used := usedPorts.LoadOrStore(port, true); used {
 			continue
