Log which nodes watch the store and whether their audits succeed

The watchers' state and the outcome of the reads beside the watches are not logged, so the three hypotheses look alike.

Change: the events watching, auditLost and auditRegained.

--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -101,6 +101,7 @@
 	failures          atomic.Uint64
 	decodeErrors      map[string]bool // texts of the decoding errors of the current view, all logged
 	callsFailing      map[string]bool
+	auditsFailing     map[string]bool
 	callerLimit       tpfollow.CallerLimit
 }
 
@@ -112,7 +113,7 @@
 		peerCalls:    tpring.New[fetch](tpring.Settings{Capacity: 4}),
 		registry:     tpfollow.NewRegistry(),
 		views:        make(map[string]*atomic.Pointer[tpobject.View]),
-		callsFailing: make(map[string]bool),
+		callsFailing: make(map[string]bool), auditsFailing: make(map[string]bool),
 	}
 	n.deps.Rings.Add("follow", f.in)
 	n.deps.Rings.Add("peerCalls", f.peerCalls)
@@ -192,7 +193,7 @@
 		f.startPeerCall(now, follower)
 		serving = serving && follower.Serving()
 	}
-	f.serving.Store(serving)
+	f.setServing(serving)
 	if list, changed := f.registry.Targets(now); changed {
 		f.publishTargets(list)
 	}
@@ -231,23 +232,37 @@
 	}
 }
 
-// logStoreState counts a failed call. It logs when the calls for a kind begin
-// to fail or succeed again.
+// setServing records whether the platform serves this node's watches, and logs
+// a change of it.
+func (f *objectFilter) setServing(serving bool) {
+	if f.serving.Swap(serving) == serving {
+		return
+	}
+	f.node.log.Info().Str("event", "watching").Bool("served", serving).
+		Int("ahead", f.node.members.rank(watchTask, "")).Int("watchersAhead", f.node.members.watchersAhead()).Send()
+}
+
+// logStoreState counts a failed call. It logs when the calls for a kind, or the
+// audits of it, begin to fail or succeed again.
 func (f *objectFilter) logStoreState(follower *tpfollow.Follower, in *followInput) {
-	if in.action == tpfollow.ActionPeer || in.action == tpfollow.ActionAudit {
+	lost, regained, failing := "storeLost", "storeRegained", f.callsFailing
+	switch in.action {
+	case tpfollow.ActionPeer:
 		return
+	case tpfollow.ActionAudit:
+		lost, regained, failing = "auditLost", "auditRegained", f.auditsFailing
 	}
 	failed := in.err != nil
 	if failed {
 		f.failures.Add(1)
 	}
-	if failed == f.callsFailing[follower.Kind] {
+	if failed == failing[follower.Kind] {
 		return
 	}
-	f.callsFailing[follower.Kind] = failed
-	e := f.node.log.Info().Str("event", "storeRegained")
+	failing[follower.Kind] = failed
+	e := f.node.log.Info().Str("event", regained)
 	if failed {
-		e = f.node.log.Warn().Str("event", "storeLost").Err(in.err)
+		e = f.node.log.Warn().Str("event", lost).Err(in.err)
 	}
 	v, _ := follower.View()
 	e.Str("kind", follower.Kind).Uint64("version", v.Version).Send()
