--- a/internal/standin/tpguestfake/proxy.go
+++ b/internal/standin/tpguestfake/proxy.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,10 +15,11 @@
 
 // Modes of a Proxy. The zero value forwards without a fault.
 const (
-	ModePass  Mode = iota // forwards all bytes
-	ModeDelay             // delays each block by 150 ms
-	ModeStall             // keeps connections open and forwards nothing
-	ModeReset             // resets open and new connections
+	ModePass   Mode = iota // forwards all bytes
+	ModeDelay              // delays each block by 150 ms
+	ModeStall              // keeps connections open and forwards nothing
+	ModeReset              // resets open and new connections
+	ModeOneWay             // forwards only what the client sends
 )
 
 // proxyDelay is the delay of each block in ModeDelay.
@@ -29,6 +31,7 @@
 	Address string
 
 	backend string
+	local   net.Addr // from which the server is called, or nil
 	mu      sync.Mutex
 	changed *sync.Cond
 	mode    Mode
@@ -39,6 +42,13 @@
 // NewProxy starts a proxy for the server at backend, a host:port. The proxy
 // ends with the test.
 func NewProxy(t testing.TB, backend string) *Proxy {
+	t.Helper()
+	return NewProxyFrom(t, backend, "")
+}
+
+// NewProxyFrom is NewProxy with the IP address from which the proxy calls the
+// server. An empty string means any.
+func NewProxyFrom(t testing.TB, backend, ip string) *Proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,6 +56,9 @@
 	}
 	p := &Proxy{Address: l.Addr().String(), backend: backend, conns: make(map[*net.TCPConn]bool)}
 	p.changed = sync.NewCond(&p.mu)
+	if ip != "" {
+		p.local = &net.TCPAddr{IP: net.ParseIP(ip)}
+	}
 	go p.accept(l)
 	t.Cleanup(func() {
 		l.Close()
@@ -83,7 +96,7 @@
 }
 
 func (p *Proxy) serve(client *net.TCPConn) {
-	c, err := net.Dial("tcp", p.backend)
+	c, err := (&net.Dialer{LocalAddr: p.local}).Dial("tcp", p.backend)
 	if err != nil || !p.track(client, c.(*net.TCPConn)) {
 		reset(client)
 		if err == nil {
@@ -92,8 +105,8 @@
 		return
 	}
 	server := c.(*net.TCPConn)
-	go p.copy(server, client)
-	p.copy(client, server)
+	go p.copy(server, client, ModeStall)
+	p.copy(client, server, ModeStall, ModeOneWay)
 }
 
 // track records a pair of connections, so that SetMode can reset them. It
@@ -108,13 +121,14 @@
 	return true
 }
 
-// copy forwards one direction until it ends. It then closes both connections,
-// and resets the destination unless the source ended with an EOF.
-func (p *Proxy) copy(dst, src *net.TCPConn) {
+// copy forwards one direction until it ends, and nothing in the given modes. It
+// then closes both connections, and resets the destination unless the source
+// ended with an EOF.
+func (p *Proxy) copy(dst, src *net.TCPConn, blocked ...Mode) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
-		if !p.waitForMode() {
+		if !p.waitForMode(blocked) {
 			return
 		}
 		if n > 0 {
@@ -131,7 +145,7 @@
 
 // waitForMode delays a block as the mode requires. It returns false if the
 // connections have been reset.
-func (p *Proxy) waitForMode() bool {
+func (p *Proxy) waitForMode(blocked []Mode) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.mode == ModeDelay {
@@ -139,7 +153,7 @@
 		time.Sleep(proxyDelay) // injected fault
 		p.mu.Lock()
 	}
-	for p.mode == ModeStall && !p.closed {
+	for slices.Contains(blocked, p.mode) && !p.closed {
 		p.changed.Wait()
 	}
 	return p.mode != ModeReset
