Bound the age of what a node knows of the store

Cause: a node counted as watching the store while its watch was open and its last call had succeeded. A watch that gets no answer looks like one without changes for 21.5 s, so four watchers that the store turned away in silence stayed watchers for all others. Two of them read the objects beside the watch; the error of that read was dropped. The class of fault: the absence of news taken for the news that nothing has changed.

Change: only a read of all objects confirms a view, as of the start of the read. Heartbeats carry the age of the confirmation, and an auditor tells the collectors of all zones at once. An audit that fails ends the watch beside it and the claim to be watching, and so does a change that a watch does not report within 0.5 s. Ages count suspensions of the machine.

Why this works: the bound does not rest on any node noticing that another one is turned away. A node in touch has a path to the store, and asks on that path when its knowledge is too old.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -95,6 +95,7 @@
 		m.Views = append(m.Views, &tpwire.ViewMark{
 			Kind: v.Kind, Version: v.Version, Digest: v.Digest,
 			Disturbed: v.Disturbed, DisturbedAgeMs: uint32(v.DisturbedAge.Milliseconds()),
+			Confirmed: v.Confirmed, ConfirmedAgeMs: uint32(v.ConfirmedAge.Milliseconds()),
 		})
 	}
 	for _, l := range hb.Leaving {
@@ -133,6 +134,7 @@
 		hb.Views = append(hb.Views, tpmessage.ViewVersion{
 			Kind: v.GetKind(), Version: v.GetVersion(), Digest: v.GetDigest(),
 			Disturbed: v.GetDisturbed(), DisturbedAge: time.Duration(v.GetDisturbedAgeMs()) * time.Millisecond,
+			Confirmed: v.GetConfirmed(), ConfirmedAge: time.Duration(v.GetConfirmedAgeMs()) * time.Millisecond,
 		})
 	}
 	for _, l := range m.GetLeavingTargets() {
--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -47,6 +47,7 @@
 	want.Loads[0].Nodes, want.Loads[0].Report = 3, true
 	want.Loads[0].Changing = []string{"i-1"}
 	want.Views[0].Disturbed, want.Views[0].DisturbedAge = true, 1500*time.Millisecond
+	want.Views[0].Confirmed, want.Views[0].ConfirmedAge = true, 700*time.Millisecond
 	want.Suspects = []tpmessage.SuspectRequest{{Fingerprint: 7, Targets: []string{"a"}}}
 	want.Leaving = []tpmessage.LeavingTarget{{Name: "a", Age: time.Second}}
 	want.Usage = []tpmessage.Usage{{Node: "n", Organisation: "o", PrefillPieces: 1, DecodePieces: 2}}
--- a/internal/node/tprelaynode/guard_test.go
+++ b/internal/node/tprelaynode/guard_test.go
@@ -24,7 +24,7 @@
 // duties and connections.
 func newGuardedNode() *Node {
 	n := &Node{
-		clock: tpclock.System{}, log: zerolog.Nop(), relay: &tprelay.Relay{Counters: &tprelay.Counters{}},
+		clock: tpclock.System{}, leaseClock: &tpclock.BootTime{}, log: zerolog.Nop(), relay: &tprelay.Relay{Counters: &tprelay.Counters{}},
 		members: &members{in: tpring.New[memberInput](tpring.Settings{Capacity: 1})},
 		placement: &placementFilter{
 			placer:   tpplace.New(tpplace.Settings{Node: "node-0", Budget: tpplace.BudgetSettings{Slack: 100}}, placePolicy{}),
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -78,6 +78,7 @@
 	memberHeartbeatAnswer
 	memberViewChanged // the new view versions are sent to all members at once
 	memberQuarantined // the new evidence is sent to all members at once
+	memberConfirmed   // the ages of the views are sent to all collectors at once
 )
 
 type memberInput struct {
@@ -214,6 +215,11 @@
 		for _, member := range m.table.Members()[1:] {
 			m.send(member.Address, hb)
 		}
+	case memberConfirmed:
+		hb := m.completeHeartbeat(m.table.BriefTick(now), m.ownLoad)
+		for _, address := range m.collector.OtherCollectors() {
+			m.send(address, hb)
+		}
 	case memberHeartbeat:
 		m.answerHeartbeat(now, in)
 	case memberHeartbeatAnswer:
@@ -240,7 +246,7 @@
 		answerLoad = m.collector.Answer(now, m.ownLoad, in.heartbeat.Loads[0])
 	}
 	out := m.completeHeartbeat(answer, answerLoad)
-	out.Views = m.views.ageTo(now)
+	out.Views = m.views.ageTo(m.node.leaseClock.Now())
 	_ = in.reply.Put(out)
 	m.processHeartbeat(now, in.heartbeat, "")
 }
@@ -354,7 +360,7 @@
 // does not report a failure, because the filter suspects a peer that does not
 // answer.
 func (m *members) sendHeartbeat(ctx context.Context, o outgoingHeartbeat) {
-	o.heartbeat.Views = o.views.ageTo(m.node.clock.Now())
+	o.heartbeat.Views = o.views.ageTo(m.node.leaseClock.Now())
 	answer, err := m.client.Heartbeat(ctx, o.address, o.heartbeat)
 	if err != nil {
 		return
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -174,8 +174,8 @@
 // joining reports whether the node has just started and may not know most of
 // the members yet. The seeds know their rank no better, but the other nodes
 // learn the objects of the platform from them.
-func (n *Node) joining(now time.Time) bool {
-	return len(n.cfg.Seeds) > 0 && !slices.Contains(n.cfg.Seeds, n.cfg.Peers) && now.Sub(n.started) < firstContactDelay
+func (n *Node) joining(running time.Duration) bool {
+	return len(n.cfg.Seeds) > 0 && !slices.Contains(n.cfg.Seeds, n.cfg.Peers) && running < firstContactDelay
 }
 
 // Closing reports whether the planned stop has begun.
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"slices"
 	"sync/atomic"
@@ -22,12 +23,6 @@
 	// followTickInterval is the interval at which the filter checks for lapsed
 	// registrations and for peers with a newer view.
 	followTickInterval = 100 * time.Millisecond
-	// auditInterval is the time between two full reads of all kinds by an
-	// auditor. A change that no watch reported is then in force on all nodes
-	// within two seconds: 700 ms here, 300 ms of heartbeats, 250 ms of calls.
-	auditInterval = 700 * time.Millisecond
-	// maxAuditors is the number of watching nodes that also audit.
-	maxAuditors = 2
 	// bootstrapViewDelay is the time for which a node waits for a view from a
 	// peer before it reads it from the platform, when the whole region starts
 	// for the first time. There are no requests yet, and the seeds may start
@@ -57,9 +52,11 @@
 	err          error
 	peer         string // address
 	viewVersions []tpmessage.ViewVersion
+	auditEnded   bool // err is the result of a whole audit, whose views came before
 }
 
-// datedVersions are the versions of the node's views at a time.
+// datedVersions are the versions of the node's views at a time of its lease
+// clock.
 type datedVersions struct {
 	versions []tpmessage.ViewVersion
 	at       time.Time
@@ -72,12 +69,17 @@
 		if versions[i].Disturbed {
 			versions[i].DisturbedAge += now.Sub(v.at)
 		}
+		if versions[i].Confirmed {
+			versions[i].ConfirmedAge += now.Sub(v.at)
+		}
 	}
 	return versions
 }
 
-// fetch is a call to the platform or to a peer, which a duty makes.
+// fetch is a call to the platform or to a peer, which a duty makes until ctx is
+// done.
 type fetch struct {
+	ctx    context.Context
 	kind   string
 	action tpfollow.Action
 }
@@ -89,8 +91,13 @@
 type objectFilter struct {
 	node              *Node
 	in                *tpring.Ring[followInput]
+	ctx               context.Context                // done when the node stops
 	calls             map[string]*tpring.Ring[fetch] // to the platform, by kind
+	interrupt         map[string]context.CancelFunc  // ends the call in progress, by kind
 	peerCalls         *tpring.Ring[fetch]
+	auditCalls        *tpring.Ring[fetch]
+	audits            tpfollow.AuditSchedule
+	takeover          bool // the audit in progress replaces those of the auditors
 	kinds             []string
 	followers         []*tpfollow.Follower
 	registry          *tpfollow.Registry
@@ -110,13 +117,16 @@
 		node:         n,
 		in:           tpring.New[followInput](tpring.Settings{Capacity: followRingCapacity}),
 		calls:        make(map[string]*tpring.Ring[fetch]),
+		interrupt:    make(map[string]context.CancelFunc),
 		peerCalls:    tpring.New[fetch](tpring.Settings{Capacity: 4}),
+		auditCalls:   tpring.New[fetch](tpring.Settings{Capacity: 1}),
 		registry:     tpfollow.NewRegistry(),
 		views:        make(map[string]*atomic.Pointer[tpobject.View]),
 		callsFailing: make(map[string]bool), auditsFailing: make(map[string]bool),
 	}
 	n.deps.Rings.Add("follow", f.in)
 	n.deps.Rings.Add("peerCalls", f.peerCalls)
+	n.deps.Rings.Add("auditCalls", f.auditCalls)
 	f.kinds = []string{n.deps.Kinds.Config, n.deps.Kinds.Targets}
 	for _, kind := range f.kinds {
 		f.followers = append(f.followers, &tpfollow.Follower{Kind: kind})
@@ -133,26 +143,23 @@
 func (n *Node) startObjects() error {
 	f := n.objects
 	ctx, cancel := context.WithCancel(context.Background())
+	f.ctx = ctx
 	for _, kind := range f.kinds {
-		if err := startFilter(n, "calls "+kind, f.calls[kind], func(c fetch) { f.fetch(ctx, c) }); err != nil {
+		if err := startFilter(n, "calls "+kind, f.calls[kind], f.fetch); err != nil {
 			cancel()
 			return err
 		}
 	}
-	if err := startFilter(n, "peer calls", f.peerCalls, func(c fetch) { f.fetchFromPeer(ctx, c) }); err != nil {
+	if err := startFilter(n, "peer calls", f.peerCalls, f.fetchFromPeer); err != nil {
 		cancel()
 		return err
 	}
-	n.onStop(cancel)
-	if err := startFilter(n, "follow", f.in, f.handle); err != nil {
+	if err := startFilter(n, "audits", f.auditCalls, f.audit); err != nil {
+		cancel()
 		return err
 	}
-	if err := n.startTimer("audit", func() time.Duration {
-		if f.serving.Load() && n.members.watchersAhead() < maxAuditors {
-			f.audit(ctx)
-		}
-		return auditInterval
-	}); err != nil {
+	n.onStop(cancel)
+	if err := startFilter(n, "follow", f.in, f.handle); err != nil {
 		return err
 	}
 	return n.startTimer("follow ticks", func() time.Duration {
@@ -178,27 +185,35 @@
 }
 
 func (f *objectFilter) handle(in followInput) {
-	now := f.node.clock.Now()
-	passive := f.node.joining(now) || f.callerLimit.Passive(now, tpfollow.Rank{
-		Ahead: f.node.members.rank(watchTask, ""), WatchersAhead: f.node.members.watchersAhead(),
-	})
+	// The age of a view goes on while the machine is suspended.
+	now := f.node.leaseClock.Now()
+	running := f.node.clock.Now().Sub(f.node.started)
+	rank := tpfollow.Rank{Ahead: f.node.members.rank(watchTask, ""), WatchersAhead: f.node.members.watchersAhead()}
+	passive := f.node.joining(running) || f.callerLimit.Passive(now, rank)
 	serving := true
 	for _, follower := range f.followers {
 		f.deliver(now, follower, &in)
 		follower.SetPassive(passive)
-		follower.PeerInterval = f.peerInterval(now)
-		if !passive || f.needsPlatformView(now, follower) {
+		follower.PeerInterval = f.peerInterval(running)
+		if follower.WatchStalled(now) {
+			f.interrupt[follower.Kind]()
+		}
+		if !passive || f.needsPlatformView(running, follower) {
 			f.startPlatformCall(follower)
 		}
 		f.startPeerCall(now, follower)
 		serving = serving && follower.Serving()
 	}
 	f.setServing(serving)
+	if in.auditEnded {
+		f.audits.Done(now, in.err)
+	}
+	f.startAudit(now, running, rank)
 	if list, changed := f.registry.Targets(now); changed {
 		f.publishTargets(list)
 	}
 	if in.viewVersions == nil {
-		f.publishViewVersions(now)
+		f.publishViewVersions(now, &in)
 	}
 }
 
@@ -219,9 +234,9 @@
 	case tpfollow.ActionWatch:
 		changed = follower.HandleWatch(now, in.changes, in.version, in.err)
 	case tpfollow.ActionAudit:
-		changed = follower.HandleAudit(in.view, in.err)
+		changed = follower.HandleAudit(now, in.view, in.err)
 	case tpfollow.ActionPeer:
-		changed = follower.Peer(in.view, in.err)
+		changed = follower.Peer(now, in.view, in.err)
 	case tpfollow.ActionNone:
 	}
 	f.logStoreState(follower, in)
@@ -249,6 +264,10 @@
 	switch in.action {
 	case tpfollow.ActionPeer:
 		return
+	case tpfollow.ActionWatch:
+		if errors.Is(in.err, tpfollow.ErrInterrupted) {
+			return
+		}
 	case tpfollow.ActionAudit:
 		lost, regained, failing = "auditLost", "auditRegained", f.auditsFailing
 	}
@@ -271,17 +290,17 @@
 // needsPlatformView reports whether the node calls the platform whatever its rank, because
 // it has just started. When the whole region starts, the views of the peers are
 // as new as that of the platform.
-func (f *objectFilter) needsPlatformView(now time.Time, follower *tpfollow.Follower) bool {
+func (f *objectFilter) needsPlatformView(running time.Duration, follower *tpfollow.Follower) bool {
 	if !f.node.cfg.Bootstrap {
 		return follower.NeedsPlatformView()
 	}
 	_, known := follower.View()
-	return !known && now.Sub(f.node.started) >= bootstrapViewDelay
+	return !known && running >= bootstrapViewDelay
 }
 
 // peerInterval returns the shortest time between two reads of a peer's view.
-func (f *objectFilter) peerInterval(now time.Time) time.Duration {
-	if f.node.cfg.Bootstrap && now.Sub(f.node.started) < bootstrapPeriod {
+func (f *objectFilter) peerInterval(running time.Duration) time.Duration {
+	if f.node.cfg.Bootstrap && running < bootstrapPeriod {
 		return bootstrapPeerInterval
 	}
 	return 0
@@ -290,21 +309,55 @@
 // startPlatformCall passes the call to the platform that a follower asks for to
 // the calls duty.
 func (f *objectFilter) startPlatformCall(follower *tpfollow.Follower) {
-	if a := follower.Next(); a.Kind != tpfollow.ActionNone {
-		_ = f.calls[follower.Kind].Put(fetch{kind: follower.Kind, action: a}) // the ring is empty while no call is in progress
+	a := follower.Next()
+	if a.Kind == tpfollow.ActionNone {
+		return
+	}
+	if interrupt := f.interrupt[follower.Kind]; interrupt != nil {
+		interrupt() // releases the context of the last call
 	}
+	ctx, interrupt := context.WithCancel(f.ctx)
+	f.interrupt[follower.Kind] = interrupt
+	_ = f.calls[follower.Kind].Put(fetch{ctx: ctx, kind: follower.Kind, action: a}) // the ring is empty while no call is in progress
 }
 
 // startPeerCall passes the call to a peer that a follower asks for to the peer
 // calls duty.
 func (f *objectFilter) startPeerCall(now time.Time, follower *tpfollow.Follower) {
 	if a := follower.NextPeer(now); a.Kind != tpfollow.ActionNone {
-		if err := f.peerCalls.TryPut(fetch{kind: follower.Kind, action: a}); err != nil {
-			follower.Peer(tpobject.View{}, err)
+		if err := f.peerCalls.TryPut(fetch{ctx: f.ctx, kind: follower.Kind, action: a}); err != nil {
+			follower.Peer(now, tpobject.View{}, err)
 		}
 	}
 }
 
+// startAudit starts an audit if one is due. While calls fail that the node
+// repeats anyway, an audit would only add one. When a region starts, the nodes
+// have views before any of them watches.
+func (f *objectFilter) startAudit(now time.Time, running time.Duration, rank tpfollow.Rank) {
+	freshness := tpfollow.Freshness{
+		Auditor: f.serving.Load() && rank.WatchersAhead < tpfollow.MaxAuditors, Ahead: rank.Ahead,
+		ReportInterval: time.Duration(f.node.members.reportInterval.Load()),
+	}
+	for _, follower := range f.followers {
+		age, known := follower.Age(now)
+		if !known || follower.Failing() {
+			return
+		}
+		freshness.Age = max(freshness.Age, age)
+	}
+	starting := f.node.cfg.Bootstrap && running < bootstrapPeriod
+	if starting && !freshness.Auditor || !f.audits.Start(now, freshness) {
+		return
+	}
+	f.takeover = !freshness.Auditor
+	if f.takeover {
+		f.node.log.Info().Str("event", "auditTakeover").Int64("ageMs", freshness.Age.Milliseconds()).
+			Int("ahead", rank.Ahead).Int("watchersAhead", rank.WatchersAhead).Send()
+	}
+	_ = f.auditCalls.Put(fetch{ctx: f.ctx, action: tpfollow.Action{Kind: tpfollow.ActionAudit}}) // the ring is empty while no audit is in progress
+}
+
 // changed decodes a changed view and puts its content in force.
 func (f *objectFilter) changed(now time.Time, follower *tpfollow.Follower, in *followInput) {
 	n := f.node
@@ -374,59 +427,82 @@
 	n.log.Info().Str("event", "targets").Int("count", len(list)).Int("leaving", leaving).Send()
 }
 
-func (f *objectFilter) publishViewVersions(now time.Time) {
+// publishViewVersions passes the view versions to the membership filter. The
+// collectors hear at once of an audit. All members hear of content that the
+// platform has sent, and of an audit for which others may be waiting as well.
+func (f *objectFilter) publishViewVersions(now time.Time, in *followInput) {
 	var viewVersions []tpmessage.ViewVersion
 	for _, w := range f.followers {
 		if _, known := w.View(); known {
-			m := w.CurrentVersion()
-			m.Disturbed, m.DisturbedAge = w.Disturbance(now)
-			viewVersions = append(viewVersions, m)
+			viewVersions = append(viewVersions, w.Mark(now))
 		}
 	}
 	_ = f.node.members.newViewVersions.PutDropOldest(datedVersions{versions: viewVersions, at: now})
 	contentChanged := !slices.EqualFunc(viewVersions, f.publishedVersions, func(a, b tpmessage.ViewVersion) bool { return a.Digest == b.Digest })
 	f.publishedVersions = viewVersions
-	if contentChanged && f.serving.Load() {
+	audited := in.auditEnded && in.err == nil
+	switch {
+	case contentChanged && (f.serving.Load() || in.action == tpfollow.ActionAudit), audited && f.takeover:
 		_ = f.node.members.in.TryPut(memberInput{kind: memberViewChanged})
+	case audited:
+		_ = f.node.members.in.TryPut(memberInput{kind: memberConfirmed})
 	}
 }
 
 // fetch makes one call to the platform, after the delay that the action sets.
-func (f *objectFilter) fetch(ctx context.Context, c fetch) {
+func (f *objectFilter) fetch(c fetch) {
 	if c.action.Delay > 0 {
 		select {
 		case <-f.node.clock.After(c.action.Delay):
-		case <-ctx.Done():
+		case <-c.ctx.Done():
 		}
 	}
 	in := followInput{action: c.action.Kind, kind: c.kind}
 	if c.action.Kind == tpfollow.ActionView {
-		in.view, in.err = f.node.deps.Viewer.View(ctx, c.kind)
+		in.view, in.err = f.readAll(c.ctx, c.kind)
 	} else {
-		in.changes, in.version, in.err = f.node.deps.Viewer.Follow(ctx, c.kind, c.action.After)
+		in.changes, in.version, in.err = f.node.deps.Viewer.Follow(c.ctx, c.kind, c.action.After)
+		if c.ctx.Err() != nil {
+			in.err = tpfollow.ErrInterrupted
+		}
 	}
-	if ctx.Err() == nil {
+	if f.ctx.Err() == nil {
 		_ = f.in.Put(in)
 	}
 }
 
-// audit reads all objects of every kind from the platform. A full ring discards
-// the result; the next audit reads it again.
-func (f *objectFilter) audit(ctx context.Context) {
-	for _, kindName := range f.kinds {
-		in := followInput{action: tpfollow.ActionAudit, kind: kindName}
-		in.view, in.err = f.node.deps.Viewer.View(ctx, kindName)
-		if ctx.Err() == nil {
-			_ = f.in.TryPut(in)
+// readAll reads all objects of a kind from the platform.
+func (f *objectFilter) readAll(ctx context.Context, kind string) (tpobject.View, error) {
+	readAt := f.node.leaseClock.Now()
+	v, err := f.node.deps.Viewer.View(ctx, kind)
+	v.ReadAt = readAt
+	return v, err
+}
+
+// audit reads all objects of every kind from the platform. A platform that does
+// not serve one kind counts as failed for all, without a call for each.
+func (f *objectFilter) audit(c fetch) {
+	var err error
+	for _, kind := range f.kinds {
+		in := followInput{action: tpfollow.ActionAudit, kind: kind}
+		if err == nil {
+			in.view, err = f.readAll(c.ctx, kind)
+		}
+		in.err = err
+		if f.ctx.Err() == nil {
+			_ = f.in.Put(in)
 		}
 	}
+	if f.ctx.Err() == nil {
+		_ = f.in.Put(followInput{action: tpfollow.ActionAudit, auditEnded: true, err: err})
+	}
 }
 
 // fetchFromPeer reads a view from a peer.
-func (f *objectFilter) fetchFromPeer(ctx context.Context, c fetch) {
+func (f *objectFilter) fetchFromPeer(c fetch) {
 	in := followInput{action: c.action.Kind, kind: c.kind, peer: c.action.Peer}
-	in.view, in.err = f.node.members.client.View(ctx, c.action.Peer, c.kind)
-	if ctx.Err() == nil {
+	in.view, in.err = f.node.members.client.View(c.ctx, c.action.Peer, c.kind)
+	if f.ctx.Err() == nil {
 		_ = f.in.Put(in)
 	}
 }
--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -101,7 +101,7 @@
 	duty.Store = n.deps.Store
 	duty.Clock = n.leaseClock
 	duty.Rank = func(task, holder string) int {
-		if n.joining(n.clock.Now()) {
+		if n.joining(n.clock.Now().Sub(n.started)) {
 			return tplease.MaxCandidates
 		}
 		return n.members.rank(task, holder)
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -129,6 +129,19 @@
 	return addresses
 }
 
+// OtherCollectors returns the addresses of the collectors of all zones, without
+// this node.
+func (c *Collector) OtherCollectors() []string {
+	var addresses []string
+	for _, m := range c.collectors {
+		if m.Name != c.self.Name {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // ReportInterval returns the time between two reports of a node in this zone.
 func (c *Collector) ReportInterval() time.Duration {
 	return max(reportInterval, time.Duration(c.zoneSize)*time.Second/reportsPerSecond)
--- a/internal/relay/tpfollow/callers.go
+++ b/internal/relay/tpfollow/callers.go
@@ -11,9 +11,8 @@
 	// the platform, if it serves fewer than MaxWatchers of those that may. Some
 	// nodes may have lost only their own connection to the platform.
 	callerLimitInterval = 500 * time.Millisecond
-	// maxCallerDoublings bounds the callers in an outage of the platform to 32.
-	// The ranking is a hash, so it is very unlikely that a partial outage
-	// affects all of these.
+	// maxCallerDoublings bounds the callers in an outage of the platform to 32. If
+	// a partial outage affects all of these, the others audit.
 	maxCallerDoublings = 3
 )
 
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -31,12 +31,19 @@
 	// counts as disturbed. Registrations lapse while their owners cannot reach
 	// the platform.
 	disturbedPeriod = 3 * time.Second
-	// relayAllowance is added to the age of a failure of which a peer tells. It
-	// exceeds the time that a heartbeat is on its way, so that a failure does not
-	// become younger when nodes tell each other of it.
+	// relayAllowance is added to the age of a failure and of a confirmation of
+	// which a peer tells. It exceeds the time that a heartbeat is on its way, so
+	// that neither becomes younger when nodes tell each other of it.
 	relayAllowance = 50 * time.Millisecond
+	// missedChangeDelay is the time that a watch has to report a change that the
+	// node has learnt in another way. A watch whose connection has gone silent
+	// reports nothing.
+	missedChangeDelay = 500 * time.Millisecond
 )
 
+// ErrInterrupted is the error of a watch that the node has ended itself.
+var ErrInterrupted = errors.New("watch interrupted")
+
 // ActionKind is the kind of a call that a follower requests.
 type ActionKind uint8
 
@@ -46,7 +53,7 @@
 	ActionView                    // read all objects
 	ActionWatch                   // wait for changes
 	ActionPeer                    // read the view of a peer
-	ActionAudit                   // read all objects while a watch is in progress
+	ActionAudit                   // read all objects beside the calls of Next
 )
 
 // Action is a call to make. The zero value is no call.
@@ -81,6 +88,19 @@
 	peerReadAt          time.Time     // last read of a peer's view
 	newerPeerAt         time.Time     // when newerPeer was first set
 	newerPeerVersion    uint64        // version of the content of newerPeer
+	watchPending        bool          // the call in progress is a watch
+	watchFailed         bool          // an audit has failed during the watch in progress
+	missedSince         time.Time     // when the node learnt a change that the watch in progress has not reported, or zero
+	knownAt             time.Time     // when the first view was received
+	confirmedAt         time.Time     // the view holds every change acknowledged before, or zero
+	heard               confirmation  // latest one of which a peer has told
+}
+
+// confirmation says that a view with this digest holds every change that the
+// platform acknowledged before a time.
+type confirmation struct {
+	digest uint64
+	at     time.Time
 }
 
 // View returns the current view, and false if there is none yet.
@@ -92,6 +112,32 @@
 	return tpmessage.ViewVersion{Kind: f.Kind, Version: f.view.Version, Digest: f.digest}
 }
 
+// Mark returns CurrentVersion with what the node knows at a time of the
+// platform's failures and of the age of the view.
+func (f *Follower) Mark(now time.Time) tpmessage.ViewVersion {
+	m := f.CurrentVersion()
+	m.Disturbed, m.DisturbedAge = f.Disturbance(now)
+	if m.Confirmed = !f.confirmedAt.IsZero(); m.Confirmed {
+		m.ConfirmedAge = now.Sub(f.confirmedAt)
+	}
+	return m
+}
+
+// Age returns the time for which the view may have missed changes: the time
+// since the platform was asked for it, here or at a peer. A view that was never
+// confirmed counts from its receipt. Age returns false if there is no view.
+func (f *Follower) Age(now time.Time) (time.Duration, bool) {
+	at := f.knownAt
+	if f.confirmedAt.After(at) {
+		at = f.confirmedAt
+	}
+	return now.Sub(at), f.known
+}
+
+// Failing reports whether the last call to the platform failed and this node
+// repeats it.
+func (f *Follower) Failing() bool { return f.failures > 0 }
+
 // Disturbed reports whether calls to the platform fail or have failed within
 // the last disturbedPeriod.
 func (f *Follower) Disturbed(now time.Time) bool {
@@ -124,6 +170,14 @@
 // platform succeeded.
 func (f *Follower) Serving() bool { return f.canWatch && f.failures == 0 && f.platformCallPending }
 
+// WatchStalled reports whether the watch in progress must be interrupted. An
+// open watch cannot tell a platform without changes from one that does not
+// answer: an audit that fails beside it can, and so can a change that it does
+// not report.
+func (f *Follower) WatchStalled(now time.Time) bool {
+	return f.watchPending && (f.watchFailed || !f.missedSince.IsZero() && now.Sub(f.missedSince) >= missedChangeDelay)
+}
+
 // NeedsPlatformView reports whether the follower has no view, or has not called
 // the platform yet.
 func (f *Follower) NeedsPlatformView() bool { return !f.known || !f.contacted }
@@ -138,6 +192,7 @@
 	a := Action{Kind: ActionView}
 	if f.canWatch && f.contacted {
 		a = Action{Kind: ActionWatch, After: f.view.Version, Delay: f.watchPause}
+		f.watchPending = true
 	}
 	if f.failures > 0 {
 		a.Delay = min(retryBackoff<<min(f.failures-1, 8), maxRetryBackoff)
@@ -173,25 +228,36 @@
 	}
 	f.failures = 0
 	f.canWatch = true
-	return f.replace(v)
+	return f.replaceRead(now, v)
 }
 
-// HandleAudit processes a view that was read in addition to the calls of Next.
-// A watch may miss changes if the platform loses its history. HandleAudit
+// HandleAudit processes the result of a read beside the calls of Next. A watch
+// may miss changes if the platform loses its history or stops to answer. After
+// an audit that failed, the calls of Next count as failed too. HandleAudit
 // reports whether the content changed.
-func (f *Follower) HandleAudit(v tpobject.View, err error) bool {
-	if err != nil || !f.known {
+func (f *Follower) HandleAudit(now time.Time, v tpobject.View, err error) bool {
+	if err != nil {
+		f.watchFailed = f.watchPending
+		if !f.leavesCallsToOthers() {
+			f.recordFailure(now)
+		}
 		return false
 	}
-	return f.replace(v)
+	if !f.known {
+		return false
+	}
+	changed := f.replaceRead(now, v)
+	f.noteMissedChange(now, changed)
+	return changed
 }
 
 // HandleWatch processes the result of a watch. It reports whether the content
 // changed.
 func (f *Follower) HandleWatch(now time.Time, changes []tpobject.Change, version uint64, err error) bool {
-	f.platformCallPending = false
+	f.platformCallPending, f.watchPending, f.watchFailed = false, false, false
+	f.missedSince = time.Time{}
 	switch {
-	case errors.Is(err, tpobject.ErrHistoryGone):
+	case errors.Is(err, tpobject.ErrHistoryGone), errors.Is(err, ErrInterrupted):
 		f.canWatch = false
 		return false
 	case err != nil:
@@ -211,27 +277,33 @@
 	for _, c := range changes {
 		next.Objects = apply(next.Objects, c)
 	}
-	return f.replace(next)
+	return f.replace(now, next)
 }
 
 // Peer processes the view of a peer. It reports whether the content changed.
-func (f *Follower) Peer(v tpobject.View, err error) bool {
+func (f *Follower) Peer(now time.Time, v tpobject.View, err error) bool {
 	f.peerCallPending = false
 	f.newerPeer = ""
 	if err != nil || (f.known && v.Version <= f.view.Version) {
 		return false
 	}
 	f.canWatch = true
-	return f.replace(v)
+	changed := f.replace(now, v)
+	f.noteMissedChange(now, changed)
+	return changed
 }
 
 // HandlePeerVersion processes the version and the digest of a peer's view. A
 // passive follower relies on the failure of which the peer tells, because it
-// makes no calls that could fail. It tells others of it in turn, with its age.
+// makes no calls that could fail. It tells others of it, and of a confirmation,
+// in turn, with its age.
 func (f *Follower) HandlePeerVersion(now time.Time, peer string, version tpmessage.ViewVersion) {
 	if failedAt := now.Add(-version.DisturbedAge - relayAllowance); version.Disturbed && f.passive && failedAt.After(f.failedAt) {
 		f.failedAt = failedAt
 	}
+	if version.Confirmed {
+		f.hearConfirmation(version, now.Add(-version.ConfirmedAge-relayAllowance))
+	}
 	if version.Version == 0 || (f.known && (version.Version <= f.view.Version || version.Digest == f.digest)) {
 		return
 	}
@@ -243,21 +315,62 @@
 	}
 }
 
+// hearConfirmation applies the confirmation of a peer's view to the node's own
+// view if that has the same content or a higher version, which includes the
+// changes of the lower ones. Otherwise it keeps the confirmation for the content that the
+// node may learn next.
+func (f *Follower) hearConfirmation(version tpmessage.ViewVersion, at time.Time) {
+	switch {
+	case !f.known:
+	case version.Digest == f.digest, version.Version < f.view.Version:
+		f.confirm(at)
+	case at.After(f.heard.at):
+		f.heard = confirmation{digest: version.Digest, at: at}
+	}
+}
+
+func (f *Follower) confirm(at time.Time) {
+	if at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+}
+
 func (f *Follower) recordFailure(now time.Time) {
 	f.failures++
 	f.failedAt = now
 }
 
+// noteMissedChange records that the node has learnt a change while a watch is in
+// progress, which should report it as well.
+func (f *Follower) noteMissedChange(now time.Time, changed bool) {
+	if changed && f.watchPending && f.missedSince.IsZero() {
+		f.missedSince = now
+	}
+}
+
+// replaceRead is replace for a view that was read from the platform.
+func (f *Follower) replaceRead(now time.Time, v tpobject.View) bool {
+	changed := f.replace(now, v)
+	f.confirm(v.ReadAt)
+	return changed
+}
+
 // replace sets the view unless it is older than the current one, and reports
 // whether the content changed.
-func (f *Follower) replace(v tpobject.View) bool {
+func (f *Follower) replace(now time.Time, v tpobject.View) bool {
 	if f.known && v.Version < f.view.Version {
 		return false
 	}
+	if !f.known {
+		f.knownAt = now
+	}
 	slices.SortFunc(v.Objects, byName)
 	digest := digestOf(v.Objects)
 	changed := !f.known || digest != f.digest
 	f.view, f.digest, f.known = v, digest, true
+	if f.heard.digest == digest {
+		f.confirm(f.heard.at)
+	}
 	if f.newerPeerVersion <= v.Version {
 		f.newerPeer = ""
 	}
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -41,7 +41,7 @@
 	if a := f.Next(); a.Kind != tpfollow.ActionWatch || a.After != 5 {
 		t.Fatalf("action: got %+v, want a watch from version 5", a)
 	}
-	if !f.HandleAudit(view(9, object("a", 8)), nil) {
+	if !f.HandleAudit(epoch, view(9, object("a", 8)), nil) {
 		t.Fatal("the change found by the audit is not applied")
 	}
 	if got, _ := f.View(); got.Objects[0].Version != 8 {
@@ -60,7 +60,7 @@
 // was delayed.
 func TestOlderViewIsIgnored(t *testing.T) {
 	f := newFollower(t, view(9, object("a", 8)))
-	if f.HandleAudit(view(7, object("a", 3)), nil) || f.Peer(view(7, object("a", 3)), nil) || f.HandleView(epoch, view(7, object("a", 3)), nil) {
+	if f.HandleAudit(epoch, view(7, object("a", 3)), nil) || f.Peer(epoch, view(7, object("a", 3)), nil) || f.HandleView(epoch, view(7, object("a", 3)), nil) {
 		t.Error("an older view counts as a change")
 	}
 	if got, _ := f.View(); got.Version != 9 || got.Objects[0].Version != 8 {
@@ -118,12 +118,12 @@
 	if a.Kind != tpfollow.ActionPeer || a.Peer != "peer:1" {
 		t.Fatalf("action: got %+v, want a call to peer:1", a)
 	}
-	if !f.Peer(view(8, object("b", 8)), nil) {
+	if !f.Peer(epoch, view(8, object("b", 8)), nil) {
 		t.Error("the peer's view is not applied")
 	}
 	f.HandlePeerVersion(epoch, "peer:2", tpmessage.ViewVersion{Kind: "servers", Version: 9, Digest: 2})
 	f.NextPeer(epoch.Add(time.Minute))
-	if f.Peer(tpobject.View{}, errors.New("cut")) {
+	if f.Peer(epoch, tpobject.View{}, errors.New("cut")) {
 		t.Error("a failed call changes the view")
 	}
 	if got, _ := f.View(); got.Version != 8 {
@@ -155,7 +155,7 @@
 func TestRestartedNodeAsksThePlatform(t *testing.T) {
 	f := &tpfollow.Follower{Kind: "servers"}
 	f.SetPassive(true)
-	f.Peer(view(5), nil)
+	f.Peer(epoch, view(5), nil)
 	if got, want := f.Next().Kind, tpfollow.ActionView; got != want {
 		t.Fatalf("action with the view of a peer: got %v, want %v", got, want)
 	}
@@ -184,7 +184,7 @@
 		f.HandlePeerVersion(now, "peer:1", tpmessage.ViewVersion{Kind: "servers", Version: version, Digest: version})
 		if a := f.NextPeer(now); a.Kind == tpfollow.ActionPeer {
 			reads++
-			f.Peer(tpobject.View{Kind: "servers", Version: version, Objects: []tpobject.Object{{Name: "servers/x", Version: version}}}, nil)
+			f.Peer(epoch, tpobject.View{Kind: "servers", Version: version, Objects: []tpobject.Object{{Name: "servers/x", Version: version}}}, nil)
 		}
 	}
 	if got, want := reads, 4; got != want {
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -28,6 +28,10 @@
 	// last such failure.
 	Disturbed    bool
 	DisturbedAge time.Duration
+	// Confirmed is true if the view is known to hold every change that the
+	// platform acknowledged more than ConfirmedAge ago.
+	Confirmed    bool
+	ConfirmedAge time.Duration
 }
 
 // MemberState is the state of one member at one of its heartbeats. Name,
--- a/pkg/tpobject/store.go
+++ b/pkg/tpobject/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // MaxValueBytes is the size of the largest value that the platform stores.
@@ -70,6 +71,9 @@
 	Kind    string
 	Version uint64 // of the store
 	Objects []Object
+	// ReadAt is when the read of the platform began that returned the view, by the
+	// clock of the reader. It is zero if that is not known.
+	ReadAt time.Time
 }
 
 // Viewer reads all objects of a kind. Each method makes one call, which counts
