Answer a first request that is read as the server begins to shut down

What callers saw: a request on a new connection, sent while a node stops as planned, may get no answer instead of 503.

Cause: Shutdown was called once the last new connection was in StateActive. net/http sets that state before it checks whether the server shuts down, and closes the connection without an answer if it does.

Change: a connection counts as new until its first request reaches the handler, which runs after that check.

--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -226,8 +226,8 @@
 	}
 	var unused newConns
 	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-		ConnState: unused.track,
+		Handler: unused.handler(h), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		ConnState: unused.track, ConnContext: unused.withConn,
 	}
 	srv.RegisterOnShutdown(unused.close)
 	wait, err := n.deps.Duties.Go(name, func() {
