Keep missing registrations only after a total outage of the store

Cause: a registration that is missing after a failed call was taken for one that lapsed while the store was away, also if the store turned only some nodes away and served the servers. With audits whose failure counts, that is told more often. Same class of fault: a failure of one's own path taken for one of the store.

Change: a missing registration may have lapsed only if no node has read the store for 2.4 s. Confirmations in heartbeats tell every node of such reads.

--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -376,8 +376,8 @@
 	list, decodeErrors := n.deps.DecodeTargets(v.Objects)
 	f.logDecodeErrors(v.Version, decodeErrors)
 	n.log.Info().Str("event", "registrations").Uint64("version", v.Version).Str("source", source).
-		Int("count", len(list)).Bool("disturbed", follower.Disturbed(now)).Send()
-	f.registry.Set(now, list, follower.Disturbed(now))
+		Int("count", len(list)).Bool("disturbed", follower.Disturbed(now)).Bool("outage", follower.MayHaveLapsed(now)).Send()
+	f.registry.Set(now, list, follower.MayHaveLapsed(now))
 	f.targetsKnown.Store(true)
 }
 
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -35,6 +35,11 @@
 	// which a peer tells. It exceeds the time that a heartbeat is on its way, so
 	// that neither becomes younger when nodes tell each other of it.
 	relayAllowance = 50 * time.Millisecond
+	// outageGap is the shortest time without any read of the platform, at any node,
+	// in which registrations may lapse although their owners live: they write
+	// every 1.2 s and lapse after three writes that fail. Without a total outage
+	// the nodes read more often, whichever of them are turned away.
+	outageGap = 2400 * time.Millisecond
 	// missedChangeDelay is the time that a watch has to report a change that the
 	// node has learnt in another way. A watch whose connection has gone silent
 	// reports nothing.
@@ -94,6 +99,8 @@
 	knownAt             time.Time     // when the first view was received
 	confirmedAt         time.Time     // the view holds every change acknowledged before, or zero
 	heard               confirmation  // latest one of which a peer has told
+	readAt              time.Time     // latest known read of the platform, here or at a peer, or zero
+	outageEndedAt       time.Time     // latest read after outageGap without one, or zero
 }
 
 // confirmation says that a view with this digest holds every change that the
@@ -144,6 +151,15 @@
 	return f.failures > 0 || (!f.failedAt.IsZero() && now.Sub(f.failedAt) < disturbedPeriod)
 }
 
+// MayHaveLapsed reports whether registrations that are missing may belong to
+// live targets: the platform counts as disturbed, and nobody has read it for
+// outageGap until less than disturbedPeriod ago. If it turns away only some nodes, it
+// serves the targets, and a missing one has left.
+func (f *Follower) MayHaveLapsed(now time.Time) bool {
+	outage := now.Sub(f.readAt) >= outageGap || !f.outageEndedAt.IsZero() && now.Sub(f.outageEndedAt) < disturbedPeriod
+	return f.Disturbed(now) && outage
+}
+
 // Disturbance returns Disturbed and the time since the last failure.
 func (f *Follower) Disturbance(now time.Time) (disturbed bool, age time.Duration) {
 	if !f.Disturbed(now) || f.failures > 0 {
@@ -315,11 +331,23 @@
 	}
 }
 
+// recordRead records that a node has read the platform.
+func (f *Follower) recordRead(at time.Time) {
+	if !at.After(f.readAt) {
+		return
+	}
+	if !f.readAt.IsZero() && at.Sub(f.readAt) >= outageGap {
+		f.outageEndedAt = at
+	}
+	f.readAt = at
+}
+
 // hearConfirmation applies the confirmation of a peer's view to the node's own
 // view if that has the same content or a higher version, which includes the
 // changes of the lower ones. Otherwise it keeps the confirmation for the content that the
 // node may learn next.
 func (f *Follower) hearConfirmation(version tpmessage.ViewVersion, at time.Time) {
+	f.recordRead(at)
 	switch {
 	case !f.known:
 	case version.Digest == f.digest, version.Version < f.view.Version:
@@ -351,6 +379,7 @@
 // replaceRead is replace for a view that was read from the platform.
 func (f *Follower) replaceRead(now time.Time, v tpobject.View) bool {
 	changed := f.replace(now, v)
+	f.recordRead(v.ReadAt)
 	f.confirm(v.ReadAt)
 	return changed
 }
--- a/internal/relay/tpfollow/registry.go
+++ b/internal/relay/tpfollow/registry.go
@@ -27,10 +27,9 @@
 	return &Registry{targets: make(map[string]tpmessage.RelayTarget), lapsedUntil: make(map[string]time.Time)}
 }
 
-// Set replaces the registrations. If disturbed, the platform has recently
-// failed, and targets whose registrations are missing stay in use for
-// LapseGrace.
-func (r *Registry) Set(now time.Time, list []tpmessage.RelayTarget, disturbed bool) {
+// Set replaces the registrations. If missing ones may have lapsed, their targets
+// stay in use for LapseGrace.
+func (r *Registry) Set(now time.Time, list []tpmessage.RelayTarget, mayHaveLapsed bool) {
 	present := make(map[string]bool, len(list))
 	for _, t := range list {
 		present[t.Name] = true
@@ -53,7 +52,7 @@
 		if _, lapsed := r.lapsedUntil[name]; lapsed {
 			continue
 		}
-		if disturbed && !t.Draining {
+		if mayHaveLapsed && !t.Draining {
 			r.lapsedUntil[name] = now.Add(LapseGrace)
 			continue
 		}
