Rank the nodes that the store serves first for the lease of the engines

What callers could see: engines that keep their roles while the work changes, since nobody gives orders.

Cause: the candidates are the first eight nodes of a ranking by name. A candidate that the store turns away still counts as ahead of the others.

Change: nodes that the store serves take precedence over those of which that is not known. The number of calls stays that of eight candidates.

--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -374,6 +374,22 @@
 	return m.membersAhead(task, func(member tpmessage.Member) bool { return member.Name != holder })
 }
 
+// leaseRank is rank with the members before the others that the platform serves.
+// A node that it turns away can neither acquire a lease nor read who holds it.
+func (m *members) leaseRank(task, holder string) int {
+	served := m.node.objects.serving.Load()
+	ahead := m.membersAhead(task, func(member tpmessage.Member) bool { return member.Name != holder && member.Watching == served })
+	if served {
+		return ahead
+	}
+	for _, member := range *m.liveMembers.Load() {
+		if member.Watching && !member.Leaving && !member.Suspect && member.Name != holder && member.Name != m.node.cfg.Name {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // watchersAhead returns the number of members that watch the platform and rank
 // above this node for that task.
 func (m *members) watchersAhead() int {
--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -104,7 +104,7 @@
 		if n.joining(n.clock.Now().Sub(n.started)) {
 			return tplease.MaxCandidates
 		}
-		return n.members.rank(task, holder)
+		return n.members.leaseRank(task, holder)
 	}
 	lastHeld, lastFencing := false, uint64(0)
 	duty.Sink = func(a tpmessage.Authority) {
