End a watcher's claim when its probe is not answered (own interface)

What callers could see: a node of serve that uses a configuration more than 7 s after its ack, because the two watching nodes are cut off from the platform in silence.

Cause: a watcher counts as one until its probe fails, which takes 3 s more if the probe is not answered: 3.3 s until the probe, 3 s for it, a heartbeat, and 2 s until the others read the head.

Change: a probe that is not answered within 1 s ends the claim, and probes come every 2 s instead of 3 s. That costs a third of a call a second for a region.

Evidence: TestUnansweredProbeEndsTheWatchInTime fails before (15.5 s without any answer to the probe, the target is 7 s) and passes; TestBlindWatchers holds.

--- a/internal/rollout/tprollout/follower.go
+++ b/internal/rollout/tprollout/follower.go
@@ -19,7 +19,12 @@
 	// ProbeInterval is the interval at which a node that watches the head also
 	// reads it. Until the watch times out after 40 s, a broken connection looks
 	// the same as a head without changes.
-	ProbeInterval = 3 * time.Second
+	ProbeInterval = 2 * time.Second
+	// ProbeAnswerDelay is the time after which a probe without an answer shows
+	// that the platform does not answer the watch either. The call itself may
+	// last longer. The other nodes then read the head in time for a change to be
+	// in force within 7 s.
+	ProbeAnswerDelay = time.Second
 	// GatherTime is the time for which a starting node collects the generations
 	// of its peers before it fetches a configuration from one of them. Two
 	// rounds of heartbeats deliver the generations of all members. The node
@@ -130,12 +135,12 @@
 	head        tpmessage.Head // latest head from the platform that replaces the one in force
 	headPending bool           // the parts of head have not been fetched yet
 
-	actionRunning  bool // an action is in progress
-	actionKind     ActionKind
-	actionDeadline time.Time
-	retryAt        time.Time // earliest time of the next action
-	failures       int       // consecutive failed actions
-	lastPeer       string    // address of the peer of the last fetch; empty once a fetch succeeds
+	actionRunning bool // an action is in progress
+	actionKind    ActionKind
+	actionStarted time.Time
+	retryAt       time.Time // earliest time of the next action
+	failures      int       // consecutive failed actions
+	lastPeer      string    // address of the peer of the last fetch; empty once a fetch succeeds
 
 	lastWatchedAt time.Time // when a live node was last known to watch the head
 	nextReadAt    time.Time // earliest time of this node's next own read
@@ -186,7 +191,10 @@
 	case InputFailed:
 		f.handleFailure(now)
 	}
-	if f.actionRunning && now.After(f.actionDeadline) {
+	if f.actionRunning && f.actionKind == ActionReadHead && now.Sub(f.actionStarted) >= ProbeAnswerDelay {
+		f.watchAnswered = false
+	}
+	if f.actionRunning && now.Sub(f.actionStarted) > ActionTimeout {
 		f.handleFailure(now)
 	}
 	return f.startNext(now, actions)
@@ -276,7 +284,7 @@
 }
 
 func (f *Follower[P]) startAction(now time.Time, actions []Action, a Action) []Action {
-	f.actionRunning, f.actionKind, f.actionDeadline = true, a.Kind, now.Add(ActionTimeout)
+	f.actionRunning, f.actionKind, f.actionStarted = true, a.Kind, now
 	a.Held = f.held
 	return append(actions, a)
 }
--- a/internal/rollout/tprollout/follower_test.go
+++ b/internal/rollout/tprollout/follower_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/internal/rollout/tprollout"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
@@ -113,3 +114,28 @@
 		s.tick(100*time.Millisecond, tpmessage.Member{Generation: 1, Watching: true, Suspect: true}, others...)
 	}
 }
+
+// Guards against a watcher that counts as one until its unanswered probe times out, while no other node reads the head.
+func TestUnansweredProbeEndsTheWatchInTime(t *testing.T) {
+	const bound = 7 * time.Second // in which a change must be in force
+	s := newFollowerDriver()
+	s.tick(0, tpmessage.Member{Generation: 1})
+	s.advance(time.Millisecond, tprollout.Input{Kind: tprollout.InputHead, Head: tpmessage.Head{Generation: 1}})
+	s.advance(time.Millisecond, fetchedInput(1))
+	if !s.follower.Watching() {
+		t.Fatal("node-0 is not chosen to watch; the test needs other names")
+	}
+	// The platform answers neither the watch nor the probe from here on.
+	claimed := time.Duration(0)
+	for s.follower.Watching() {
+		if claimed > time.Minute {
+			t.Fatal("the claim to be watching does not end")
+		}
+		claimed += tprollout.TickInterval
+		s.tick(tprollout.TickInterval, tpmessage.Member{Generation: 1})
+	}
+	others := tpmember.HeartbeatInterval + tprollout.UnwatchedReadDelay - tpmember.SuspectAfter + tprollout.TickInterval
+	if got := claimed + others; got > bound {
+		t.Errorf("time until another node reads the head: got %v, want at most %v", got, bound)
+	}
+}
