Close the kept connections to the store after a call without an answer

What callers could see: a node that stays behind the store although new connections work. With several kept connections that have gone silent, each failed one call after its time limit.

Cause: the transport tries the kept connections one after the other. Same class of fault: a connection that says nothing counts as sound.

--- a/internal/edge/tpplatform/client.go
+++ b/internal/edge/tpplatform/client.go
@@ -41,12 +41,20 @@
 func NewClient(base string) (*Client, func()) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 32, MaxResponseHeaderBytes: maxHeaderBytes}
 	newClient := func(timeout time.Duration) *resty.Client {
-		return resty.New().SetTransport(transport).SetBaseURL(base).SetTimeout(timeout).SetResponseBodyLimit(maxBodyBytes)
+		return NewHTTPClient(transport, base, timeout).SetResponseBodyLimit(maxBodyBytes)
 	}
 	c := &Client{callClient: newClient(CallTimeout), watchClient: newClient(WatchTimeout)}
 	return c, transport.CloseIdleConnections
 }
 
+// NewHTTPClient returns a client whose calls have a timeout. A call that gets no
+// answer closes the kept connections of the transport: if one of them has gone
+// silent, so may the others have, and each would fail a call.
+func NewHTTPClient(transport *http.Transport, base string, timeout time.Duration) *resty.Client {
+	return resty.New().SetTransport(transport).SetBaseURL(base).SetTimeout(timeout).
+		OnError(func(*resty.Request, error) { transport.CloseIdleConnections() })
+}
+
 // Get implements tpobject.Store.
 func (c *Client) Get(ctx context.Context, name string) (tpobject.Object, error) {
 	var o tpobject.Object
--- a/internal/edge/tpplatform/client_test.go
+++ b/internal/edge/tpplatform/client_test.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/edge/tpplatform"
+	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
 	"teaselpin.example/teaselpin/internal/standin/tpplatformfake"
 	"teaselpin.example/teaselpin/pkg/tpobject"
 	"teaselpin.example/teaselpin/pkg/tpobject/tpobjecttest"
@@ -78,3 +80,33 @@
 		}
 	}
 }
+
+// Guards against one timed-out call for each kept connection after all of them have gone silent.
+func TestSilentConnectionsFailOneCall(t *testing.T) {
+	const calls = 3
+	p := tpguestfake.NewProxy(t, tpguestfake.Listen(t, (&tpplatformfake.Platform{WatchTimeout: time.Second}).Handler()))
+	c, cleanup := tpplatform.NewClient("http://" + p.Address)
+	defer cleanup()
+	p.SetMode(tpguestfake.ModeDelay) // so that the calls overlap, and each opens a connection
+	var group sync.WaitGroup
+	for range calls {
+		group.Go(func() {
+			if _, err := c.List(t.Context(), "config/"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	p.SetMode(tpguestfake.ModePass)
+	p.Mute()
+	failed := 0
+	for range calls + 1 {
+		if _, err := c.List(t.Context(), "config/"); err == nil {
+			break
+		}
+		failed++
+	}
+	if got, want := failed, 1; got != want {
+		t.Errorf("failed calls after the kept connections went silent: got %d, want %d", got, want)
+	}
+}
--- a/internal/standin/tpguestfake/proxy.go
+++ b/internal/standin/tpguestfake/proxy.go
@@ -37,6 +37,7 @@
 	mode    Mode
 	closed  bool
 	conns   map[*net.TCPConn]bool
+	mute    map[*net.TCPConn]bool // connections that forward nothing for good
 }
 
 // NewProxy starts a proxy for the server at backend, a host:port. The proxy
@@ -54,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Proxy{Address: l.Addr().String(), backend: backend, conns: make(map[*net.TCPConn]bool)}
+	p := &Proxy{Address: l.Addr().String(), backend: backend, conns: make(map[*net.TCPConn]bool), mute: make(map[*net.TCPConn]bool)}
 	p.changed = sync.NewCond(&p.mu)
 	if ip != "" {
 		p.local = &net.TCPAddr{IP: net.ParseIP(ip)}
@@ -85,6 +86,15 @@
 	clear(p.conns)
 }
 
+// Mute makes the open connections silent for good. New ones are not affected.
+func (p *Proxy) Mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.mute[c] = true
+	}
+}
+
 func (p *Proxy) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -128,7 +138,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buf)
-		if !p.waitForMode(blocked) {
+		if !p.waitForMode(src, blocked) {
 			return
 		}
 		if n > 0 {
@@ -145,7 +155,7 @@
 
 // waitForMode delays a block as the mode requires. It returns false if the
 // connections have been reset.
-func (p *Proxy) waitForMode(blocked []Mode) bool {
+func (p *Proxy) waitForMode(src *net.TCPConn, blocked []Mode) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.mode == ModeDelay {
@@ -153,7 +163,7 @@
 		time.Sleep(proxyDelay) // injected fault
 		p.mu.Lock()
 	}
-	for slices.Contains(blocked, p.mode) && !p.closed {
+	for (slices.Contains(blocked, p.mode) || p.mute[src]) && !p.closed {
 		p.changed.Wait()
 	}
 	return p.mode != ModeReset
