--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -31,6 +31,7 @@
 	ID     string
 	Method string
 	URI    string
+	Host   string
 	Header http.Header
 	Body   string
 	Run    bool // the server ran the request; false for prefill and refused requests
@@ -186,7 +187,7 @@
 	run := fault != FaultNotRun && (expectedInstance == "" || expectedInstance == s.ID) && !prefill
 	index := len(s.arrivals)
 	s.arrivals = append(s.arrivals, Arrival{
-		ID: r.Header.Get("X-Teaselpin-Request-Id"), Method: r.Method, URI: r.RequestURI,
+		ID: r.Header.Get("X-Teaselpin-Request-Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: r.Header.Clone(), Body: string(body), Run: run, At: time.Now(),
 	})
 	s.mu.Unlock()
