Store the quarantines, so that they outlast all nodes

Cause: the evidence was in the memory of the nodes alone.

Change: the node that finds a quarantine, and the first of a ranking, write it to one object of the region; an answer that ends it removes it. A node that starts reads the object once. A key that was answered before its quarantine may be tried afterwards too.

--- a/internal/guard/tpcrash/guard.go
+++ b/internal/guard/tpcrash/guard.go
@@ -63,6 +63,7 @@
 	Own         bool     // a crash or an answer at this node caused it
 	Expired     bool     // the quarantine ended by time
 	Crashes     []string // at the begin of the quarantine
+	Answered    bool     // this node has lately seen answers to requests with the key
 }
 
 // Guard holds the evidence of one node. It belongs to one filter and is not
@@ -120,6 +121,8 @@
 	}
 }
 
+func (g *Guard) recentlyAnswered(key uint64) bool { return g.answered[key] || g.answeredBefore[key] }
+
 // Check reports whether a request must not be sent to a target, and the
 // quarantined key for which it is refused.
 func (g *Guard) Check(now time.Time, req *tpmessage.RelayRequest) (key uint64, refused bool) {
@@ -158,7 +161,7 @@
 // allowsTrial reports whether a request may pass although it carries the
 // quarantined key of e.
 func (g *Guard) allowsTrial(now time.Time, e *entry) bool {
-	if !g.answered[e.key] && !g.answeredBefore[e.key] {
+	if !g.recentlyAnswered(e.key) {
 		return false
 	}
 	if e.trialFailed {
@@ -183,6 +186,9 @@
 			}
 			continue
 		}
+		if r.Answered {
+			g.recordAnswered(now, []uint64{r.Fingerprint})
+		}
 		e.repeatClearance(now, ids)
 		if e.addCrashes(now, ids) {
 			e.noteTrial(now, peerGrace)
@@ -254,6 +260,7 @@
 	if quarantined {
 		g.quarantinedCount++
 		cause.Crashes = slices.Clone(e.crashes)
+		cause.Answered = g.recentlyAnswered(e.key)
 	} else {
 		g.quarantinedCount--
 	}
--- a/internal/node/tprelaynode/exchange_test.go
+++ b/internal/node/tprelaynode/exchange_test.go
@@ -68,6 +68,18 @@
 
 // startRawNodeWith is startRawNode with settings.
 func startRawNodeWith(t *testing.T, cfg tprelaynode.Settings, answer func(c net.Conn, r *http.Request) bool) *node {
+	t.Helper()
+	s := &site{}
+	startRawSite(t, s, 1, answer)
+	cfg.Name, cfg.Peers = "node-0", tpprocess.FreeAddress(t)
+	n := s.startWith(t, cfg)
+	n.untilReady(t)
+	return n
+}
+
+// startRawSite starts the store of a site and a raw server that is registered
+// under the given number of names.
+func startRawSite(t *testing.T, s *site, names int, answer func(c net.Conn, r *http.Request) bool) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -83,7 +95,6 @@
 			go rawServer{answer}.serve(c)
 		}
 	}()
-	s := &site{}
 	s.address = tpguestfake.Listen(t, &s.store)
 	s.store.Set("config", "main", map[string]any{
 		"version": 1,
@@ -93,13 +104,11 @@
 		"services": []any{map[string]any{"name": "raw"}},
 		"limits":   map[string]any{"max_body_bytes": rawBodyLimit},
 	})
-	s.store.Set("servers", "r0", map[string]any{
-		"service": "raw", "address": l.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "stage": "", "born": 1,
-	})
-	cfg.Name, cfg.Peers = "node-0", tpprocess.FreeAddress(t)
-	n := s.startWith(t, cfg)
-	n.untilReady(t)
-	return n
+	for i := range names {
+		s.store.Set("servers", fmt.Sprint("r", i), map[string]any{
+			"service": "raw", "address": l.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "stage": "", "born": 1,
+		})
+	}
 }
 
 // rawHead returns the head of a request without the empty line that ends it.
--- a/internal/node/tprelaynode/guard.go
+++ b/internal/node/tprelaynode/guard.go
@@ -96,6 +96,7 @@
 			source = "time"
 		}
 		n.log.Warn().Str("event", event).Str("key", tpcrash.Name(c.Key)).Str("source", source).Strs("crashes", c.Crashes).Send()
+		n.quarantines.record(c)
 	}
 	if found {
 		n.publishEvidence(now)
--- a/internal/node/tprelaynode/guard_test.go
+++ b/internal/node/tprelaynode/guard_test.go
@@ -33,6 +33,9 @@
 			evidence: tpring.New[[]tpmessage.SuspectRequest](tpring.Settings{Capacity: 1}),
 		},
 	}
+	n.members.node = n
+	n.members.liveMembers.Store(&[]tpmessage.Member{})
+	n.quarantines = &quarantineFilter{node: n, in: tpring.New[quarantineInput](tpring.Settings{Capacity: 16})}
 	var targets []tpmessage.RelayTarget
 	for i := range 4 {
 		targets = append(targets, tpmessage.RelayTarget{
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -97,10 +97,12 @@
 	objects   *objectFilter
 	members   *members
 	roles     *roleFilter
-	relay     *tprelay.Relay
-	front     *http.Server
-	latency   latencyHistograms
-	cleanup   []func()
+	// quarantines stores the quarantines of the placement filter's guard.
+	quarantines *quarantineFilter
+	relay       *tprelay.Relay
+	front       *http.Server
+	latency     latencyHistograms
+	cleanup     []func()
 }
 
 // New starts a node. The clean-up function stops it as planned: it lets the
@@ -132,7 +134,8 @@
 	n.members = newMembers(n)
 	n.objects = newObjectFilter(n)
 	n.roles = newRoleFilter(n)
-	steps := []func() error{n.startPlacement, n.startMembers, n.startObjects, n.startRoles, n.startServers}
+	n.quarantines = newQuarantineFilter(n)
+	steps := []func() error{n.startPlacement, n.startQuarantines, n.startMembers, n.startObjects, n.startRoles, n.startServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -48,4 +48,7 @@
 	Fingerprint uint64   `json:"fingerprint"`
 	Targets     []string `json:"targets"`           // targets on which it ran when they crashed, one for each crash
 	Cleared     bool     `json:"cleared,omitempty"` // the request completed after these crashes
+	// Answered is true if such requests were answered shortly before these
+	// crashes. Heartbeats do not carry it.
+	Answered bool `json:"answered,omitempty"`
 }
