Count an audit as a call to the store

What callers could see: after the first start of a region, a node whose audit failed once makes no further one, and counts the store as disturbed for good.

Cause: a node that only audits counted as one that has never called the store, and so as one that repeats its failed call.

Evidence: TestFailedAuditOfANodeThatMakesNoOtherCalls fails before. Found by reading the change; TestChangeArrivesWhenWatchersAreTurnedAway now also plays a first start.

--- a/internal/node/tprelaynode/turnedaway_test.go
+++ b/internal/node/tprelaynode/turnedaway_test.go
@@ -24,13 +24,13 @@
 // proxyIP returns the address from which the store is called for a node.
 func proxyIP(i int) string { return fmt.Sprint("127.0.0.", 10+i) }
 
-func newFleet(t *testing.T, size int) *fleet {
+func newFleet(t *testing.T, size int, bootstrap bool) *fleet {
 	t.Helper()
 	f := &fleet{site: newSite(t), version: 1}
 	seed := tpprocess.FreeAddress(t)
 	for i := range size {
 		p := tpguestfake.NewProxyFrom(t, f.address, proxyIP(i))
-		cfg := tprelaynode.Settings{Name: fmt.Sprint("node-", i), Peers: seed, Store: p.Address}
+		cfg := tprelaynode.Settings{Name: fmt.Sprint("node-", i), Peers: seed, Store: p.Address, Bootstrap: bootstrap}
 		if i > 0 {
 			cfg.Peers, cfg.Seeds = tpprocess.FreeAddress(t), []string{seed}
 		}
@@ -77,7 +77,7 @@
 	} {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, 6)
+			f := newFleet(t, 6, fault.name == "one way") // a first start leaves most calls to the seeds
 			for served := range f.nodes {
 				// The watches begin again with a change, so that none is about to end.
 				inForce := f.change(t)
--- a/internal/relay/tpfollow/audit.go
+++ b/internal/relay/tpfollow/audit.go
@@ -14,7 +14,8 @@
 	// auditor, a tick at the collector, and the allowances for two heartbeats.
 	hearingAllowance = 400 * time.Millisecond
 	// takeoverStep is the time by which each next group of nodes waits longer for
-	// a confirmation before it audits. A group has three times as many nodes as all before it.
+	// a confirmation before it audits. A group has three times as many nodes as
+	// all before it.
 	takeoverStep = 100 * time.Millisecond
 	// maxTakeoverSteps bounds the wait, so that it does not grow with the region.
 	maxTakeoverSteps = 3
@@ -42,7 +43,7 @@
 // AuditSchedule decides when a node audits: reads all objects from the platform
 // beside its calls of Next. A few nodes audit at intervals, and each other node
 // audits only when it has not heard of a confirmation for so long that these
-// must have failed. A change is so in force in bounded time at each node that
+// must have failed. So a change is in force in bounded time at each node that
 // reaches the platform, whatever happened to the nodes on which it relies. The
 // zero value is ready to use.
 type AuditSchedule struct {
--- a/internal/relay/tpfollow/audit_test.go
+++ b/internal/relay/tpfollow/audit_test.go
@@ -156,6 +156,21 @@
 	}
 }
 
+// Guards against a node that makes no further audit after a failed one, because it has made no other call that could succeed.
+func TestFailedAuditOfANodeThatMakesNoOtherCalls(t *testing.T) {
+	f := &tpfollow.Follower{Kind: "servers"}
+	f.SetPassive(true)
+	f.Peer(epoch, view(5), nil) // as in the first start of a region
+	f.HandleAudit(epoch, tpobject.View{}, errTurnedAway)
+	f.SetPassive(true)
+	if f.Failing() {
+		t.Error("the node counts as repeating a failed call that it does not repeat")
+	}
+	if f.Disturbed(epoch.Add(4 * time.Second)) {
+		t.Error("the platform counts as disturbed 4 s after the only failed call")
+	}
+}
+
 // Guards against a watch on a connection that has gone silent, while other calls of the node succeed.
 func TestWatchThatMissesAChangeIsInterrupted(t *testing.T) {
 	for name, learn := range map[string]func(*tpfollow.Follower){
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -153,8 +153,8 @@
 
 // MayHaveLapsed reports whether registrations that are missing may belong to
 // live targets: the platform counts as disturbed, and nobody has read it for
-// outageGap until less than disturbedPeriod ago. If it turns away only some nodes, it
-// serves the targets, and a missing one has left.
+// outageGap until less than disturbedPeriod ago. If it turns away only some
+// nodes, it serves the targets, and a missing one has left.
 func (f *Follower) MayHaveLapsed(now time.Time) bool {
 	outage := now.Sub(f.readAt) >= outageGap || !f.outageEndedAt.IsZero() && now.Sub(f.outageEndedAt) < disturbedPeriod
 	return f.Disturbed(now) && outage
@@ -252,6 +252,7 @@
 // an audit that failed, the calls of Next count as failed too. HandleAudit
 // reports whether the content changed.
 func (f *Follower) HandleAudit(now time.Time, v tpobject.View, err error) bool {
+	f.contacted = true
 	if err != nil {
 		f.watchFailed = f.watchPending
 		if !f.leavesCallsToOthers() {
@@ -344,8 +345,8 @@
 
 // hearConfirmation applies the confirmation of a peer's view to the node's own
 // view if that has the same content or a higher version, which includes the
-// changes of the lower ones. Otherwise it keeps the confirmation for the content that the
-// node may learn next.
+// changes of the lower ones. Otherwise it keeps the confirmation for the content
+// that the node may learn next.
 func (f *Follower) hearConfirmation(version tpmessage.ViewVersion, at time.Time) {
 	f.recordRead(at)
 	switch {
