--- a/internal/guard/tpcrash/record.go
+++ b/internal/guard/tpcrash/record.go
@@ -26,7 +26,7 @@
 func Amend(records []Record, now time.Time, c Change) ([]Record, bool) {
 	name := Name(c.Key)
 	kept := slices.DeleteFunc(slices.Clone(records), func(r Record) bool {
-		return r.Key == name && !(c.Quarantined && slices.Equal(r.Crashes, c.Crashes)) || r.expired(now)
+		return r.expired(now) || r.Key == name && (!c.Quarantined || !slices.Equal(r.Crashes, c.Crashes))
 	})
 	if c.Quarantined && !slices.ContainsFunc(kept, func(r Record) bool { return r.Key == name }) {
 		kept = append(kept, Record{Key: name, Crashes: c.Crashes, At: now.UnixMilli(), Answered: c.Answered})
