Log the connection of each step

Cause: the log line of a step does not tell which connection it used, so that a copy of an earlier answer on a kept connection cannot be told from other causes of a request that runs after a refusal. Change: a step's line has the local address of the connection and whether it had carried another exchange.

--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -50,6 +50,10 @@
 	End    End
 	Status int   // of the target's answer, or 0
 	Err    error // why the answer is incomplete
+	// LocalAddress is this node's end of the connection, or empty if there was
+	// none. Reused is true if the connection had carried another exchange.
+	LocalAddress string
+	Reused       bool
 	// Cut is true if the target closed or reset the connection after bytes of
 	// the request were written, as it does when it crashes.
 	Cut bool
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -497,6 +497,9 @@
 	if res.Status != 0 {
 		e = e.Int("status", res.Status)
 	}
+	if res.LocalAddress != "" {
+		e = e.Str("connection", res.LocalAddress).Bool("reused", res.Reused)
+	}
 	if res.Err != nil {
 		e = e.Err(res.Err)
 	}
