Decode and log the limits that servers name

Cause: the logs do not say what a server has named, so that a limit that nobody reads cannot be told from one that is kept badly. Change: the field of an answer is decoded, kept with the process that named it, and logged when it is new, changes or ends. An answer without it ends a limit only if its request was sent after the limit was last named. Malformed values say nothing. Orders, and the reports before them, are not sent to an engine that has a limit. Placement does not use limits yet.

--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -90,6 +90,7 @@
 		Place:     func(in tpplace.Input) { _ = p.in.Put(in) }, // the ring is closed only after the node has stopped
 		RecordEnd: n.latency.record,
 		IsBlocked: func(t *tpmessage.RelayTarget) bool { return p.notices.Load().IsBlocked(n.clock.Now(), t) },
+		IsLimited: func(t *tpmessage.RelayTarget) bool { return p.notices.Load().IsLimited(t) },
 	}
 	// The placement filter stops last, because running tasks use it until they
 	// end.
@@ -154,7 +155,8 @@
 	if isNew {
 		n.log.Info().Str("event", "targetNotice").Str("target", notice.Target.Name).Str("address", notice.Target.Address).
 			Int64("startedMs", notice.Target.StartedMs).Bool("leaving", notice.Leaving).
-			Int64("pauseMs", notice.Pause.Milliseconds()).Send()
+			Int64("pauseMs", notice.Pause.Milliseconds()).
+			Bool("limited", notices.IsLimited(&notice.Target)).Float64("limit", notice.Limit).Send()
 	}
 }
 
--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -189,12 +189,13 @@
 // sendOrder reads the engine's state and sends one order. It sends none if the
 // state cannot be read, if the engine is busy or already has the role, or if
 // the authority expired while the order waited. It sends nothing at all, not
-// even the request for the state, to an engine that is leaving or has asked for
-// a pause.
+// even the request for the state, to an engine that is leaving, has asked for a
+// pause or has a limit, which is for the requests of clients.
 func (f *roleFilter) sendOrder(ctx context.Context, o tprolecontrol.Order) {
 	n := f.node
 	answer := tprolecontrol.AnswerRefused
-	blocked := n.placement.notices.Load().IsBlocked(n.clock.Now(), &o.Target)
+	notices := n.placement.notices.Load()
+	blocked := notices.IsBlocked(n.clock.Now(), &o.Target) || notices.IsLimited(&o.Target)
 	var state tprolecontrol.EngineState
 	var err error
 	if !blocked {
--- a/internal/relay/stage2/tpplace/notice.go
+++ b/internal/relay/stage2/tpplace/notice.go
@@ -17,6 +17,7 @@
 	tpmessage.TargetNotice
 	Target tpmessage.RelayTarget // as it was registered when the request was sent
 	At     time.Time             // arrival of the answer
+	SentAt time.Time             // when the request was sent
 }
 
 // process identifies one process of a target. A target that restarts under the
@@ -40,7 +41,8 @@
 // Notices holds what processes have said about themselves. It does not change,
 // so that other filters can read a copy. The zero value holds nothing.
 type Notices struct {
-	states map[process]noticeState
+	states  map[process]noticeState
+	limited map[limitKey]bool // processes that have a limit
 }
 
 // IsLeaving reports whether the target's process has said that it is leaving.
@@ -53,6 +55,10 @@
 	return state.leaving || now.Before(state.pausedUntil)
 }
 
+// IsLimited reports whether the target's process has named a limit, to this node
+// or to another one.
+func (n *Notices) IsLimited(t *tpmessage.RelayTarget) bool { return n.limited[limitKeyOf(t)] }
+
 // Notices returns the notices that are known now.
 func (p *Placer[P]) Notices() Notices { return p.notices }
 
@@ -60,6 +66,12 @@
 // that was not in force for the process yet. Another pause during a pause is
 // not new.
 func (p *Placer[P]) HandleNotice(n Notice) bool {
+	isNewLimit := p.observeLimit(&n)
+	return p.handleState(&n) || isNewLimit
+}
+
+// handleState records whether the target is leaving or asks for a pause.
+func (p *Placer[P]) handleState(n *Notice) bool {
 	key := processOf(&n.Target)
 	old := p.notices.states[key]
 	state := old
@@ -76,7 +88,7 @@
 		states = make(map[process]noticeState)
 	}
 	states[key] = state
-	p.notices = Notices{states: states}
+	p.notices.states = states
 	if t, ok := p.targets[n.Target.Name]; ok && processOf(&t.RelayTarget) == key {
 		t.notices = state
 	}
@@ -94,7 +106,7 @@
 		if isOld(key, state) {
 			states := maps.Clone(p.notices.states)
 			maps.DeleteFunc(states, isOld)
-			p.notices = Notices{states: states}
+			p.notices.states = states
 			return
 		}
 	}
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -57,6 +57,7 @@
 	// changing names the targets that this node has ordered to another role.
 	changing []string
 	notices  Notices
+	limits   limits
 	prefixes prefixes
 	random   *rand.Rand // chooses samples of the targets
 	arrivals rate       // of target requests at this node
--- a/internal/relay/stage3/tprelay/notice.go
+++ b/internal/relay/stage3/tprelay/notice.go
@@ -2,18 +2,24 @@
 
 import (
 	"errors"
+	"time"
 
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
-// reportNotice passes what a target says about itself to the placer.
-func (t *task) reportNotice(target *tpmessage.RelayTarget, n tpmessage.TargetNotice) {
+// reportNotice passes what a target says about itself in the answer to a request
+// that was sent at a time to the placer.
+func (t *task) reportNotice(target *tpmessage.RelayTarget, sentAt time.Time, n tpmessage.TargetNotice) {
 	t.r.Place(tpplace.Input{Kind: tpplace.InputNotice, Notice: tpplace.Notice{
-		TargetNotice: n, Target: *target, At: t.r.Clock.Now(),
+		TargetNotice: n, Target: *target, At: t.r.Clock.Now(), SentAt: sentAt,
 	}})
 }
 
+func (t *task) isLimited(target *tpmessage.RelayTarget) bool {
+	return t.r.IsLimited != nil && t.r.IsLimited(target)
+}
+
 var errWithheld = errors.New("the target is leaving or has asked for a pause since it was chosen")
 
 func (t *task) isBlocked(target *tpmessage.RelayTarget) bool {
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -83,9 +83,13 @@
 	// exchange has ended. If it is nil, the first timeout ends the exchange.
 	OnSilence func(begun bool) time.Duration
 	// Notice, if it is not nil, is called when the head of an answer arrives in
-	// which the target says something about itself. The end of the answer may be
-	// many seconds later.
+	// which the target says something about itself, or in which a target that
+	// IsLimited has no limit any more. The end of the answer may be many seconds
+	// later.
 	Notice func(tpmessage.TargetNotice)
+	// IsLimited reports whether the target is known to have a limit. If it is
+	// nil, the target has none.
+	IsLimited func() bool
 }
 
 // Upstream exchanges requests with targets.
@@ -117,6 +121,9 @@
 	// IsBlocked reports whether nothing may be sent to a target now. If it is
 	// nil, no target is blocked.
 	IsBlocked func(*tpmessage.RelayTarget) bool
+	// IsLimited reports whether a target has named a limit. If it is nil, none
+	// has.
+	IsLimited func(*tpmessage.RelayTarget) bool
 	// RecordEnd is called at the end of each request with its outcome and the
 	// time since its arrival.
 	RecordEnd func(outcome string, took time.Duration)
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -198,14 +198,14 @@
 }
 
 func (t *task) newUpstreamRequest(g *tpplace.Grant) *UpstreamRequest {
-	target := g.Target
+	target, now := g.Target, t.r.Clock.Now()
 	s := &UpstreamRequest{
 		Request: t.req, Target: target, Deadline: t.req.CompletionDeadline, FetchAddress: g.FetchAddress,
 		Priority:    g.Reservation.Priority,
 		ResumeAfter: t.lastEvent,
-		Notice:      func(n tpmessage.TargetNotice) { t.reportNotice(&target, n) },
+		Notice:      func(n tpmessage.TargetNotice) { t.reportNotice(&target, now, n) },
+		IsLimited:   func() bool { return t.isLimited(&target) },
 	}
-	now := t.r.Clock.Now()
 	s.FirstByteTimeout, s.GapTimeout = t.timeouts(g)
 	if g.Step == tpplace.StepPrefill || !t.delivered {
 		s.FirstByteTimeout = t.limitToDeadline(now, s.FirstByteTimeout)
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -107,8 +107,22 @@
 	// from the arrival of the answer on. Zero means that it does not ask for
 	// one.
 	Pause time.Duration
+	// Limit is the number of requests a second that the target takes from all
+	// nodes together. It is set if LimitStatement is LimitNamed.
+	Limit          float64
+	LimitStatement LimitStatement
 }
 
+// LimitStatement is what an answer says about the limit of its target.
+type LimitStatement uint8
+
+// The statements about a limit.
+const (
+	LimitAbsent   LimitStatement = iota // the target has no limit
+	LimitNamed                          // the target has a limit
+	LimitUnstated                       // nothing that can be used
+)
+
 // PromptPart is one part of a prompt. Requests can have parts in common. A
 // target can reuse its cache for a part only if all parts before it are the
 // same, too.
