Show that servers that name a limit get many times as many requests

What servers see: a server that names the requests a second that it takes gets as many as before. Cause: nothing reads Server-Limit. Change: the stand-in server names a limit in its answers, and the test counts what reaches it from all nodes: prompts that are read, runs, calls, retries, resumed streams, and prompts that other servers fetch from it. It also checks the use of the limit, that the other servers serve the requests, and that the server gets its part again afterwards.

--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -36,6 +36,8 @@
 	Body   string
 	Run    bool // the server ran the request; false for prefill and refused requests
 	At     time.Time
+	// NamesLimit is true if the header of the answer names a limit.
+	NamesLimit bool
 	// Ended is the end of the exchange, or zero while it is in progress.
 	// CallerLeft is true if the caller closed the connection before it.
 	Ended      time.Time
@@ -59,6 +61,11 @@
 	silentUntil    time.Time
 	leaving        bool
 	retryAfter     string
+	limit          []string // values of Server-Limit
+	limitPeriod    int      // one in so many answers names the limit
+	limitAnswers   int      // answers since the limit was set
+	limitNamed     []time.Time
+	limitChanges   []LimitChange
 	kvHandles      map[string]bool
 	orderCount     uint64
 	acceptedOrders []map[string]any
@@ -122,6 +129,7 @@
 	if s.isLeaving() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	s.addLimit(w.Header())
 	switch {
 	case r.URL.Path == "/teaselpin/report":
 		answer(w, http.StatusOK, map[string]any{"stage": s.currentStage(), "busy": false, "sequence": s.currentSequence()})
@@ -189,6 +197,7 @@
 	s.arrivals = append(s.arrivals, Arrival{
 		ID: r.Header.Get("X-Teaselpin-Request-Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: r.Header.Clone(), Body: string(body), Run: run, At: time.Now(),
+		NamesLimit: len(w.Header().Values(headerLimit)) > 0,
 	})
 	s.mu.Unlock()
 	defer s.recordEnd(r, index)
