Distribute the requests that a target with a limit takes

What callers of a server in need saw: it got many times the requests that it had named as its limit. Cause: the limit holds for all nodes together, and nodes know of each other only what the load reports tell. A share for each node would be less than a request in some seconds, and shares that are rounded up, or begin with a token, add up to the size of the fleet. Change: tpallot issues allowances at one collector, at the rate of the limit, and passes them on in the reports and answers of nodes and collectors. The load reports carry what each node knows of a limit, at first hand and with its age, and its demand. Placement uses an allowance for each request to such a target, takes others without one, and refuses at once if there is none. Ruled out: a count of what all nodes have sent, because 295 nodes that see room at the same time send 295 requests; shares by the number of nodes, which are wasted where clients are uneven. The nodes do not use this yet.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -98,6 +99,12 @@
 			Confirmed: v.Confirmed, ConfirmedAgeMs: uint32(v.ConfirmedAge.Milliseconds()),
 		})
 	}
+	for _, a := range hb.Allowances {
+		m.Allowances = append(m.Allowances, &tpwire.Allowance{
+			Target: a.Target, StartedMs: a.StartedMs, Granted: uint32(a.Granted),
+			LeftMs: uint32(a.Left.Milliseconds()), Returned: uint32(a.Returned),
+		})
+	}
 	for _, l := range hb.Leaving {
 		m.LeavingTargets = append(m.LeavingTargets, &tpwire.LeavingTarget{Name: l.Name, AgeMs: l.Age.Milliseconds()})
 	}
@@ -137,6 +144,12 @@
 			Confirmed: v.GetConfirmed(), ConfirmedAge: time.Duration(v.GetConfirmedAgeMs()) * time.Millisecond,
 		})
 	}
+	for _, a := range m.GetAllowances() {
+		hb.Allowances = append(hb.Allowances, tpmessage.Allowance{
+			Target: a.GetTarget(), StartedMs: a.GetStartedMs(), Granted: int(a.GetGranted()),
+			Left: time.Duration(a.GetLeftMs()) * time.Millisecond, Returned: int(a.GetReturned()),
+		})
+	}
 	for _, l := range m.GetLeavingTargets() {
 		hb.Leaving = append(hb.Leaving, tpmessage.LeavingTarget{
 			Name: l.GetName(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
@@ -184,6 +197,12 @@
 	for _, p := range n.Prefixes {
 		out.Prefixes = append(out.Prefixes, &tpwire.HeldPrefix{Prefix: p.Prefix, Target: p.Target})
 	}
+	for _, l := range n.Limits {
+		out.Limits = append(out.Limits, &tpwire.TargetLimit{
+			Target: l.Target, StartedMs: l.StartedMs, Statement: uint32(l.Statement), PerSecond: l.PerSecond,
+			AgeMs: uint32(min(l.Age.Milliseconds(), math.MaxUint32)), Demand: l.Demand, Room: uint32(l.Room),
+		})
+	}
 	for _, t := range n.Loads {
 		out.Targets = append(out.Targets, &tpwire.TargetLoad{
 			Target: t.Target, Prefill: prefillToWire(t.Prefill), Runs: uint32(t.Runs), Tokens: uint32(t.Tokens), Failing: t.Failing,
@@ -212,6 +231,25 @@
 	return out
 }
 
+// limitFromWire decodes a limit. Figures that no node sends say nothing.
+func limitFromWire(l *tpwire.TargetLimit) tpmessage.TargetLimit {
+	out := tpmessage.TargetLimit{
+		Target: l.GetTarget(), StartedMs: l.GetStartedMs(), Statement: tpmessage.LimitStatement(min(l.GetStatement(), uint32(tpmessage.LimitUnstated))),
+		PerSecond: l.GetPerSecond(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+		Demand: l.GetDemand(), Room: int(l.GetRoom()),
+	}
+	if !isAmount(out.PerSecond) {
+		out.Statement, out.PerSecond = tpmessage.LimitUnstated, 0
+	}
+	if !isAmount(out.Demand) {
+		out.Demand = 0
+	}
+	return out
+}
+
+// isAmount reports whether v is neither negative nor infinite nor no number.
+func isAmount(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
+
 func loadFromWire(n *tpwire.NodeLoad) tpmessage.NodeLoad {
 	out := tpmessage.NodeLoad{
 		Node: n.GetNode(), PrefillDemand: n.GetPrefillDemand(), DecodeDemand: n.GetDecodeDemand(), Changing: n.GetChanging(),
@@ -220,6 +258,9 @@
 	for _, p := range n.GetPrefixes() {
 		out.Prefixes = append(out.Prefixes, tpmessage.CachedPrefix{Prefix: p.GetPrefix(), Target: p.GetTarget()})
 	}
+	for _, l := range n.GetLimits() {
+		out.Limits = append(out.Limits, limitFromWire(l))
+	}
 	for _, t := range n.GetTargets() {
 		out.Loads = append(out.Loads, tpmessage.TargetLoad{
 			Target: t.GetTarget(), Prefill: prefillFromWire(t.GetPrefill()), Runs: int(t.GetRuns()), Tokens: int(t.GetTokens()), Failing: t.GetFailing(),
--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"teaselpin.example/teaselpin/internal/edge/tpwire"
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
@@ -48,6 +50,10 @@
 	want.Loads[0].Changing = []string{"i-1"}
 	want.Views[0].Disturbed, want.Views[0].DisturbedAge = true, 1500*time.Millisecond
 	want.Views[0].Confirmed, want.Views[0].ConfirmedAge = true, 700*time.Millisecond
+	want.Loads[0].Limits = []tpmessage.TargetLimit{{
+		Target: "i-1", StartedMs: 1 << 41, Statement: tpmessage.LimitNamed, PerSecond: 2.2, Age: 300 * time.Millisecond, Demand: 0.7, Room: 2,
+	}}
+	want.Allowances = []tpmessage.Allowance{{Target: "i-1", StartedMs: 1 << 41, Granted: 2, Left: 1400 * time.Millisecond, Returned: 1}}
 	want.Suspects = []tpmessage.SuspectRequest{{Fingerprint: 7, Targets: []string{"a"}}}
 	want.Leaving = []tpmessage.LeavingTarget{{Name: "a", Age: time.Second}}
 	want.Usage = []tpmessage.Usage{{Node: "n", Organisation: "o", PrefillPieces: 1, DecodePieces: 2}}
@@ -57,6 +63,19 @@
 	}
 }
 
+// Guards against figures of a peer that placement would calculate with.
+func TestImpossibleLimitOfAPeerSaysNothing(t *testing.T) {
+	for _, v := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1)} {
+		got := limitFromWire(&tpwire.TargetLimit{Target: "i-1", Statement: 1, PerSecond: v, Demand: v})
+		if want := (tpmessage.TargetLimit{Target: "i-1", Statement: tpmessage.LimitUnstated}); got != want {
+			t.Errorf("limit %v: got %+v, want %+v", v, got, want)
+		}
+	}
+	if got := limitFromWire(&tpwire.TargetLimit{Statement: 300}).Statement; got != tpmessage.LimitUnstated {
+		t.Errorf("unknown statement: got %v, want %v", got, tpmessage.LimitUnstated)
+	}
+}
+
 // BenchmarkHeartbeat measures the encoded size of a heartbeat in bytes and the
 // time to encode it.
 func BenchmarkHeartbeat(b *testing.B) {
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -147,6 +147,7 @@
 	InputTick
 	InputStreamBegun // the first event of a run has arrived; no effect on the placer
 	InputSuspects    // evidence of a peer; no effect on the placer
+	InputAllowances  // for requests to targets with a limit
 )
 
 // Input is one message to the placement filter.
@@ -163,4 +164,5 @@
 	Begun        *tpmessage.RelayRequest    // with InputStreamBegun
 	Suspects     []tpmessage.SuspectRequest // with InputSuspects
 	Notice       Notice
+	Allowances   []tpmessage.Allowance
 }
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -11,6 +11,7 @@
 // adds and its expected times.
 type placement struct {
 	target           *target
+	runTarget        *target // that would generate from a prompt read by target, as expected now; nil otherwise
 	step             Step
 	reservation      Reservation
 	candidates       int
@@ -60,6 +61,7 @@
 	if !found || direct.cost < separate.cost {
 		return direct, true
 	}
+	separate.runTarget = direct.target
 	return separate, true
 }
 
@@ -145,7 +147,7 @@
 	req := r.Work.Request
 	v.candidates = len(candidates)
 	if len(candidates) == 0 || req.Pool.Engine == nil || r.HasHandle {
-		p.sample(now, candidates, func(*target) bool { return false })
+		p.sample(now, candidates, func(t *target) bool { return t.allowed })
 		return len(candidates) > 0
 	}
 	sharedTokens, prefix := req.SharedTokens()
@@ -153,7 +155,7 @@
 	homeTarget := home(prefix, candidates)
 	holders := p.prefixes.holders[prefix]
 	candidates = p.sample(now, candidates, func(t *target) bool {
-		return t == homeTarget || holds(now, holders, t.Name)
+		return t == homeTarget || t.allowed || holds(now, holders, t.Name)
 	})
 	v.home = slices.Index(candidates, homeTarget)
 	p.fetchSource = p.prefixSource(now, prefix, req.Pool.Name)
@@ -175,13 +177,14 @@
 // is the prefill target with the highest rendezvous weight among those that
 // hold the prefix. A leaving target is no source, because it may exit before or
 // during the transfer, and no request is sent there that would reveal it. Nor is
-// a target that has asked for a pause, because a transfer loads it, too.
+// a target that has asked for a pause or has a limit, because a transfer loads
+// it, too.
 func (p *Placer[P]) prefixSource(now time.Time, prefix uint64, pool string) *target {
 	var source *target
 	var weight, maxWeight uint64
 	for _, h := range p.prefixes.holders[prefix] {
 		t, ok := p.targets[h.target]
-		if !ok || t.isLeaving() || t.pauseLeft(now) > 0 || t.Pool != pool || t.Role != tpmessage.RolePrefill || now.Sub(h.lastUse) >= prefixTTL || t.rank(now) > 1 {
+		if !ok || t.isLeaving() || t.pauseLeft(now) > 0 || p.isLimited(t) || t.Pool != pool || t.Role != tpmessage.RolePrefill || now.Sub(h.lastUse) >= prefixTTL || t.rank(now) > 1 {
 			continue
 		}
 		if weight = homeWeight(prefix, t); source == nil || weight > maxWeight {
@@ -197,7 +200,7 @@
 	bestRank, hasUnpaused := -1, false
 	p.view.targets, p.shortestPause = p.view.targets[:0], 0
 	for _, t := range p.pools[r.Work.Request.Pool.Name] {
-		if t.isLeaving() || !p.fits(now, t, r, step) {
+		if t.isLeaving() || p.isWithheld(now, t) || !p.fits(now, t, r, step) {
 			continue
 		}
 		if left := t.pauseLeft(now); left > 0 {
@@ -218,6 +221,7 @@
 			bestRank = rank
 			p.view.targets = p.view.targets[:0]
 		}
+		t.allowed = p.preferAllowed && p.isAllowed(now, t)
 		p.view.targets = append(p.view.targets, t)
 	}
 	if hasUnpaused {
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -58,9 +58,15 @@
 	changing []string
 	notices  Notices
 	limits   limits
-	prefixes prefixes
-	random   *rand.Rand // chooses samples of the targets
-	arrivals rate       // of target requests at this node
+	// withheld holds the targets that were left out of the last placement because
+	// of their limits.
+	withheld []*target
+	// preferAllowed is true for a placement that prefers targets for which the
+	// node has an allowance.
+	preferAllowed bool
+	prefixes      prefixes
+	random        *rand.Rand // chooses samples of the targets
+	arrivals      rate       // of target requests at this node
 	// The demands are the rates at which work arrives, in milliseconds of
 	// engine time per second. The time factors estimate the speed of the
 	// engines for each kind of work.
@@ -107,9 +113,12 @@
 	case InputTargets:
 		p.setTargets(in.Targets)
 		p.expireNotices(now)
+		p.expireLimits(now)
 	case InputLoads:
 		p.nodes = max(1, in.Nodes)
 		p.setLoads(now, in.Loads)
+	case InputAllowances:
+		p.addAllowances(now, in.Allowances)
 	case InputRoleChanging:
 		p.changing = in.RoleChanging
 		p.markChanging(p.changing)
@@ -125,6 +134,7 @@
 func (p *Placer[P]) Load(now time.Time) tpmessage.NodeLoad {
 	n := tpmessage.NodeLoad{
 		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.expire(now),
+		Limits:        p.limitLoads(now),
 		PrefillDemand: p.prefillDemand.value(now) / 1000, DecodeDemand: p.decodeDemand.value(now) / 1000,
 	}
 	for _, pool := range p.pools {
@@ -170,6 +180,7 @@
 		t.changing = false
 	}
 	p.markChanging(p.changing)
+	p.setReportedLimits(nodes)
 	p.peerNodes = 0
 	for _, n := range nodes {
 		if n.Node == p.cfg.Node || now.Sub(n.At) > loadMaxAge {
@@ -225,7 +236,12 @@
 	if r.Step == StepFirst && !r.IsRetry {
 		p.budget(req.Pool.Name).countRequest(now)
 	}
-	best, found := p.choose(now, r)
+	best, found := p.chooseWithinLimits(now, r)
+	if !found && len(p.withheld) > 0 {
+		g.Refusal = refuse("every target of pool "+req.Pool.Name+" that could take the request is at its limit", 0)
+		g.Refusal.RetryAfter = max(minRetryAfter, p.limitDelay(now))
+		return g
+	}
 	if !found && p.shortestPause > 0 {
 		g.Refusal = refuse("every target of pool "+req.Pool.Name+" that could take the request has asked for a pause", p.shortestPause)
 		return g
@@ -247,6 +263,7 @@
 		g.Refusal = refuse("the retry budget of pool "+req.Pool.Name+" is used up", maxRetryAfter)
 		return g
 	}
+	p.useAllowance(now, t)
 	g.Target = t.RelayTarget
 	g.Diagnostics = Diagnostics{
 		Candidates: best.candidates, Rank: t.rank(now), Runs: t.totalRuns(), Prefill: t.totalPrefill(),
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -83,6 +83,11 @@
 	// crossZoneCalls is the same limit for calls to plain services. It is lower
 	// because these have few slots.
 	crossZoneCalls = 2.0
+	// allowanceBonusMs and allowanceBonusRuns lower the cost of a target with a
+	// limit while the node has an allowance for it. In a large pool the target
+	// would rarely be chosen before the allowance ends, and would not get what it
+	// offers. The bonus is below the cost of reading a long prompt twice.
+	allowanceBonusMs, allowanceBonusRuns = 100.0, 8.0
 	// maxKVUtilisation is the fraction of a target's KV memory that runs may
 	// fill. Above it, engines preempt running requests.
 	maxKVUtilisation = 0.85
@@ -131,6 +136,9 @@
 		if i != v.home {
 			cost += min(maxAffinityMs, copyCostFactor*v.timeFactor*float64(v.sharedTokens)/PrefillTokensPerMs)
 		}
+		if t.allowed {
+			cost -= allowanceBonusMs
+		}
 		if i == 0 || cost < minCost {
 			bestIndex, minCost = i, cost
 		}
@@ -149,6 +157,9 @@
 		if t.Zone != v.Zone {
 			cost += crossZoneMs
 		}
+		if t.allowed {
+			cost -= allowanceBonusMs
+		}
 		cost += float64(t.totalRuns())
 		if i == 0 || cost < minCost {
 			bestIndex, minCost = i, cost
@@ -169,6 +180,9 @@
 		if t.Zone != v.Zone {
 			cost += zonePenalty
 		}
+		if t.allowed {
+			cost -= allowanceBonusRuns
+		}
 		if i == 0 || cost < minCost {
 			bestIndex, minCost = i, cost
 		}
--- a/internal/relay/stage2/tpplace/target.go
+++ b/internal/relay/stage2/tpplace/target.go
@@ -41,6 +41,7 @@
 	failures          int                          // consecutive failed answers
 	refusals          int                          // consecutive refusals
 	changing          bool                         // ordered to another role
+	allowed           bool                         // has a limit, and this node an allowance, at the placement in progress
 	notices           noticeState                  // of the target's process
 	avoidUntil        time.Time                    // until then used only if no other target is left
 	failing           bool                         // avoidUntil was set by a loss or by repeated failures
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -471,10 +471,10 @@
 // refused. Nodes avoid a target with a full batch for about that time.
 const retryAfter = 300 * time.Millisecond
 
-// freeHandle releases the handle, unless its target takes no more requests. The
-// handle then expires there.
+// freeHandle releases the handle, unless its target takes no more requests or has
+// a limit, which is for the requests of clients. The handle then expires there.
 func (t *task) freeHandle() {
-	if t.isBlocked(&t.holder) {
+	if t.isBlocked(&t.holder) || t.isLimited(&t.holder) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), freeTimeout)
--- /dev/null
+++ b/internal/relay/tpallot/allotter.go
@@ -0,0 +1,297 @@
+package tpallot
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+const (
+	// Lifetime is the time from the issue of an allowance to its end. In any
+	// 4 s a target gets at most the requests issued in 4 s and Lifetime and
+	// those saved before, which is less than one and a half times its limit and
+	// 5 requests.
+	Lifetime = 1500 * time.Millisecond
+	// savedRequests and savedTime bound the allowances that the issuer saves
+	// while there is no demand: a number of requests and the requests of a time.
+	// Those of less than a round of reports would be lost at a high limit.
+	savedRequests = 3
+	savedTime     = 250 * time.Millisecond
+	// MinPerSecond replaces a lower limit. A target whose limit is zero gets a
+	// request now and then, because only an answer tells that the limit ended.
+	MinPerSecond = 0.2
+	// demandFactor bounds the allowances that are issued in relation to the
+	// demand. Nodes prefer a target for which they have one, and a target in need
+	// must not get many more requests than it would without a limit.
+	demandFactor = 1.5
+	// nodeRoomDelay and zoneRoomDelay are the times after which the load of a
+	// node, and the sum of a zone, show what was granted to them.
+	nodeRoomDelay = 200 * time.Millisecond
+	zoneRoomDelay = 400 * time.Millisecond
+)
+
+// process identifies the process of a target.
+type process struct {
+	target    string
+	startedMs int64
+}
+
+func processOf(l *tpmessage.TargetLimit) process {
+	return process{target: l.Target, startedMs: l.StartedMs}
+}
+
+// batch is a number of allowances that end at the same time.
+type batch struct {
+	count int
+	until time.Time
+}
+
+// account holds the allowances of one process that wait for one receiver.
+type account struct {
+	batches     []batch
+	deliveredAt time.Time // of the last batch that the receiver took
+}
+
+func (a *account) count() int {
+	n := 0
+	for _, b := range a.batches {
+		n += b.count
+	}
+	return n
+}
+
+// Allotter is the part of one node in the distribution. Only the collector of a
+// zone uses it. The zero value holds nothing. It is owned by one filter.
+type Allotter struct {
+	// Random draws the receivers of allowances that cannot be divided.
+	Random *rand.Rand
+
+	processes map[process]*state
+}
+
+// state is what the allotter holds of one process.
+type state struct {
+	issuer    bool    // this node issues the allowances
+	credit    float64 // requests that may be issued
+	updatedAt time.Time
+	pool      []batch // granted to this zone, not assigned to a node yet
+	returned  int     // to be returned to the issuer
+	zones     map[string]*account
+	nodes     map[string]*account
+}
+
+// Input is what a collector knows at a step.
+type Input struct {
+	Zone  string                        // of this node
+	Nodes []tpmessage.NodeLoad          // of this zone, including this node
+	Zones map[string]tpmessage.NodeLoad // sums of all zones, by name
+	// IssuerZone returns the zone whose collector issues the allowances of a
+	// target.
+	IssuerZone func(target string) string
+}
+
+// Reset drops all allowances. A node that is no collector calls it.
+func (a *Allotter) Reset() { a.processes = nil }
+
+// Step issues allowances and assigns them to zones and nodes.
+func (a *Allotter) Step(now time.Time, in Input) {
+	limits := mergeLimits(in.Zones)
+	maps.DeleteFunc(a.processes, func(key process, _ *state) bool {
+		l, ok := limits[key]
+		return !ok || l.Statement != tpmessage.LimitNamed
+	})
+	keys := slices.SortedFunc(maps.Keys(limits), func(a, b process) int {
+		return cmp.Or(cmp.Compare(a.target, b.target), cmp.Compare(a.startedMs, b.startedMs))
+	})
+	for _, key := range keys {
+		l := limits[key]
+		if l.Statement != tpmessage.LimitNamed {
+			continue
+		}
+		s, ok := a.processes[key]
+		if !ok {
+			s = &state{zones: make(map[string]*account), nodes: make(map[string]*account)}
+			if a.processes == nil {
+				a.processes = make(map[process]*state)
+			}
+			a.processes[key] = s
+		}
+		a.reclaim(now, s)
+		a.setIssuer(now, s, in.IssuerZone(key.target) == in.Zone, max(MinPerSecond, min(l.PerSecond, demandFactor*l.Demand)))
+		if s.issuer {
+			a.issue(now, s, key, &in)
+		}
+		a.assignToNodes(now, s, key, &in)
+	}
+}
+
+// mergeLimits returns the latest statement of each process, with the demand of
+// all zones.
+func mergeLimits(zones map[string]tpmessage.NodeLoad) map[process]tpmessage.TargetLimit {
+	latest := make(map[process]tpmessage.TargetLimit)
+	saidAt := make(map[process]time.Time)
+	demand := make(map[process]float64)
+	for _, zone := range zones {
+		for _, l := range zone.Limits {
+			key, at := processOf(&l), zone.At.Add(-l.Age)
+			demand[key] += l.Demand
+			if l.Statement != tpmessage.LimitUnstated && (saidAt[key].IsZero() || at.After(saidAt[key])) {
+				latest[key], saidAt[key] = l, at
+			}
+		}
+	}
+	for key, l := range latest {
+		l.Demand = demand[key]
+		latest[key] = l
+	}
+	return latest
+}
+
+// setIssuer adds the requests that the limit allows since the last step to the
+// credit of the issuer.
+func (a *Allotter) setIssuer(now time.Time, s *state, issuer bool, perSecond float64) {
+	if !issuer || !s.issuer {
+		s.credit = 0
+	} else {
+		saved := savedRequests + perSecond*savedTime.Seconds()
+		s.credit = min(saved, s.credit+perSecond*now.Sub(s.updatedAt).Seconds())
+	}
+	s.issuer, s.updatedAt = issuer, now
+}
+
+// issue assigns the credit to the zones.
+func (a *Allotter) issue(now time.Time, s *state, key process, in *Input) {
+	var asks []ask
+	for _, zone := range slices.Sorted(maps.Keys(in.Zones)) {
+		l := in.Zones[zone]
+		asks = appendAsk(asks, zone, &l, key, s.zones[zone], zoneRoomDelay)
+	}
+	until := now.Add(Lifetime)
+	for zone, n := range a.divide(int(s.credit), asks) {
+		s.credit -= float64(n)
+		if zone == in.Zone {
+			s.pool = append(s.pool, batch{count: n, until: until})
+			continue
+		}
+		accountOf(s.zones, zone).batches = append(accountOf(s.zones, zone).batches, batch{count: n, until: until})
+	}
+}
+
+// assignToNodes assigns the pool of the zone to its nodes. What no node can use
+// is returned.
+func (a *Allotter) assignToNodes(now time.Time, s *state, key process, in *Input) {
+	pool := s.pool
+	s.pool = nil
+	if len(pool) == 0 {
+		return
+	}
+	var asks []ask
+	for i := range in.Nodes {
+		l := &in.Nodes[i]
+		asks = appendAsk(asks, l.Node, l, key, s.nodes[l.Node], nodeRoomDelay)
+	}
+	for _, b := range pool {
+		if !now.Before(b.until) {
+			a.takeBack(s, b.count)
+			continue
+		}
+		for node, n := range a.divide(b.count, asks) {
+			b.count -= n
+			accountOf(s.nodes, node).batches = append(accountOf(s.nodes, node).batches, batch{count: n, until: b.until})
+			i := slices.IndexFunc(asks, func(k ask) bool { return k.receiver == node })
+			asks[i].room -= n
+		}
+		a.takeBack(s, b.count)
+	}
+}
+
+// reclaim takes back the allowances that ended before their receivers took them.
+func (a *Allotter) reclaim(now time.Time, s *state) {
+	for _, accounts := range []map[string]*account{s.zones, s.nodes} {
+		for _, acc := range accounts {
+			acc.batches = slices.DeleteFunc(acc.batches, func(b batch) bool {
+				ended := !now.Before(b.until)
+				if ended {
+					a.takeBack(s, b.count)
+				}
+				return ended
+			})
+		}
+	}
+}
+
+// takeBack returns allowances that were not used to the credit of the issuer.
+func (a *Allotter) takeBack(s *state, n int) {
+	if s.issuer {
+		s.credit += float64(n) // setIssuer bounds it
+	} else {
+		s.returned += n
+	}
+}
+
+// Receive records the allowances of a message to this zone's collector: those
+// that another collector grants, and those that a node or a zone returns.
+func (a *Allotter) Receive(now time.Time, list []tpmessage.Allowance) {
+	for _, in := range list {
+		s, ok := a.processes[process{target: in.Target, startedMs: in.StartedMs}]
+		if !ok {
+			continue
+		}
+		if in.Granted > 0 && in.Left > 0 {
+			s.pool = append(s.pool, batch{count: in.Granted, until: now.Add(min(in.Left, Lifetime))})
+		}
+		if in.Returned > 0 {
+			a.takeBack(s, in.Returned)
+		}
+	}
+}
+
+// TakeForNode returns what is assigned to a node of this zone.
+func (a *Allotter) TakeForNode(now time.Time, node string) []tpmessage.Allowance {
+	var out []tpmessage.Allowance
+	for key, s := range a.processes {
+		out = s.nodes[node].take(now, key, out)
+	}
+	return out
+}
+
+// TakeForZone returns what is assigned to another zone, and what is to be
+// returned to it as the issuer.
+func (a *Allotter) TakeForZone(now time.Time, zone string, issuerZone func(target string) string) []tpmessage.Allowance {
+	var out []tpmessage.Allowance
+	for key, s := range a.processes {
+		out = s.zones[zone].take(now, key, out)
+		if s.returned > 0 && issuerZone(key.target) == zone {
+			out = append(out, tpmessage.Allowance{Target: key.target, StartedMs: key.startedMs, Returned: s.returned})
+			s.returned = 0
+		}
+	}
+	return out
+}
+
+// take appends the allowances of an account to a list and empties the account.
+func (a *account) take(now time.Time, key process, out []tpmessage.Allowance) []tpmessage.Allowance {
+	if a == nil || len(a.batches) == 0 {
+		return out
+	}
+	for _, b := range a.batches {
+		out = append(out, tpmessage.Allowance{
+			Target: key.target, StartedMs: key.startedMs, Granted: b.count, Left: b.until.Sub(now),
+		})
+	}
+	a.batches, a.deliveredAt = nil, now
+	return out
+}
+
+func accountOf(accounts map[string]*account, receiver string) *account {
+	acc, ok := accounts[receiver]
+	if !ok {
+		acc = &account{}
+		accounts[receiver] = acc
+	}
+	return acc
+}
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -40,6 +40,8 @@
 	// rankingKey is hashed with the name of each node and distinguishes this
 	// ranking of the nodes from others.
 	rankingKey = "collect"
+	// allocatorKey is hashed with the names of a target and of a collector.
+	allocatorKey = "allocate"
 )
 
 // Collector is the state of one node in the collection of loads. Every node has
@@ -241,6 +243,55 @@
 	return list
 }
 
+// ZoneLoads returns the loads of the nodes of this node's zone, including its
+// own, and the sums of all zones, by zone. Only a collector knows them.
+func (c *Collector) ZoneLoads(now time.Time, own tpmessage.NodeLoad) (nodes []tpmessage.NodeLoad, zones map[string]tpmessage.NodeLoad) {
+	nodes = append(nodes, own)
+	for name, l := range c.nodeLoads {
+		if c.counts(now, name, l) {
+			nodes = append(nodes, l)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b tpmessage.NodeLoad) int { return cmp.Compare(a.Node, b.Node) })
+	zones = map[string]tpmessage.NodeLoad{c.self.Zone: c.sumLoads(now, own, false)}
+	for zone := range c.zoneSums {
+		if l, ok := c.zoneSum(now, zone); ok {
+			zones[zone] = l
+		}
+	}
+	return nodes, zones
+}
+
+// CollectedZone returns the zone whose collector has the name, and false if that
+// is the collector of none.
+func (c *Collector) CollectedZone(name string) (string, bool) {
+	zone := c.members[name].Zone
+	return zone, zone != "" && c.collectors[zone].Name == name
+}
+
+// CollectorAt returns the zone whose collector has the address, and false if
+// there is none.
+func (c *Collector) CollectorAt(address string) (string, bool) {
+	for zone, m := range c.collectors {
+		if m.Address == address {
+			return zone, true
+		}
+	}
+	return "", false
+}
+
+// AllocatorZone returns the zone whose collector distributes the requests that a
+// target with a limit takes. All nodes with the same members compute the same.
+func (c *Collector) AllocatorZone(target string) string {
+	best, maxWeight := "", uint64(0)
+	for zone, m := range c.collectors {
+		if w := xxh3.HashString(allocatorKey + target + m.Name); best == "" || w > maxWeight {
+			best, maxWeight = zone, w
+		}
+	}
+	return best
+}
+
 // zoneSum returns the sum of another zone, and false if there is none younger
 // than sumMaxAge.
 func (c *Collector) zoneSum(now time.Time, zone string) (tpmessage.NodeLoad, bool) {
@@ -251,7 +302,7 @@
 // sumLoads adds up the loads of this node's zone. If allZones is true, it
 // includes the sums of the other zones.
 func (c *Collector) sumLoads(now time.Time, own tpmessage.NodeLoad, allZones bool) tpmessage.NodeLoad {
-	s := newLoadSum()
+	s := newLoadSum(now)
 	s.add(own)
 	for name, l := range c.nodeLoads {
 		if c.counts(now, name, l) {
--- a/internal/relay/tpcollect/sum.go
+++ b/internal/relay/tpcollect/sum.go
@@ -4,20 +4,30 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
 
-// loadSum adds up the loads of several nodes.
+// limitKey identifies the process of a target.
+type limitKey struct {
+	target    string
+	startedMs int64
+}
+
+// loadSum adds up the loads of several nodes at one time.
 type loadSum struct {
+	at       time.Time
 	total    tpmessage.NodeLoad
 	targets  map[string]tpmessage.TargetLoad
 	changing map[string]bool
 	prefixes map[tpmessage.CachedPrefix]bool
+	limits   map[limitKey]tpmessage.TargetLimit
 }
 
-func newLoadSum() *loadSum {
+func newLoadSum(at time.Time) *loadSum {
 	return &loadSum{
+		at: at, limits: make(map[limitKey]tpmessage.TargetLimit),
 		targets: make(map[string]tpmessage.TargetLoad), changing: make(map[string]bool),
 		prefixes: make(map[tpmessage.CachedPrefix]bool),
 	}
@@ -33,6 +43,9 @@
 	for _, p := range l.Prefixes {
 		s.prefixes[p] = true
 	}
+	for _, add := range l.Limits {
+		s.addLimit(l.At, add)
+	}
 	for _, add := range l.Loads {
 		t := s.targets[add.Target]
 		t.Target = add.Target
@@ -46,6 +59,25 @@
 	}
 }
 
+// addLimit adds a limit in a load of the given time. The latest statement counts.
+func (s *loadSum) addLimit(loadAt time.Time, l tpmessage.TargetLimit) {
+	key := limitKey{target: l.Target, startedMs: l.StartedMs}
+	if !loadAt.IsZero() {
+		l.Age += max(0, s.at.Sub(loadAt))
+	}
+	sum, known := s.limits[key]
+	if !known {
+		s.limits[key] = l
+		return
+	}
+	demand, room := sum.Demand+l.Demand, sum.Room+l.Room
+	if sum.Statement == tpmessage.LimitUnstated || l.Statement != tpmessage.LimitUnstated && l.Age < sum.Age {
+		sum = l
+	}
+	sum.Demand, sum.Room = demand, room
+	s.limits[key] = sum
+}
+
 // result returns the sum as the load of the node that computed it.
 func (s *loadSum) result(node string) tpmessage.NodeLoad {
 	out := s.total
@@ -53,6 +85,11 @@
 	for _, name := range slices.Sorted(maps.Keys(s.targets)) {
 		out.Loads = append(out.Loads, s.targets[name])
 	}
+	for _, key := range slices.SortedFunc(maps.Keys(s.limits), func(a, b limitKey) int {
+		return cmp.Or(cmp.Compare(a.target, b.target), cmp.Compare(a.startedMs, b.startedMs))
+	}) {
+		out.Limits = append(out.Limits, s.limits[key])
+	}
 	out.Changing = slices.Sorted(maps.Keys(s.changing))
 	out.Prefixes = slices.SortedFunc(maps.Keys(s.prefixes), func(a, b tpmessage.CachedPrefix) int {
 		return cmp.Or(cmp.Compare(a.Prefix, b.Prefix), cmp.Compare(a.Target, b.Target))
@@ -62,12 +99,20 @@
 
 // subtract returns a sum without the load of one of its nodes. The prefixes and
 // the targets that change their role remain: another node may have named them
-// too, and the node knows its own. Targets are sorted by name in both.
+// too, and the node knows its own. So do the statements about limits, without the
+// node's demand. Targets are sorted by name in both.
 func subtract(sum, l tpmessage.NodeLoad) tpmessage.NodeLoad {
 	sum.Nodes--
 	sum.PrefillDemand -= l.PrefillDemand
 	sum.DecodeDemand -= l.DecodeDemand
-	sum.Loads = slices.Clone(sum.Loads)
+	sum.Loads, sum.Limits = slices.Clone(sum.Loads), slices.Clone(sum.Limits)
+	for _, own := range l.Limits {
+		i := slices.IndexFunc(sum.Limits, func(t tpmessage.TargetLimit) bool { return t.Target == own.Target && t.StartedMs == own.StartedMs })
+		if i >= 0 {
+			sum.Limits[i].Demand = max(0, sum.Limits[i].Demand-own.Demand)
+			sum.Limits[i].Room = max(0, sum.Limits[i].Room-own.Room)
+		}
+	}
 	for _, own := range l.Loads {
 		i, found := slices.BinarySearchFunc(sum.Loads, own.Target, func(t tpmessage.TargetLoad, name string) int {
 			return cmp.Compare(t.Target, name)
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -12,6 +12,7 @@
 	Leaving    []LeavingTarget
 	Loads      []NodeLoad // of relay nodes only: one entry, from the sender
 	Views      []ViewVersion
+	Allowances []Allowance // of relay nodes only
 	// Brief is true if Members holds only the sender. The receiver then answers
 	// with its own entry only.
 	Brief bool
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -227,6 +227,30 @@
 	Failing bool
 }
 
+// TargetLimit is what a node, or several together, know of the limit of a
+// target's process, and the requests for which they want a part of it.
+type TargetLimit struct {
+	Target    string
+	StartedMs int64 // start of the target's process in Unix milliseconds
+	// Statement is what the latest answer of the process to these nodes said. It
+	// is LimitUnstated if there was none.
+	Statement LimitStatement
+	PerSecond float64       // requests a second that the process takes from all nodes, if named
+	Age       time.Duration // from the arrival of that answer to the time of the load
+	Demand    float64       // requests a second that placement would send there without a limit
+	Room      int           // further requests for which an allowance would be of use
+}
+
+// Allowance is a number of requests that a node may send to a target with a
+// limit.
+type Allowance struct {
+	Target    string
+	StartedMs int64         // start of the target's process in Unix milliseconds
+	Granted   int           // for the receiver
+	Left      time.Duration // time for which the granted requests may be sent
+	Returned  int           // granted before to the sender, which has not used them
+}
+
 // CachedPrefix is a shared prompt prefix that a target has processed and may
 // hold in its KV cache.
 type CachedPrefix struct {
@@ -244,6 +268,8 @@
 	// Report is true if the sender requests the load of the other nodes.
 	Report bool
 	Loads  []TargetLoad
+	// Limits holds the targets that have a limit, or had one.
+	Limits []TargetLimit
 	// Changing holds the names of the targets that the node has ordered to
 	// change their role and that do not report the new role yet.
 	Changing []string
