Share the limit of a target among the nodes

What callers of a server in need saw: with 8 nodes and a limit of 2.2 requests a second, it got 177 requests in 4 s, where 18 are allowed. Cause: nothing used the limit that the server named in its answers. Change: the membership filter of a collector distributes the allowances, and reports and their answers carry them. The placement filter gets those of its node, and returns the ones that it has not used.

--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -11,6 +11,7 @@
 	"teaselpin.example/teaselpin/internal/edge/tppeer"
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
+	"teaselpin.example/teaselpin/internal/relay/tpallot"
 	"teaselpin.example/teaselpin/internal/relay/tpcollect"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
@@ -114,6 +115,8 @@
 	// load reports. pendingReports holds, by address, the time until which the
 	// node waits for the answer to a report.
 	collector      *tpcollect.Collector
+	allotter       tpallot.Allotter
+	returned       []tpmessage.Allowance // unused allowances of this node, for the next report
 	reportsSent    int
 	pendingReports map[string]time.Time
 	loadsChanged   bool      // since the last call of publishLoads
@@ -139,6 +142,7 @@
 		}),
 		incarnation:    self.Incarnation,
 		collector:      tpcollect.New(self),
+		allotter:       tpallot.Allotter{Random: n.random},
 		pendingReports: make(map[string]time.Time),
 	}
 	m.table.SetAddress(n.cfg.Peers)
@@ -209,6 +213,7 @@
 	case memberReport:
 		// No report may be due for a second while the collector does not answer.
 		m.table.Check(now)
+		m.allot(now)
 		m.sendReports(now)
 	case memberViewChanged, memberQuarantined:
 		hb := m.completeHeartbeat(m.table.BriefTick(now), m.ownLoad)
@@ -246,6 +251,7 @@
 		answerLoad = m.collector.Answer(now, m.ownLoad, in.heartbeat.Loads[0])
 	}
 	out := m.completeHeartbeat(answer, answerLoad)
+	out.Allowances = m.allowancesForSender(now, in.heartbeat)
 	out.Views = m.views.ageTo(m.node.leaseClock.Now())
 	_ = in.reply.Put(out)
 	m.processHeartbeat(now, in.heartbeat, "")
@@ -269,7 +275,9 @@
 		}
 		load := m.collector.Report(now, m.ownLoad)
 		load.Report = true
-		m.send(address, m.completeHeartbeat(update, load))
+		hb := m.completeHeartbeat(update, load)
+		hb.Allowances = m.allowancesForCollector(now, address)
+		m.send(address, hb)
 	}
 	m.publishLoads(now)
 }
@@ -306,6 +314,7 @@
 		m.collector.Record(now, l)
 		m.loadsChanged = true
 	}
+	m.receiveAllowances(now, hb.Allowances)
 	if len(hb.Suspects) > 0 {
 		in := tpplace.Input{Kind: tpplace.InputSuspects, Suspects: hb.Suspects}
 		_ = m.node.placement.in.TryPutBelow(in, newRequestLimit)
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -60,6 +60,8 @@
 	// evidence holds the latest report of the guard for peers. reported is true
 	// if that report is not empty.
 	evidence *tpring.Ring[[]tpmessage.SuspectRequest]
+	// returned holds the latest allowances that the node has not used.
+	returned *tpring.Ring[[]tpmessage.Allowance]
 	reported bool
 	// notices holds the notices that the placer knows, for other filters.
 	notices atomic.Pointer[tpplace.Notices]
@@ -72,6 +74,7 @@
 		load:  tpring.New[tpmessage.NodeLoad](tpring.Settings{Capacity: 1}),
 
 		evidence: tpring.New[[]tpmessage.SuspectRequest](tpring.Settings{Capacity: 1}),
+		returned: tpring.New[[]tpmessage.Allowance](tpring.Settings{Capacity: 1}),
 		placer: tpplace.New(tpplace.Settings{
 			Node: n.cfg.Name, Zone: n.cfg.Zone,
 			Budget: tpplace.BudgetSettings{Ratio: n.cfg.Budget.Ratio, Slack: n.cfg.Budget.Slack, Window: n.cfg.Budget.Window},
@@ -110,6 +113,9 @@
 func (n *Node) handlePlacement(in tpplace.Input) {
 	now := n.clock.Now()
 	if in.Kind == tpplace.InputTick {
+		if returned := n.placement.placer.TakeReturned(now); len(returned) > 0 {
+			_ = n.placement.returned.PutDropOldest(returned) // lost allowances are issued anew in time
+		}
 		_ = n.placement.load.PutDropOldest(n.placement.placer.Load(now))
 		n.tickGuard(now)
 		return
@@ -127,6 +133,7 @@
 	if !ok {
 		g, ok = n.placement.placer.Step(now, in)
 	}
+	n.publishLimits(&in)
 	switch {
 	case !ok:
 	case in.TargetRequest.Reply != nil:
@@ -146,6 +153,14 @@
 	}
 }
 
+// publishLimits passes the limits that other nodes have told of to the relay.
+func (n *Node) publishLimits(in *tpplace.Input) {
+	if in.Kind == tpplace.InputLoads || in.Kind == tpplace.InputTargets {
+		notices := n.placement.placer.Notices()
+		n.placement.notices.Store(&notices)
+	}
+}
+
 // handleNotice passes what a target has said about itself to the placer, and
 // logs it unless it was known.
 func (n *Node) handleNotice(notice tpplace.Notice) {
