Repeat no request with an empty idempotency key

What callers see: a request without a body that may run once, with an empty Idempotency-Key or X-Idempotency-Key, runs twice, or is refused as not run although it has run. Cause: net/http repeats such a request by itself after a kept connection has failed.

--- a/internal/edge/tpconn/pool.go
+++ b/internal/edge/tpconn/pool.go
@@ -116,8 +116,9 @@
 // body.
 func transportMayRetry(r *http.Request) bool {
 	switch r.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return true
 	}
-	return r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != ""
+	// The transport tests for the field, which may have an empty value.
+	return r.Header["Idempotency-Key"] != nil || r.Header["X-Idempotency-Key"] != nil
 }
