--- a/internal/edge/tpconn/pool.go
+++ b/internal/edge/tpconn/pool.go
@@ -11,9 +11,9 @@
 	"sync/atomic"
 )
 
-// errNoClaim is returned for an attempt on a connection that has carried the
+// errNoClaim is returned for an attempt on a connection that may not carry the
 // request. Send makes another attempt.
-var errNoClaim = errors.New("the connection has carried the request before")
+var errNoClaim = errors.New("the connection may not carry the request")
 
 // Pool sends each request once, on a connection that has not carried its ID
 // before. It is safe for concurrent use.
@@ -73,14 +73,17 @@
 	for {
 		x := &Exchange{}
 		res, err := p.attempt(x, r, id, body)
-		if !errors.Is(err, errNoClaim) || r.Context().Err() != nil {
+		if !errors.Is(err, errNoClaim) {
 			return res, x, err
 		}
+		if r.Context().Err() != nil {
+			return nil, &Exchange{}, context.Cause(r.Context())
+		}
 	}
 }
 
 // attempt sends the request on the connection that the transport chooses. It
-// returns errNoClaim if that has carried the ID.
+// returns errNoClaim if that may not carry the ID.
 func (p *Pool) attempt(x *Exchange, r *http.Request, id string, body []byte) (*http.Response, error) {
 	claimed := true
 	out := r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
--- a/internal/edge/tpconn/pool_test.go
+++ b/internal/edge/tpconn/pool_test.go
@@ -1,6 +1,7 @@
 package tpconn_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -129,10 +131,61 @@
 func TestAbandonedConnectionIsNotKept(t *testing.T) {
 	a, url := newServer(t)
 	p := newPool(t)
-	for i := range 3 {
+	for i := range 300 {
 		send(t, p, http.MethodPost, url, fmt.Sprint("request-", i), "body").Abandon()
 	}
-	if got, want := len(a.conns), 3; got != want {
+	if got, want := len(a.conns), 300; got != want {
 		t.Errorf("connections: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a request that reaches a server although its exchange counts as one of which no byte was written.
+func TestNothingArrivesUnlessItMayHave(t *testing.T) {
+	var mu sync.Mutex
+	arrived := make(map[string]int)
+	n := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		arrived[r.Header.Get("Id")]++
+		n++
+		if n%7 == 0 {
+			w.Header().Set("Connection", "close")
+		}
+	}))
+	defer server.Close()
+	p := newPool(t)
+	var unsent sync.Map
+	var senders sync.WaitGroup
+	for g := range 16 {
+		senders.Go(func() {
+			for i := range 200 {
+				id := fmt.Sprint("request-", g, "-", i)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration((g*7+i*13)%900)*time.Microsecond)
+				r, err := http.NewRequestWithContext(ctx, [...]string{http.MethodPost, http.MethodGet, http.MethodDelete}[i%3], server.URL, nil)
+				if err != nil {
+					t.Error(err)
+				}
+				r.Header.Set("Id", id)
+				res, x, err := p.Send(r, id, []byte("body")[:4*(i%2)])
+				if err == nil {
+					res.Body.Close()
+					if i%5 == 0 {
+						x.Abandon()
+					}
+				}
+				if !x.MayHaveArrived() {
+					unsent.Store(id, true)
+				}
+				cancel()
+			}
+		})
+	}
+	senders.Wait()
+	server.Close() // returns after the last request
+	for id, got := range arrived {
+		if _, notSent := unsent.Load(id); notSent || got != 1 {
+			t.Errorf("%s: arrived %d times, counts as not sent: %v", id, got, notSent)
+		}
+	}
+}
