--- a/internal/edge/tpconn/pool.go
+++ b/internal/edge/tpconn/pool.go
@@ -59,7 +59,7 @@
 // Abandon closes the connection, so that no other exchange takes place on it.
 func (x *Exchange) Abandon() {
 	if x.conn != nil {
-		x.conn.Close()
+		_ = x.conn.Close()
 	}
 }
 
@@ -90,7 +90,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			x.conn, x.reused = info.Conn.(*conn), info.Reused // all connections are those of DialContext
 			if claimed = x.conn.claim(id); !claimed {
-				x.conn.Close()
+				_ = x.conn.Close()
 			}
 		},
 		WroteHeaderField: func(string, []string) { x.wrote.Store(true) },
