Send a request to an engine at most once on each connection

Cause: The transport kept connections to engines and believed a refusal that names the request on any of them. If a request that was refused went to the same address again, under the same or another name, a second copy of the refusal was taken for the new answer: the attempt counted as refused while the engine ran it.

Change: Requests to engines go through tpconn.Pool. A refusal counts if it names its request; one without an ID counts on a new connection only. A request counts as not sent if no byte of it was written, instead of if there was no connection. The engine stand-in names the request when it refuses it during a change of its state.

No connection carries an ID twice now, so that an answer with the ID answers that one exchange.

--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -16,6 +16,7 @@
 
 	"github.com/zeebo/errs"
 
+	"teaselpin.example/teaselpin/internal/edge/tpconn"
 	"teaselpin.example/teaselpin/internal/request/stage5/tpsender"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 )
@@ -49,7 +50,7 @@
 var (
 	errChunkTimeout  = errors.New("no chunk came in time")
 	errResultTooLong = errors.New("the result is too long")
-	errWrongRequest  = errors.New("the refusal does not name its request, and the connection was used before")
+	errWrongRequest  = errors.New("the refusal does not name its request")
 )
 
 // Settings configures a Transport. A zero field stands for its default.
@@ -62,9 +63,9 @@
 // tpsender.Transport. It sends each request once: only the sender retries.
 type Transport struct {
 	cfg Settings
-	// client reuses connections and sends idempotent requests to engines only.
-	// The lines of their answers name the request.
-	client *http.Client
+	// engines sends the requests to engines over kept connections. Their answers
+	// name the request, and no connection carries a request twice.
+	engines *tpconn.Pool
 	// unpooledClient opens a connection for each request. On a failure of a
 	// reused connection, net/http itself sends a request with an
 	// Idempotency-Key a second time, which would run a non-idempotent call
@@ -93,9 +94,10 @@
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
-	t.client = &http.Client{Transport: pooled, CheckRedirect: refuseRedirect}
 	t.unpooledClient = &http.Client{Transport: unpooled, CheckRedirect: refuseRedirect}
-	return t, pooled.CloseIdleConnections
+	engines, closeEngines := tpconn.NewPool(pooled)
+	t.engines = engines
+	return t, closeEngines
 }
 
 // refuseRedirect prevents the client from sending a body a second time to the
@@ -160,21 +162,23 @@
 	defer cancel(nil)
 	chunkTimer := time.AfterFunc(t.cfg.FirstChunkTimeout, func() { cancel(errChunkTimeout) })
 	defer chunkTimer.Stop()
-	reused := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused },
-	})
-	resp, outcome, err := t.post(ctx, target, PathGenerate, req, body)
+	r, err := newPost(ctx, target, PathGenerate, req, body)
+	if err != nil {
+		return tpsender.Result{Outcome: tpmessage.OutcomeNotSent, Err: err}
+	}
+	resp, on, err := t.engines.Send(r, req.ID, body)
 	if err != nil {
+		outcome, err := unansweredResult(target, on.MayHaveArrived(), err)
 		return tpsender.Result{Outcome: outcome, Stalled: chunkTimedOut(ctx), Err: err}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK && reused && resp.Header.Get(HeaderRequestID) != req.ID {
-		// It may be a second copy of the refusal of an earlier request. The
-		// engine may have run this one.
-		return tpsender.Result{Outcome: tpmessage.OutcomeInterrupted, Err: Error.New("%s answered %s: %w", target.Name, resp.Status, errWrongRequest)}
-	}
 	if resp.StatusCode != http.StatusOK {
+		if !namesRequest(resp, on, req.ID) {
+			return tpsender.Result{
+				Outcome: tpmessage.OutcomeInterrupted,
+				Err:     Error.New("%s answered %s: %w", target.Name, resp.Status, errWrongRequest),
+			}
+		}
 		return refusedResult(target, resp)
 	}
 	res := t.readLines(resp.Body, chunkTimer, target, deliver)
@@ -182,6 +186,14 @@
 	return res
 }
 
+// namesRequest reports whether an answer without lines answers the request.
+// On a new connection, an answer without an ID does so too.
+func namesRequest(resp *http.Response, on *tpconn.Exchange, id string) bool {
+	named := resp.Header.Get(HeaderRequestID)
+	_, reused := on.Connection()
+	return named == id || named == "" && !reused
+}
+
 func chunkTimedOut(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errChunkTimeout) }
 
 // readLines passes the chunks of an engine's answer to deliver. The chunk timer
@@ -267,19 +279,34 @@
 	return tpsender.Result{Outcome: tpmessage.OutcomeDone, Report: report}
 }
 
-// post sends a body. On an error, the outcome is OutcomeNotSent if no byte of
-// the request can have reached the target, and OutcomeInterrupted otherwise.
+// post sends a body over a new connection. On an error, the outcome is
+// OutcomeNotSent if no byte of the request can have reached the target, and
+// OutcomeInterrupted otherwise.
 func (t *Transport) post(ctx context.Context, target tpmessage.Target, path string, req *tpmessage.Request,
 	body []byte,
 ) (*http.Response, tpmessage.Outcome, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	r, err := newPost(ctx, target, path, req, body)
+	if err != nil {
+		return nil, tpmessage.OutcomeNotSent, err
+	}
+	resp, err := t.unpooledClient.Do(r)
+	if err == nil {
+		return resp, tpmessage.OutcomeDone, nil
 	}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	outcome, err := unansweredResult(target, connected.Load(), err)
+	return nil, outcome, err
+}
+
+func newPost(ctx context.Context, target tpmessage.Target, path string, req *tpmessage.Request,
+	body []byte,
+) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.Address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, tpmessage.OutcomeNotSent, Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	// Without GetBody, net/http cannot resend a body that it has begun to send.
 	r.GetBody = nil
@@ -290,18 +317,17 @@
 	if req.Key != "" {
 		r.Header.Set(HeaderKey, req.Key)
 	}
-	client := t.client
-	if !req.Idempotent || req.Kind == tpmessage.KindServiceCall {
-		client = t.unpooledClient
-	}
-	resp, err := client.Do(r)
-	if err == nil {
-		return resp, tpmessage.OutcomeDone, nil
-	}
-	if !connected.Load() {
-		return nil, tpmessage.OutcomeNotSent, Error.New("connect to %s: %w", target.Name, err)
+	return r, nil
+}
+
+// unansweredResult returns the outcome and the error of a request without an
+// answer. mayHaveArrived is false only if no byte of it can have reached the
+// target.
+func unansweredResult(target tpmessage.Target, mayHaveArrived bool, err error) (tpmessage.Outcome, error) {
+	if !mayHaveArrived {
+		return tpmessage.OutcomeNotSent, Error.New("connect to %s: %w", target.Name, err)
 	}
-	return nil, tpmessage.OutcomeInterrupted, Error.New("no answer from %s: %w", target.Name, err)
+	return tpmessage.OutcomeInterrupted, Error.New("no answer from %s: %w", target.Name, err)
 }
 
 func refusedResult(target tpmessage.Target, resp *http.Response) tpsender.Result {
--- a/internal/standin/tpenginefake/orders.go
+++ b/internal/standin/tpenginefake/orders.go
@@ -132,6 +132,7 @@
 	o.mu.Lock()
 	if o.activeChange != 0 {
 		o.mu.Unlock()
+		w.Header().Set(tptarget.HeaderRequestID, r.Header.Get(tptarget.HeaderRequestID))
 		w.Header().Set(tptarget.HeaderNotRun, "true")
 		http.Error(w, "a change is in progress", http.StatusServiceUnavailable)
 		return
