Close an engine's connection after an answer to another request

Cause: After a copy that was read as the answer to a request, the true answer was still to come on the connection. The transport kept it if the copy had no body, or lines, and the next request was sent on it.

Change: The connection is closed unless the answer is whole or is a refusal that names the request.

Result: TestConnectionWithACopyIsNotKept failed before for copies of refusals without a body and of lines: the requests after the copy got the answer to the one before and counted as interrupted. Now only the request that got the copy does.

--- a/internal/edge/tptarget/refusal_test.go
+++ b/internal/edge/tptarget/refusal_test.go
@@ -147,3 +147,43 @@
 		}
 	}
 }
+
+// Guards against a connection that is kept after a copy was taken for an answer, so that each further request gets the answer to the one before.
+func TestConnectionWithACopyIsNotKept(t *testing.T) {
+	const line = `{"requestId":"another","text":"x","end":true}` + "\n"
+	for name, copied := range map[string]string{
+		"refusal without a body": "HTTP/1.1 503 Full\r\nNot-Run: true\r\nRequest-Id: another\r\nContent-Length: 0\r\n\r\n",
+		"refusal with a body":    "HTTP/1.1 503 Full\r\nNot-Run: true\r\nRequest-Id: another\r\nContent-Length: 4\r\n\r\nfull",
+		"lines":                  fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: %d\r\n\r\n%s", len(line), line),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := serveConns(t, func(c net.Conn) {
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := readRequest(r)
+					if err != nil {
+						return
+					}
+					if n == 1 {
+						_, _ = io.WriteString(c, copied)
+					}
+					time.Sleep(50 * time.Millisecond) // the next request may arrive before the answer
+					line := fmt.Sprintf(`{"requestId":%q,"text":"x","end":true}`+"\n", req.Header.Get(tptarget.HeaderRequestID))
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
+				}
+			})
+			tr, cleanup := tptarget.NewTransport(tptarget.Settings{})
+			defer cleanup()
+			for i, want := range []tpmessage.Outcome{
+				tpmessage.OutcomeDone, tpmessage.OutcomeInterrupted, tpmessage.OutcomeDone, tpmessage.OutcomeInterrupted, tpmessage.OutcomeDone,
+			} {
+				id := fmt.Sprint("request-", i)
+				if res, _ := runOnce(t, tr, id, "a", address); res.Outcome != want {
+					t.Errorf("%s: got outcome %v (%v), want %v", id, res.Outcome, res.Err, want)
+				}
+				time.Sleep(10 * time.Millisecond) // the transport notices a closed connection in that time
+			}
+		})
+	}
+}
--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -174,6 +174,7 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		if !namesRequest(resp, on, req.ID) {
+			on.Abandon()
 			return tpsender.Result{
 				Outcome: tpmessage.OutcomeInterrupted,
 				Err:     Error.New("%s answered %s: %w", target.Name, resp.Status, errWrongRequest),
@@ -182,6 +183,11 @@
 		return refusedResult(target, resp)
 	}
 	res := t.readLines(resp.Body, chunkTimer, target, deliver)
+	if res.Outcome != tpmessage.OutcomeDone {
+		// The lines may be a copy of an earlier answer. The answer to this
+		// request would then be taken for that to the next one.
+		on.Abandon()
+	}
 	res.Stalled = res.Outcome == tpmessage.OutcomeInterrupted && chunkTimedOut(ctx)
 	return res
 }
