Query whether a call ran on a connection of its own

Cause: The querier kept connections to plain services. An answer that a key was not run names no key, and the key in the answer of a service that ran one was not compared. A second copy of an earlier answer was taken for the answer to the next query.

Change: Each query opens a connection. An answer about another key, or without a key, is an error.

The querier keeps no connection, so its clean-up function is gone.

--- a/internal/edge/tptarget/query.go
+++ b/internal/edge/tptarget/query.go
@@ -28,13 +28,15 @@
 	client *resty.Client
 }
 
-// NewCallQuerier returns a querier and its clean-up function, which closes idle
-// connections. pool returns the pool of a name from the configuration in
-// force, and false if there is none.
-func NewCallQuerier(pool func(name string) (tpmessage.Pool, bool)) (*CallQuerier, func()) {
-	t := &http.Transport{MaxResponseHeaderBytes: MaxHeaderBytes}
+// NewCallQuerier returns a querier. pool returns the pool of a name from the
+// configuration in force, and false if there is none.
+func NewCallQuerier(pool func(name string) (tpmessage.Pool, bool)) *CallQuerier {
+	// Each query has a connection of its own. An answer that a key was not run
+	// names no key: on a reused connection, a second copy of an earlier answer
+	// would be taken for it.
+	t := &http.Transport{MaxResponseHeaderBytes: MaxHeaderBytes, DisableKeepAlives: true}
 	client := resty.New().SetTransport(t).SetTimeout(QueryTimeout).SetResponseBodyLimit(2 * MaxResultBytes)
-	return &CallQuerier{pool: pool, client: client}, t.CloseIdleConnections
+	return &CallQuerier{pool: pool, client: client}
 }
 
 // QueryCall implements tpjournal.CallQuerier. It queries the services of the
@@ -55,9 +57,14 @@
 			lastErr = Error.New("query %s for key %s: %w", t.Name, key, err)
 			continue
 		}
-		if resp.StatusCode() == http.StatusOK {
-			return true, answer.Status, []byte(answer.Result), nil
+		if resp.StatusCode() != http.StatusOK {
+			continue
+		}
+		if answer.Key != key {
+			lastErr = Error.New("query %s for key %s: the answer is about key %q", t.Name, key, answer.Key)
+			continue
 		}
+		return true, answer.Status, []byte(answer.Result), nil
 	}
 	return false, 0, nil, lastErr
 }
--- a/internal/node/tpnode/journal.go
+++ b/internal/node/tpnode/journal.go
@@ -41,8 +41,7 @@
 	}
 	store, closeStore := tpplatform.NewClient(n.cfg.Platform)
 	n.onStop(closeStore)
-	querier, closeQuerier := tptarget.NewCallQuerier(n.poolInForce)
-	n.onStop(closeQuerier)
+	querier := tptarget.NewCallQuerier(n.poolInForce)
 	incarnation := n.cfg.Name + "/" + uuid.NewString()
 	holder := tpjournal.NewHolder(func(shard int) *tpjournal.GroupCommit {
 		return tpjournal.NewGroupCommit(tpjournal.Settings{Region: n.cfg.Region, Shard: shard, Holder: incarnation})
