Read the state of an engine on a connection of its own

Cause: The client for engines kept one connection for states and loads, which name no request. A second copy of an earlier answer was taken for the next one.

Change: Each request of the client opens a connection, as orders already did. There is nothing left for the clean-up function to close.

--- a/internal/node/tpnode/order.go
+++ b/internal/node/tpnode/order.go
@@ -110,8 +110,7 @@
 	if err := startFilter(n, "desired", p.desiredIn, desired); err != nil {
 		return err
 	}
-	engines, closeEngines := tpdispatch.NewEngineClient()
-	n.onStop(closeEngines)
+	engines := tpdispatch.NewEngineClient()
 	dispatch := &tpdispatch.Duty{
 		Store:        p.store,
 		EngineClient: engines,
--- a/internal/node/tpnode/order_test.go
+++ b/internal/node/tpnode/order_test.go
@@ -51,8 +51,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(stopNode)
-	engines, closeEngines := tpdispatch.NewEngineClient()
-	t.Cleanup(closeEngines)
+	engines := tpdispatch.NewEngineClient()
 	n.SetDesiredRoles(map[string]tpmessage.Role{"engine-0": tpmessage.RoleDecode})
 	deadline := time.Now().Add(time.Minute)
 	for {
--- a/internal/order/stage4/tpdispatch/sender.go
+++ b/internal/order/stage4/tpdispatch/sender.go
@@ -31,33 +31,32 @@
 var Error = errs.Class("dispatch")
 
 // EngineClient is an HTTP client for engines. It is safe for concurrent use.
+//
+// Each request uses a new connection. A state or load names no request: on a
+// reused connection, a second copy of an earlier answer would be taken for it.
+// An order is sent once, because net/http retries a request by itself only on a
+// connection that was used before.
 type EngineClient struct {
 	status *http.Client
 	orders *http.Client
 }
 
-// NewEngineClient returns a client and a clean-up function that closes idle
-// connections.
-func NewEngineClient() (*EngineClient, func()) {
+// NewEngineClient returns a client.
+func NewEngineClient() *EngineClient {
 	statusTransport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: tptarget.DialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-
+		DialContext:            (&net.Dialer{Timeout: tptarget.DialTimeout}).DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
 		MaxResponseHeaderBytes: tptarget.MaxHeaderBytes,
 	}
-	// Each order uses a new connection, because net/http retries a request by
-	// itself only on a connection that was used before.
 	orderTransport := statusTransport.Clone()
-	orderTransport.DisableKeepAlives = true
 	// The timeout is longer than any send, so the body is sent only after 100
 	// Continue and never because this timeout has passed.
 	orderTransport.ExpectContinueTimeout = 24 * time.Hour
 	return &EngineClient{
 		status: &http.Client{Transport: statusTransport, Timeout: CallTimeout},
 		orders: &http.Client{Transport: orderTransport},
-	}, statusTransport.CloseIdleConnections
+	}
 }
 
 // Status reads an engine's state. If load is true, it also reads the load and
--- a/internal/order/stage4/tpdispatch/sender_test.go
+++ b/internal/order/stage4/tpdispatch/sender_test.go
@@ -60,8 +60,7 @@
 
 func (e *fakeEngine) send(ctx context.Context, t *testing.T, typ tpmessage.EngineType, confirm func(context.Context) error) error {
 	t.Helper()
-	engines, cleanup := tpdispatch.NewEngineClient()
-	t.Cleanup(cleanup)
+	engines := tpdispatch.NewEngineClient()
 	order := tpmessage.Order{Engine: "engine-0", Number: 1, Fencing: 1}
 	return engines.Send(ctx, e.srv.Listener.Addr().String(), order, typ, confirm)
 }
