Bound the limits in a load report

Cause: a node told of each process that had named a limit, so that a report would grow with the targets if many of them are in need. Change: at most 64, those with the highest demand. Result: TestLoadNamesABoundedNumberOfLimits got 500 before.

--- a/internal/relay/stage2/tpplace/limit.go
+++ b/internal/relay/stage2/tpplace/limit.go
@@ -24,6 +24,8 @@
 	// maxLimitRetryAfter is the longest delay before a retry that a refusal
 	// because of limits advises.
 	maxLimitRetryAfter = 10 * time.Second
+	// maxLimitLoads bounds the limits in a load report, at about 50 bytes each.
+	maxLimitLoads = 64
 	// maxWithheld is the number of targets at their limit that one placement
 	// tries. It then leaves out all others.
 	maxWithheld = 4
@@ -218,7 +220,8 @@
 	return out
 }
 
-// limitLoads returns what the node knows of limits at first hand, and its demand.
+// limitLoads returns what the node knows of limits at first hand, and its
+// demand, for the targets with the highest demand.
 func (p *Placer[P]) limitLoads(now time.Time) []tpmessage.TargetLimit {
 	var out []tpmessage.TargetLimit
 	for key, state := range p.limits.observed {
@@ -241,9 +244,9 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b tpmessage.TargetLimit) int {
-		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.StartedMs, b.StartedMs))
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), cmp.Compare(a.Target, b.Target), cmp.Compare(a.StartedMs, b.StartedMs))
 	})
-	return out
+	return out[:min(len(out), maxLimitLoads)]
 }
 
 // setDemand sets the demand for requests at a process that has a limit.
--- a/internal/relay/stage2/tpplace/limit_test.go
+++ b/internal/relay/stage2/tpplace/limit_test.go
@@ -194,3 +194,26 @@
 		t.Errorf("with an allowance: got step %v, want %v", got, tpplace.StepPrefill)
 	}
 }
+
+// Guards against load reports that grow with the number of targets.
+func TestLoadNamesABoundedNumberOfLimits(t *testing.T) {
+	var list []tpmessage.RelayTarget
+	for i := range 500 {
+		list = append(list, service(fmt.Sprintf("s%03d", i)))
+	}
+	p := newPlacer(tpplace.Affinity{}, list)
+	for _, target := range list {
+		p.Step(epoch, answered(epoch, epoch, target, namesLimit(2)))
+	}
+	g, _ := p.Step(epoch, call(epoch))
+	if g.Refusal == nil {
+		t.Errorf("got a step at %s, want a refusal", g.Target.Name)
+	}
+	limits := p.Load(epoch).Limits
+	if got, want := len(limits), 64; got != want {
+		t.Errorf("limits in a load: got %d, want %d", got, want)
+	}
+	if len(limits) > 0 && limits[0].Demand == 0 {
+		t.Error("the first limit in a load has no demand")
+	}
+}
