Keep some lists of unused allowances

Cause: the ring between placement and membership had one place. Both take their turn every 100 ms, so that a slightly late membership lost a list. Change: four places, all of which are taken in one turn; the ring is exported and stands on the page of the pipelines.

--- a/internal/node/tprelaynode/allot.go
+++ b/internal/node/tprelaynode/allot.go
@@ -11,7 +11,7 @@
 // allot distributes the requests that targets with a limit take, if this node is
 // the collector of its zone, and takes its own part.
 func (m *members) allot(now time.Time) {
-	if list, err := m.node.placement.returned.TryTake(); err == nil {
+	for list, err := m.node.placement.returned.TryTake(); err == nil; list, err = m.node.placement.returned.TryTake() {
 		m.returned = append(m.returned, list...)
 	}
 	if !m.collector.IsCollector() {
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -22,6 +22,9 @@
 	// silence, a replacement that is given back, the end of a step and the request
 	// for the next target.
 	inputsPerTask = 6
+	// returnedRingCapacity is the number of lists of unused allowances that wait
+	// for the membership. Both filters handle one at each of their ticks.
+	returnedRingCapacity = 4
 	// loadTickInterval is the interval at which the node publishes its own
 	// load.
 	loadTickInterval = 100 * time.Millisecond
@@ -50,7 +53,8 @@
 //
 //	front -> placement ring -> placement -> tasks ring -> relay
 //	tasks -> placement ring (step results, target requests for further steps)
-//	peers -> placement ring (evidence about requests that crash targets)
+//	peers -> placement ring (evidence about requests that crash targets, allowances)
+//	placement -> allowances ring (those that were not used) -> membership
 type placementFilter struct {
 	in     *tpring.Ring[tpplace.Input]
 	tasks  *tpring.Ring[tpplace.Grant]
@@ -60,7 +64,7 @@
 	// evidence holds the latest report of the guard for peers. reported is true
 	// if that report is not empty.
 	evidence *tpring.Ring[[]tpmessage.SuspectRequest]
-	// returned holds the latest allowances that the node has not used.
+	// returned holds allowances that the node has not used, for the membership.
 	returned *tpring.Ring[[]tpmessage.Allowance]
 	reported bool
 	// notices holds the notices that the placer knows, for other filters.
@@ -74,7 +78,7 @@
 		load:  tpring.New[tpmessage.NodeLoad](tpring.Settings{Capacity: 1}),
 
 		evidence: tpring.New[[]tpmessage.SuspectRequest](tpring.Settings{Capacity: 1}),
-		returned: tpring.New[[]tpmessage.Allowance](tpring.Settings{Capacity: 1}),
+		returned: tpring.New[[]tpmessage.Allowance](tpring.Settings{Capacity: returnedRingCapacity}),
 		placer: tpplace.New(tpplace.Settings{
 			Node: n.cfg.Name, Zone: n.cfg.Zone,
 			Budget: tpplace.BudgetSettings{Ratio: n.cfg.Budget.Ratio, Slack: n.cfg.Budget.Slack, Window: n.cfg.Budget.Window},
@@ -83,6 +87,7 @@
 	p.notices.Store(&tpplace.Notices{})
 	n.deps.Rings.Add("placement", p.in)
 	n.deps.Rings.Add("tasks", p.tasks)
+	n.deps.Rings.Add("allowances", p.returned)
 	return p
 }
 
@@ -114,7 +119,7 @@
 	now := n.clock.Now()
 	if in.Kind == tpplace.InputTick {
 		if returned := n.placement.placer.TakeReturned(now); len(returned) > 0 {
-			_ = n.placement.returned.PutDropOldest(returned) // lost allowances are issued anew in time
+			_ = n.placement.returned.PutDropOldest(returned)
 		}
 		_ = n.placement.load.PutDropOldest(n.placement.placer.Load(now))
 		n.tickGuard(now)
