Play other names and repeated IDs in the soak of runs

Cause: TestRelayRunsOnce kept one name at each address and never sent an ID twice, and few of its answers were refusals that come twice. It could not show a copy of a refusal that refuses the same request once more.

Change: Servers get other names at their addresses while they run; half of them run requests for any name. One answer in 5 is a refusal on purpose, 421 included, and its copy comes late, with the next request of the connection, or while the same request is under way again. Clients repeat refused attempts under the same ID at the same node. For a repeated ID, no run may begin between a refusal and the repeat, none may follow a last refusal, and one run is the limit. REFUSED now holds for repeatable routes, too.

--- a/internal/proof/relay_once_test.go
+++ b/internal/proof/relay_once_test.go
@@ -38,6 +38,13 @@
 	// onceLateRun is the time for which the servers are watched after the last
 	// answer. It is longer than any client waits.
 	onceLateRun = 5 * time.Second
+	// onceRefusalEvery is the number of answers of a server for each that is a
+	// refusal on purpose, and onceCalmFaultEvery for each that has another fault in
+	// the calm seeds.
+	onceRefusalEvery   = 5
+	onceCalmFaultEvery = 40
+	// onceMaxRepeats limits the repeats of an attempt under its ID.
+	onceMaxRepeats = 2
 )
 
 // onceRoute is a kind of request with its requests a second on the deployments.
@@ -64,6 +71,7 @@
 // onceAnswer is what a client was told about one attempt.
 type onceAnswer struct {
 	id     string
+	begin  time.Time
 	route  onceRoute
 	node   int
 	status int
@@ -75,10 +83,13 @@
 	t       *testing.T
 	rng     *rand.Rand
 	store   tpguestfake.Store
-	servers []*tpguestfake.RawServer
+	servers []*onceServer
 	proxies []*tpguestfake.Proxy
 	nodes   []*relayNode
 
+	// calm is true if faults other than refusals and new names are rarer.
+	calm bool
+
 	configVersion int
 	mu            sync.Mutex
 	answers       []onceAnswer
@@ -86,6 +97,13 @@
 	active        sync.WaitGroup
 }
 
+// onceServer is a server with what its registration says.
+type onceServer struct {
+	*tpguestfake.RawServer
+	service string
+	names   int // names that it has had
+}
+
 // onceFault is a fault between two times.
 type onceFault struct {
 	name       string
@@ -101,7 +119,7 @@
 }
 
 func runOnceSoak(t *testing.T, seed uint64) {
-	s := &onceSoak{t: t, rng: rand.New(rand.NewPCG(seed, seed))}
+	s := &onceSoak{t: t, rng: rand.New(rand.NewPCG(seed, seed)), calm: seed%2 == 1}
 	s.start(seed)
 	stop := make(chan struct{})
 	var clients, duties sync.WaitGroup
@@ -110,6 +128,7 @@
 		clients.Go(func() { c.run(stop) })
 	}
 	duties.Go(func() { s.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)), stop) })
+	duties.Go(func() { s.renameServers(rand.New(rand.NewPCG(seed, 1<<33)), stop) })
 	time.Sleep(*onceDuration)
 	close(stop)
 	duties.Wait()
@@ -123,13 +142,17 @@
 	storeAddress := tpguestfake.Listen(s.t, &s.store)
 	for i, kind := range []string{"llm prefill", "llm decode", "llm decode", "llm decode", "app", "app", "app"} {
 		service, stage, _ := strings.Cut(kind, " ")
-		server := &tpguestfake.RawServer{ID: fmt.Sprint("s", i), Stage: stage, Random: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
+		server := &onceServer{service: service, RawServer: &tpguestfake.RawServer{
+			ID: fmt.Sprint("s", i), Stage: stage, Random: rand.New(rand.NewPCG(seed, uint64(1000+i))),
+			RefusalEvery: onceRefusalEvery, AnyName: i%2 == 0,
+		}}
+		if s.calm {
+			server.FaultEvery = onceCalmFaultEvery
+		}
 		server.Listen(s.t)
-		p := tpguestfake.NewProxy(s.t, server.Address)
-		s.servers, s.proxies = append(s.servers, server), append(s.proxies, p)
-		s.store.Set("servers", server.ID, map[string]any{
-			"service": service, "address": p.Address, "zone": "z", "slots": 64, "state": "ready", "stage": stage, "born": 1,
-		})
+		s.servers = append(s.servers, server)
+		s.proxies = append(s.proxies, tpguestfake.NewProxy(s.t, server.Address))
+		s.register(i, server.ID)
 	}
 	s.configure()
 	var peers []string
@@ -146,6 +169,48 @@
 	}
 }
 
+func (s *onceSoak) register(server int, name string) {
+	s.store.Set("servers", name, map[string]any{
+		"service": s.servers[server].service, "address": s.proxies[server].Address, "zone": "z", "slots": 64,
+		"state": "ready", "stage": s.servers[server].Stage, "born": 1,
+	})
+}
+
+// renameServers gives servers other names at their addresses while their
+// processes and connections go on. For some time, both names or none may be
+// registered.
+func (s *onceSoak) renameServers(rng *rand.Rand, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(200+rng.IntN(600)) * time.Millisecond):
+		}
+		i := rng.IntN(len(s.servers))
+		server := s.servers[i]
+		server.names++
+		before, after := server.ID, fmt.Sprintf("s%d-%d", i, server.names) // only this function sets the ID
+		wait := func() { time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond) }
+		switch rng.IntN(3) {
+		case 0: // the new name replaces the old one
+			server.Rename(after)
+			s.store.Remove("servers", before)
+			s.register(i, after)
+		case 1: // both names are registered
+			s.register(i, after)
+			wait()
+			server.Rename(after)
+			wait()
+			s.store.Remove("servers", before)
+		case 2: // no name is registered
+			s.store.Remove("servers", before)
+			wait()
+			server.Rename(after)
+			s.register(i, after)
+		}
+	}
+}
+
 func (s *onceSoak) configure() {
 	s.configVersion++
 	var routes []any
@@ -182,7 +247,11 @@
 // servers. Faults overlap, and have pauses of some seconds between series.
 func (s *onceSoak) injectFaults(rng *rand.Rand, stop <-chan struct{}) {
 	for {
-		for range 1 + rng.IntN(6) {
+		faults := 1 + rng.IntN(6)
+		if s.calm {
+			faults = rng.IntN(2)
+		}
+		for range faults {
 			s.injectFault(rng)
 			time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
 		}
@@ -258,6 +327,10 @@
 		}
 	}
 	counts := make(map[string]int)
+	attempts := make(map[string][]onceAnswer) // by ID, in the order of their begins
+	for _, a := range s.answers {
+		attempts[a.id] = append(attempts[a.id], a)
+	}
 	for _, a := range s.answers {
 		counts[a.route.name]++
 		switch {
@@ -267,12 +340,19 @@
 			counts[strconv.Itoa(a.status)]++
 		}
 		ran := runs[a.id]
+		if repeats := attempts[a.id]; len(repeats) > 1 {
+			if a.begin != repeats[len(repeats)-1].begin {
+				continue // verifyRepeats checks it
+			}
+			counts["repeated IDs"]++
+			counts["ran before a repeat"] += s.verifyRepeats(repeats, ran)
+		}
 		if !a.route.repeatable && len(ran) > 1 {
+			counts["ran twice"]++
 			s.t.Errorf("TWICE: %s ran %d times: %+v; the client got %d %q, %v", a.id, len(ran), ran, a.status, a.body, a.err)
 		}
-		promised := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests ||
-			a.status == http.StatusRequestTimeout || a.status == http.StatusMisdirectedRequest
-		if !a.route.repeatable && promised && len(ran) > 0 {
+		if a.promised() && len(ran) > 0 {
+			counts["ran after a refusal"]++
 			s.t.Errorf("REFUSED: %s got %d and ran: %+v", a.id, a.status, ran)
 		}
 		for _, before := range ran {
@@ -295,9 +375,36 @@
 	}
 }
 
-// onceClient sends requests on kept connections and repeats them, each time with
-// a new ID: after a refusal as it says, and at times at another node while the
-// first attempt is still in progress.
+// verifyRepeats checks the attempts under one ID. A client repeats an attempt
+// under its ID only after the node has promised that it did not run, so that a
+// run before the repeat breaks the promise. It returns the number of such runs.
+// That the ID ran once at most, and not at all after a last promise, is checked
+// as for any other ID.
+func (s *onceSoak) verifyRepeats(attempts []onceAnswer, ran []tpguestfake.RawRun) (broken int) {
+	for i, a := range attempts[:len(attempts)-1] {
+		for _, r := range ran {
+			if r.Begin.Before(attempts[i+1].begin) {
+				broken++
+				s.t.Errorf("REFUSED: %s got %d and ran before it was repeated: %+v", a.id, a.status, r)
+			}
+		}
+	}
+	return broken
+}
+
+// promised reports whether the answer promises that the attempt did not run.
+func (a *onceAnswer) promised() bool {
+	switch a.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// onceClient sends requests on kept connections and repeats them: after a refusal
+// as it says, under the same ID at the same node or with a new ID at another one,
+// and at times with a new ID at another node while the first attempt is still in
+// progress.
 type onceClient struct {
 	soak  *onceSoak
 	name  string
@@ -322,16 +429,28 @@
 			wait, other := time.Duration(c.rng.IntN(400))*time.Millisecond, (node+1)%onceNodes
 			repeats.Go(func() {
 				time.Sleep(wait)
-				c.attempt(&http.Transport{DisableKeepAlives: true}, route, other)
+				c.attempt(&http.Transport{DisableKeepAlives: true}, route, other, c.newID(route))
 			})
 		}
-		if a := c.attempt(kept, route, node); a.status == http.StatusServiceUnavailable {
+		a := c.attempt(kept, route, node, c.newID(route))
+		for range onceMaxRepeats {
+			if !a.promised() || a.err != nil || c.rng.IntN(4) == 0 {
+				break
+			}
+			time.Sleep(time.Duration(c.rng.IntN(100)) * time.Millisecond)
+			a = c.attempt(kept, route, node, a.id)
+		}
+		if a.status == http.StatusServiceUnavailable {
 			time.Sleep(100 * time.Millisecond)
-			c.attempt(kept, route, (node+2)%onceNodes)
+			c.attempt(kept, route, (node+2)%onceNodes, c.newID(route))
 		}
 	}
 }
 
+func (c *onceClient) newID(route onceRoute) string {
+	return fmt.Sprintf("%s-%s-%d", route.name, c.name, c.count.Add(1))
+}
+
 func (c *onceClient) drawRoute() onceRoute {
 	total := 0.0
 	for _, r := range onceRoutes {
@@ -346,8 +465,8 @@
 	return onceRoutes[0]
 }
 
-func (c *onceClient) attempt(transport *http.Transport, route onceRoute, node int) onceAnswer {
-	a := onceAnswer{id: fmt.Sprintf("%s-%s-%d", route.name, c.name, c.count.Add(1)), route: route, node: node}
+func (c *onceClient) attempt(transport *http.Transport, route onceRoute, node int, id string) (a onceAnswer) {
+	a = onceAnswer{id: id, begin: time.Now(), route: route, node: node}
 	defer func() {
 		c.soak.mu.Lock()
 		defer c.soak.mu.Unlock()
--- a/internal/standin/tpguestfake/raw.go
+++ b/internal/standin/tpguestfake/raw.go
@@ -23,19 +23,55 @@
 }
 
 // RawServer simulates a model engine or a plain service that writes its answers
-// itself, so that it can send any bytes at any time. About one answer in eight
-// is faulty. Its exported fields must be set before Listen, which sets Address.
+// itself, so that it can send any bytes at any time. About one answer in
+// FaultEvery is faulty. Its exported fields must be set before Listen, which
+// sets Address.
 type RawServer struct {
-	ID      string
-	Stage   string // prefill, decode, or empty for a plain service
-	Random  *rand.Rand
-	Address string
+	ID           string
+	Stage        string // prefill, decode, or empty for a plain service
+	Random       *rand.Rand
+	Address      string
+	FaultEvery   int  // answers for each faulty one; 0 means 8
+	RefusalEvery int  // answers for each further refusal; 0 means none
+	AnyName      bool // runs requests for a server of another name, too
 
-	mu    sync.Mutex
-	runs  []*RawRun
-	conns map[*net.TCPConn]bool
+	mu       sync.Mutex
+	runs     []*RawRun
+	conns    map[*rawConn]bool
+	refusals map[string]rawRefused // by request ID, with a copy that waits for the same request
 }
 
+// rawConn is a connection of a RawServer.
+type rawConn struct {
+	*net.TCPConn
+	busy    sync.Mutex // held while a request is answered
+	refusal string     // is written once more when the next request has arrived
+}
+
+// rawRefused is a refusal and its connection.
+type rawRefused struct {
+	c    *rawConn
+	text string
+}
+
+// rawDraw tells how one answer is given.
+type rawDraw struct {
+	fault   rawFault
+	delay   time.Duration // of a second copy
+	silence time.Duration
+	copy    rawCopyTime // of a refusal
+}
+
+// rawCopyTime is when a refusal is written once more.
+type rawCopyTime uint8
+
+const (
+	rawCopyDelayed  rawCopyTime = iota // after a delay
+	rawCopyWithNext                    // when the next request has arrived on the connection
+	rawCopyWithSame                    // when the same request has arrived again
+	rawCopyTimes                       // number of times
+)
+
 // rawFault is what is wrong with an answer.
 type rawFault uint8
 
@@ -73,14 +109,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Address, s.conns = l.Addr().String(), make(map[*net.TCPConn]bool)
+	s.Address, s.conns, s.refusals = l.Addr().String(), make(map[*rawConn]bool), make(map[string]rawRefused)
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(c.(*net.TCPConn))
+			go s.serve(&rawConn{TCPConn: c.(*net.TCPConn)})
 		}
 	}()
 	t.Cleanup(func() {
@@ -113,23 +149,44 @@
 	return runs
 }
 
-// draw returns what is wrong with the next answer, the delay of a second copy,
-// and the length of a silence.
-func (s *RawServer) draw() (fault rawFault, delay, silence time.Duration) {
+// Rename gives the server another name. Its connections and runs go on.
+func (s *RawServer) Rename(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ID = id
+}
+
+func (s *RawServer) name() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ID
+}
+
+func (s *RawServer) draw() rawDraw {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delay = []time.Duration{0, 5 * time.Millisecond, 500 * time.Millisecond}[s.Random.IntN(3)]
-	silence = 500*time.Millisecond + time.Duration(s.Random.Int64N(int64(2*time.Second)))
+	faultEvery := s.FaultEvery
+	if faultEvery == 0 {
+		faultEvery = 8
+	}
+	d := rawDraw{
+		delay:   []time.Duration{0, 5 * time.Millisecond, 500 * time.Millisecond}[s.Random.IntN(3)],
+		silence: 500*time.Millisecond + time.Duration(s.Random.Int64N(int64(2*time.Second))),
+		copy:    rawCopyTime(s.Random.IntN(int(rawCopyTimes))),
+	}
 	switch {
-	case s.Random.IntN(8) > 0:
-		return rawSound, delay, silence
+	case s.RefusalEvery > 0 && s.Random.IntN(s.RefusalEvery) == 0:
+		d.fault = rawRefusal
+	case s.Random.IntN(faultEvery) > 0:
 	case s.Random.IntN(3) == 0:
-		return rawSilent, delay, silence
+		d.fault = rawSilent
+	default:
+		d.fault = rawFault(s.Random.IntN(int(rawFaults)))
 	}
-	return rawFault(s.Random.IntN(int(rawFaults))), delay, silence
+	return d
 }
 
-func (s *RawServer) serve(c *net.TCPConn) {
+func (s *RawServer) serve(c *rawConn) {
 	s.mu.Lock()
 	s.conns[c] = true
 	s.mu.Unlock()
@@ -149,14 +206,17 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		if !s.answer(c, r, req) {
+		c.busy.Lock()
+		goesOn := s.answer(c, r, req)
+		c.busy.Unlock()
+		if !goesOn {
 			return
 		}
 	}
 }
 
 // answer answers one request. It returns false if the connection ends.
-func (s *RawServer) answer(c *net.TCPConn, r *bufio.Reader, req *http.Request) bool {
+func (s *RawServer) answer(c *rawConn, r *bufio.Reader, req *http.Request) bool {
 	id := req.Header.Get("X-Teaselpin-Request-Id")
 	head := "X-Teaselpin-Request-Id: " + id + "\r\n"
 	switch {
@@ -168,16 +228,16 @@
 	case req.Method == http.MethodDelete:
 		return s.write(c, "HTTP/1.1 200 OK\r\n", "")
 	}
-	fault, delay, silence := s.draw()
-	if expected := req.Header.Get("X-Teaselpin-Expect-Instance"); expected != "" && expected != s.ID {
-		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\n"+head, "")
-	}
+	d, name := s.draw(), s.name()
+	fault, delay, silence := d.fault, d.delay, d.silence
+	s.copyRefusals(c, id, delay)
+	expected := req.Header.Get("X-Teaselpin-Expect-Instance")
 	var text string
 	switch {
+	case !s.AnyName && expected != "" && expected != name:
+		return s.refuse(c, id, &d, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
 	case fault == rawRefusal:
-		head, text = "HTTP/1.1 503 Service Unavailable\r\nX-Teaselpin-Not-Run: full\r\n"+head, "full"
-		// A refusal may come twice, too.
-		return s.write(c, head, text) && (delay == 0 || s.copy(c, delay, head, text))
+		return s.refuse(c, id, &d, "HTTP/1.1 503 Service Unavailable\r\nX-Teaselpin-Not-Run: full\r\n"+head+"Content-Length: 4\r\n\r\nfull")
 	case req.Header.Get("X-Teaselpin-Stage") == "prefill":
 		// Longer than a node waits before it tries another target.
 		if fault == rawSilent && !callerStays(c, r, silence+1500*time.Millisecond) {
@@ -189,7 +249,7 @@
 		}
 		return s.write(c, head, text)
 	}
-	run := &RawRun{ID: id, Server: s.ID, Begin: time.Now()}
+	run := &RawRun{ID: id, Server: name, Begin: time.Now()}
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
@@ -201,7 +261,7 @@
 	if !callerStays(c, r, rawWork) {
 		return false
 	}
-	stamp := "X-Teaselpin-Response-Stamp: " + s.ID + "." + id + "\r\n"
+	stamp := "X-Teaselpin-Response-Stamp: " + name + "." + id + "\r\n"
 	switch fault {
 	case rawBusy:
 		return s.write(c, "HTTP/1.1 503 Service Unavailable\r\n"+head+stamp, "busy")
@@ -210,7 +270,7 @@
 	case rawLost:
 		return false
 	case rawReset:
-		reset(c)
+		reset(c.TCPConn)
 		return false
 	case rawSlow:
 		if !callerStays(c, r, 500*time.Millisecond) {
@@ -240,7 +300,7 @@
 
 // stream writes the events after the Last-Event-Id of the request.
 func (s *RawServer) stream(
-	c *net.TCPConn, r *bufio.Reader, req *http.Request, fault rawFault, silence time.Duration, head string,
+	c *rawConn, r *bufio.Reader, req *http.Request, fault rawFault, silence time.Duration, head string,
 ) bool {
 	first := 0
 	if n, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
@@ -263,20 +323,61 @@
 	return err == nil && fault != rawCloseAfter
 }
 
-func (s *RawServer) write(c *net.TCPConn, head, body string) bool {
+func (s *RawServer) write(c *rawConn, head, body string) bool {
 	_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	return err == nil
 }
 
 // copy sends a second copy of an answer.
-func (s *RawServer) copy(c *net.TCPConn, delay time.Duration, head, body string) bool {
+func (s *RawServer) copy(c *rawConn, delay time.Duration, head, body string) bool {
 	time.Sleep(delay) // the next request may arrive meanwhile
 	return s.write(c, head, body)
 }
 
+// refuse writes a refusal, which may come twice, too.
+func (s *RawServer) refuse(c *rawConn, id string, d *rawDraw, refusal string) bool {
+	switch d.copy {
+	case rawCopyWithNext:
+		c.refusal = refusal
+	case rawCopyWithSame:
+		s.mu.Lock()
+		s.refusals[id] = rawRefused{c: c, text: refusal}
+		s.mu.Unlock()
+	}
+	if _, err := io.WriteString(c, refusal); err != nil || d.copy != rawCopyDelayed || d.delay == 0 {
+		return err == nil
+	}
+	time.Sleep(d.delay) // the next request may arrive meanwhile
+	_, err := io.WriteString(c, refusal)
+	return err == nil
+}
+
+// copyRefusals writes the copies that waited for a request. A copy on another
+// connection is written unless an answer is being written there.
+func (s *RawServer) copyRefusals(c *rawConn, id string, delay time.Duration) {
+	next := c.refusal
+	c.refusal = ""
+	s.mu.Lock()
+	same := s.refusals[id]
+	delete(s.refusals, id)
+	s.mu.Unlock()
+	if next == "" && same.c == nil {
+		return
+	}
+	time.Sleep(min(delay, 10*time.Millisecond)) // time between the request and the copy
+	_, _ = io.WriteString(c, next)              // the caller may have closed the connection
+	switch {
+	case same.c == c:
+		_, _ = io.WriteString(c, same.text)
+	case same.c != nil && same.c.busy.TryLock():
+		_, _ = io.WriteString(same.c, same.text)
+		same.c.busy.Unlock()
+	}
+}
+
 // callerStays waits and returns false if the caller closes the connection
 // meanwhile.
-func callerStays(c *net.TCPConn, r *bufio.Reader, d time.Duration) bool {
+func callerStays(c *rawConn, r *bufio.Reader, d time.Duration) bool {
 	_ = c.SetReadDeadline(time.Now().Add(d)) // fails only on a closed connection
 	_, err := r.Peek(1)
 	if err == nil {
