Move the exchange of allowances out of the wiring

Cause: the membership filter decided which allowances go into which report, and the simulated regions had a copy of these decisions. Change: tpallot.Exchange makes them, and both use it.

--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -115,8 +115,7 @@
 	// load reports. pendingReports holds, by address, the time until which the
 	// node waits for the answer to a report.
 	collector      *tpcollect.Collector
-	allotter       tpallot.Allotter
-	returned       []tpmessage.Allowance // unused allowances of this node, for the next report
+	allowances     tpallot.Exchange // of the collector
 	reportsSent    int
 	pendingReports map[string]time.Time
 	loadsChanged   bool      // since the last call of publishLoads
@@ -142,9 +141,11 @@
 		}),
 		incarnation:    self.Incarnation,
 		collector:      tpcollect.New(self),
-		allotter:       tpallot.Allotter{Random: n.random},
 		pendingReports: make(map[string]time.Time),
 	}
+	m.allowances = tpallot.Exchange{
+		Node: n.cfg.Name, Zone: n.cfg.Zone, Collector: m.collector, Allotter: tpallot.Allotter{Random: n.random},
+	}
 	m.table.SetAddress(n.cfg.Peers)
 	m.liveMembers.Store(&[]tpmessage.Member{self})
 	n.deps.Rings.Add("members", m.in)
@@ -251,7 +252,9 @@
 		answerLoad = m.collector.Answer(now, m.ownLoad, in.heartbeat.Loads[0])
 	}
 	out := m.completeHeartbeat(answer, answerLoad)
-	out.Allowances = m.allowancesForSender(now, in.heartbeat)
+	if len(in.heartbeat.Loads) > 0 {
+		out.Allowances = m.allowances.InAnswer(now, in.heartbeat.Loads[0])
+	}
 	out.Views = m.views.ageTo(m.node.leaseClock.Now())
 	_ = in.reply.Put(out)
 	m.processHeartbeat(now, in.heartbeat, "")
@@ -276,7 +279,7 @@
 		load := m.collector.Report(now, m.ownLoad)
 		load.Report = true
 		hb := m.completeHeartbeat(update, load)
-		hb.Allowances = m.allowancesForCollector(now, address)
+		hb.Allowances = m.allowances.InReport(now, address)
 		m.send(address, hb)
 	}
 	m.publishLoads(now)
@@ -314,7 +317,7 @@
 		m.collector.Record(now, l)
 		m.loadsChanged = true
 	}
-	m.receiveAllowances(now, hb.Allowances)
+	m.placeAllowances(m.allowances.Receive(now, hb.Allowances))
 	if len(hb.Suspects) > 0 {
 		in := tpplace.Input{Kind: tpplace.InputSuspects, Suspects: hb.Suspects}
 		_ = m.node.placement.in.TryPutBelow(in, newRequestLimit)
--- a/internal/relay/tpallot/allotter.go
+++ b/internal/relay/tpallot/allotter.go
@@ -120,8 +120,8 @@
 			}
 			a.processes[key] = s
 		}
-		a.reclaim(now, s)
-		a.setIssuer(now, s, in.IssuerZone(key.target) == in.Zone, max(MinPerSecond, min(l.PerSecond, demandFactor*l.Demand)))
+		s.reclaim(now)
+		s.setIssuer(now, in.IssuerZone(key.target) == in.Zone, max(MinPerSecond, min(l.PerSecond, demandFactor*l.Demand)))
 		if s.issuer {
 			a.issue(now, s, key, &in)
 		}
@@ -153,7 +153,7 @@
 
 // setIssuer adds the requests that the limit allows since the last step to the
 // credit of the issuer.
-func (a *Allotter) setIssuer(now time.Time, s *state, issuer bool, perSecond float64) {
+func (s *state) setIssuer(now time.Time, issuer bool, perSecond float64) {
 	if !issuer || !s.issuer {
 		s.credit = 0
 	} else {
@@ -196,7 +196,7 @@
 	}
 	for _, b := range pool {
 		if !now.Before(b.until) {
-			a.takeBack(s, b.count)
+			s.takeBack(b.count)
 			continue
 		}
 		for node, n := range a.divide(b.count, asks) {
@@ -205,18 +205,18 @@
 			i := slices.IndexFunc(asks, func(k ask) bool { return k.receiver == node })
 			asks[i].room -= n
 		}
-		a.takeBack(s, b.count)
+		s.takeBack(b.count)
 	}
 }
 
 // reclaim takes back the allowances that ended before their receivers took them.
-func (a *Allotter) reclaim(now time.Time, s *state) {
+func (s *state) reclaim(now time.Time) {
 	for _, accounts := range []map[string]*account{s.zones, s.nodes} {
 		for _, acc := range accounts {
 			acc.batches = slices.DeleteFunc(acc.batches, func(b batch) bool {
 				ended := !now.Before(b.until)
 				if ended {
-					a.takeBack(s, b.count)
+					s.takeBack(b.count)
 				}
 				return ended
 			})
@@ -225,7 +225,7 @@
 }
 
 // takeBack returns allowances that were not used to the credit of the issuer.
-func (a *Allotter) takeBack(s *state, n int) {
+func (s *state) takeBack(n int) {
 	if s.issuer {
 		s.credit += float64(n) // setIssuer bounds it
 	} else {
@@ -245,7 +245,7 @@
 			s.pool = append(s.pool, batch{count: in.Granted, until: now.Add(min(in.Left, Lifetime))})
 		}
 		if in.Returned > 0 {
-			a.takeBack(s, in.Returned)
+			s.takeBack(in.Returned)
 		}
 	}
 }
--- a/internal/relay/tpallot/region_test.go
+++ b/internal/relay/tpallot/region_test.go
@@ -36,8 +36,7 @@
 	member    tpmessage.Member
 	placer    *tpplace.Placer[tpplace.Affinity]
 	collector *tpcollect.Collector
-	allotter  tpallot.Allotter
-	returned  []tpmessage.Allowance
+	exchange  tpallot.Exchange
 	load      tpmessage.NodeLoad
 	phase     time.Duration // of its ticks
 	weight    float64       // share of the clients
@@ -97,14 +96,16 @@
 
 func (r *simRegion) addNode(name, zone string) *simNode {
 	n := &simNode{
-		member:   tpmessage.Member{Name: name, Zone: zone, Address: name + ":1"},
-		placer:   tpplace.New(tpplace.Settings{Node: name, Zone: zone}, tpplace.Affinity{}),
-		allotter: tpallot.Allotter{Random: rand.New(rand.NewPCG(r.rng.Uint64(), 1))},
-		phase:    time.Duration(r.rng.IntN(10)) * regionStep,
-		weight:   0.3 + 2*r.rng.Float64(),
-		told:     make(map[string]time.Time),
+		member: tpmessage.Member{Name: name, Zone: zone, Address: name + ":1"},
+		placer: tpplace.New(tpplace.Settings{Node: name, Zone: zone}, tpplace.Affinity{}),
+		phase:  time.Duration(r.rng.IntN(10)) * regionStep,
+		weight: 0.3 + 2*r.rng.Float64(),
+		told:   make(map[string]time.Time),
 	}
 	n.collector = tpcollect.New(n.member)
+	n.exchange = tpallot.Exchange{
+		Node: name, Zone: zone, Collector: n.collector, Allotter: tpallot.Allotter{Random: rand.New(rand.NewPCG(r.rng.Uint64(), 1))},
+	}
 	n.placer.Step(r.now, tpplace.Input{Kind: tpplace.InputTargets, Targets: r.targets()})
 	r.nodes = append(r.nodes, n)
 	return n
@@ -187,17 +188,9 @@
 
 // tick does what a node does every 100 ms.
 func (r *simRegion) tick(n *simNode) {
-	n.returned = append(n.returned, n.placer.TakeReturned(r.now)...)
+	n.exchange.Return(n.placer.TakeReturned(r.now))
 	n.load = n.placer.Load(r.now)
-	if n.collector.IsCollector() {
-		nodes, zones := n.collector.ZoneLoads(r.now, n.load)
-		n.allotter.Receive(r.now, n.returned)
-		n.returned = nil
-		n.allotter.Step(r.now, tpallot.Input{Zone: n.member.Zone, Nodes: nodes, Zones: zones, IssuerZone: n.collector.AllocatorZone})
-		r.place(n, n.allotter.TakeForNode(r.now, n.member.Name))
-	} else {
-		n.allotter.Reset()
-	}
+	r.place(n, n.exchange.Step(r.now, n.load))
 	for _, address := range n.collector.Reports(r.now) {
 		r.report(n, address)
 	}
@@ -213,12 +206,7 @@
 	to := r.nodes[i]
 	load := n.collector.Report(r.now, n.load)
 	load.Report = true
-	var allowances []tpmessage.Allowance
-	if !n.collector.IsCollector() {
-		allowances, n.returned = n.returned, nil
-	} else if zone, ok := n.collector.CollectorAt(address); ok {
-		allowances = n.allotter.TakeForZone(r.now, zone, n.collector.AllocatorZone)
-	}
+	allowances := n.exchange.InReport(r.now, address)
 	n.messages++
 	r.after(time.Duration(r.rng.Int64N(int64(messageDelay))), func() {
 		if to.down || to.cut || n.cut {
@@ -226,15 +214,7 @@
 		}
 		to.messages++
 		answer := to.collector.Answer(r.now, to.load, load)
-		var granted []tpmessage.Allowance
-		if to.collector.IsCollector() {
-			switch zone, collects := to.collector.CollectedZone(n.member.Name); {
-			case zone == to.member.Zone:
-				granted = to.allotter.TakeForNode(r.now, n.member.Name)
-			case collects:
-				granted = to.allotter.TakeForZone(r.now, zone, to.collector.AllocatorZone)
-			}
-		}
+		granted := to.exchange.InAnswer(r.now, load)
 		r.receive(to, load, allowances)
 		r.after(time.Duration(r.rng.Int64N(int64(messageDelay))), func() {
 			if !n.down && !n.cut && !to.cut {
@@ -246,11 +226,7 @@
 
 func (r *simRegion) receive(n *simNode, load tpmessage.NodeLoad, list []tpmessage.Allowance) {
 	n.collector.Record(r.now, load)
-	if n.collector.IsCollector() {
-		n.allotter.Receive(r.now, list)
-	} else {
-		r.place(n, list)
-	}
+	r.place(n, n.exchange.Receive(r.now, list))
 }
 
 func (r *simRegion) place(n *simNode, list []tpmessage.Allowance) {
@@ -434,7 +410,7 @@
 				for range 12 {
 					n := r.nodes[r.rng.IntN(len(r.nodes))]
 					if r.rng.IntN(3) == 0 { // the node that issues the allowances
-						zone := r.nodes[0].collector.AllocatorZone("server-0")
+						zone := r.nodes[0].collector.IssuerZone("server-0")
 						for _, other := range r.nodes {
 							if z, ok := other.collector.CollectedZone(other.member.Name); ok && z == zone {
 								n = other
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -40,8 +40,8 @@
 	// rankingKey is hashed with the name of each node and distinguishes this
 	// ranking of the nodes from others.
 	rankingKey = "collect"
-	// allocatorKey is hashed with the names of a target and of a collector.
-	allocatorKey = "allocate"
+	// issuerKey is hashed with the names of a target and of a collector.
+	issuerKey = "issue"
 )
 
 // Collector is the state of one node in the collection of loads. Every node has
@@ -280,12 +280,12 @@
 	return "", false
 }
 
-// AllocatorZone returns the zone whose collector distributes the requests that a
-// target with a limit takes. All nodes with the same members compute the same.
-func (c *Collector) AllocatorZone(target string) string {
+// IssuerZone returns the zone whose collector issues the allowances for requests
+// to a target with a limit. All nodes with the same members compute the same.
+func (c *Collector) IssuerZone(target string) string {
 	best, maxWeight := "", uint64(0)
 	for zone, m := range c.collectors {
-		if w := xxh3.HashString(allocatorKey + target + m.Name); best == "" || w > maxWeight {
+		if w := xxh3.HashString(issuerKey + target + m.Name); best == "" || w > maxWeight {
 			best, maxWeight = zone, w
 		}
 	}
