Give the sum of a collector's own zone a time

Cause: a sum gets its time where it is received, and a collector does not receive that of its own zone. What its own zone knew of limits so counted as older than what any other zone knew. In one zone, and where all zones know the same, this has no effect. Result: TestSumOfTheOwnZoneHasATime got no time before.

--- a/internal/node/tprelaynode/guard_test.go
+++ b/internal/node/tprelaynode/guard_test.go
@@ -12,6 +12,7 @@
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/internal/relay/stage3/tprelay"
+	"teaselpin.example/teaselpin/internal/relay/tpallot"
 	"teaselpin.example/teaselpin/internal/relay/tpcollect"
 	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
@@ -138,8 +139,9 @@
 	self := tpmessage.Member{Name: name, Address: name, Incarnation: tpmember.Incarnation(time.Now(), rand.New(rand.NewPCG(1, 1)))}
 	n.objects = &objectFilter{}
 	n.placement.in = tpring.New[tpplace.Input](tpring.Settings{Capacity: 4})
+	collector := tpcollect.New(self)
 	n.members = &members{
-		node: n, collector: tpcollect.New(self), pendingReports: make(map[string]time.Time),
+		node: n, collector: collector, allowances: tpallot.Exchange{Collector: collector}, pendingReports: make(map[string]time.Time),
 		newViewVersions: tpring.New[datedVersions](tpring.Settings{Capacity: 1}),
 		table: tpmember.NewTable(tpmember.Settings{
 			Self: self, Random: rand.New(rand.NewPCG(1, 2)), SuspectAfter: suspectAfter, DropAfter: suspectAfter + dropDelay,
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -253,7 +253,9 @@
 		}
 	}
 	slices.SortFunc(nodes, func(a, b tpmessage.NodeLoad) int { return cmp.Compare(a.Node, b.Node) })
-	zones = map[string]tpmessage.NodeLoad{c.self.Zone: c.sumLoads(now, own, false)}
+	sum := c.sumLoads(now, own, false)
+	sum.At = now
+	zones = map[string]tpmessage.NodeLoad{c.self.Zone: sum}
 	for zone := range c.zoneSums {
 		if l, ok := c.zoneSum(now, zone); ok {
 			zones[zone] = l
--- a/internal/relay/tpcollect/collector_test.go
+++ b/internal/relay/tpcollect/collector_test.go
@@ -181,3 +181,17 @@
 		t.Errorf("without an answer of the collector: got %d runs of %d nodes, want 2 of 2", runs, nodes)
 	}
 }
+
+// Guards against an old statement about a limit that outweighs a later one, because the sum of the own zone has no time.
+func TestSumOfTheOwnZoneHasATime(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	c := tpcollect.New(tpmessage.Member{Name: "node-0", Zone: "zone-0"})
+	own := tpmessage.NodeLoad{Node: "node-0", At: now.Add(-time.Second), Limits: []tpmessage.TargetLimit{
+		{Target: "s0", Statement: tpmessage.LimitNamed, PerSecond: 2, Age: time.Second},
+	}}
+	_, zones := c.ZoneLoads(now, own)
+	got := zones["zone-0"]
+	if !got.At.Equal(now) || len(got.Limits) != 1 || got.Limits[0].Age != 2*time.Second {
+		t.Errorf("sum of the own zone: got time %v and limits %+v, want %v and an age of 2 s", got.At, got.Limits, now)
+	}
+}
