Follow no redirect of an order, a state or a query of serve

What happens: the answer of another process counts as that of the engine or service that redirected to it: an order as accepted, a state as the engine's, a call as run. Change: none of these clients follows a redirect. Result: TestRedirectedRequestIsNotAnswered and TestRedirectedQueryIsNotAnswered failed before.

--- a/internal/edge/tptarget/query.go
+++ b/internal/edge/tptarget/query.go
@@ -35,7 +35,8 @@
 	// names no key: on a reused connection, a second copy of an earlier answer
 	// would be taken for it.
 	t := &http.Transport{MaxResponseHeaderBytes: MaxHeaderBytes, DisableKeepAlives: true}
-	client := resty.New().SetTransport(t).SetTimeout(QueryTimeout).SetResponseBodyLimit(2 * MaxResultBytes)
+	client := resty.New().SetTransport(t).SetTimeout(QueryTimeout).SetResponseBodyLimit(2 * MaxResultBytes).
+		SetRedirectPolicy(resty.NoRedirectPolicy())
 	return &CallQuerier{pool: pool, client: client}
 }
 
--- a/internal/edge/tptarget/query_test.go
+++ b/internal/edge/tptarget/query_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -100,3 +101,18 @@
 		}
 	}
 }
+
+// Guards against the result of another service that answers a query after a redirect.
+func TestRedirectedQueryIsNotAnswered(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"key":"k","status":200,"result":"booked"}`)
+	}))
+	defer other.Close()
+	service := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
+	defer service.Close()
+	ran, _, result, err := newQuerier(service.Listener.Addr().String()).QueryCall(t.Context(), "booking", "k")
+	if ran || err == nil {
+		t.Errorf("got ran %v, %q, %v, want an error", ran, result, err)
+	}
+}
--- a/internal/order/stage4/tpdispatch/sender.go
+++ b/internal/order/stage4/tpdispatch/sender.go
@@ -54,11 +54,15 @@
 	// Continue and never because this timeout has passed.
 	orderTransport.ExpectContinueTimeout = 24 * time.Hour
 	return &EngineClient{
-		status: &http.Client{Transport: statusTransport, Timeout: CallTimeout},
-		orders: &http.Client{Transport: orderTransport},
+		status: &http.Client{Transport: statusTransport, Timeout: CallTimeout, CheckRedirect: refuseRedirect},
+		orders: &http.Client{Transport: orderTransport, CheckRedirect: refuseRedirect},
 	}
 }
 
+// refuseRedirect prevents a client from taking the answer of another process for
+// that of the engine.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Status reads an engine's state. If load is true, it also reads the load and
 // sets Idle.
 func (c *EngineClient) Status(ctx context.Context, address string, load bool) (tporder.Status, error) {
--- a/internal/order/stage4/tpdispatch/status_test.go
+++ b/internal/order/stage4/tpdispatch/status_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -174,3 +176,24 @@
 		})
 	}
 }
+
+// Guards against an order that counts as accepted, or a state that counts as the engine's, because another process answered after a redirect.
+func TestRedirectedRequestIsNotAnswered(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, `{"number":7}`)
+	}))
+	defer other.Close()
+	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
+		engine := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		defer engine.Close()
+		engines, address := tpdispatch.NewEngineClient(), engine.Listener.Addr().String()
+		if got, err := engines.Status(t.Context(), address, false); err == nil {
+			t.Errorf("state after %d: got %+v, want an error", status, got)
+		}
+		err := engines.Send(t.Context(), address, tpmessage.Order{Engine: "engine-0", Number: 1, Fencing: 1}, tpmessage.EngineType{ChecksFencing: true}, nil)
+		if !errors.Is(err, tporder.ErrSendUnknown) {
+			t.Errorf("order after %d: got %v, want %v", status, err, tporder.ErrSendUnknown)
+		}
+	}
+}
