Show that a pool of limited servers refuses nothing

What servers see: where all servers of a pool name a limit, each gets several times as many requests. Cause: nothing limits what is sent to a server that names a limit. Change: a test with two pools of limited servers. At half of the limits most requests must be served. At ten times the limits each request must be served or refused at once with a delay, and no server may get more than it allows. After that, one client that comes back after the delay of its refusal must be served.

--- /dev/null
+++ b/internal/proof/relay_limit_pool_test.go
@@ -0,0 +1,173 @@
+package proof_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// maxRefusalTime is the time within which a request that finds no room is
+	// refused.
+	maxRefusalTime = 500 * time.Millisecond
+	// maxAnswerTime is the time within which a request that finds room is served
+	// in full. The deadline of the clients is 5 s.
+	maxAnswerTime = time.Second
+	// maxRoomDelay is the longest delay of a refusal while only one client
+	// uses a pool that takes several requests a second.
+	maxRoomDelay = 4 * time.Second
+	// minServedBelowLimit is the part of the requests that is served while there
+	// is half as much demand as the limits allow.
+	minServedBelowLimit = 0.8
+)
+
+// Guards against a pool of limited servers whose requests wait until their deadline, are refused without a true delay, or are refused while there is room.
+func TestPoolOfLimitedServersRefusesAtOnce(t *testing.T) {
+	for i := range *limitSeeds {
+		seed := *limitSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLimitedPool(t, seed) })
+	}
+}
+
+func runLimitedPool(t *testing.T, seed uint64) {
+	kinds := []limitServer{
+		{"p0", "llm", "prefill", "4"},
+		{"p1", "llm", "prefill", "4"},
+		{"d0", "llm", "decode", "4"},
+		{"d1", "llm", "decode", "4"},
+		{"a0", "app", "", "4"},
+		{"a1", "app", "", "4"},
+	}
+	f := newLimitFleet(t, *limitNodes, kinds)
+	for _, k := range kinds {
+		f.server(k.id).SetLimit(k.limit)
+	}
+	const routeLimit = 8 // of each pool, in requests a second
+	drafts := f.startLoad(seed, routeLimit/2, "draft")
+	views := f.startLoad(seed+1, routeLimit/2, "view")
+	lowAt := time.Now().Add(limitSettled)
+	time.Sleep(14 * time.Second) // less demand than the limits allow
+	highAt := time.Now()
+	drafts.setRate(10 * routeLimit)
+	views.setRate(10 * routeLimit)
+	time.Sleep(9 * time.Second) // far more demand than the limits allow
+	highEnd := time.Now()
+	calls := append(drafts.stop(), views.stop()...)
+	f.checkBelowLimits(calls, lowAt, highAt)
+	f.checkRefusals(calls)
+	arrivals := f.arrivals()
+	for _, k := range kinds {
+		f.checkLimit(k, arrivals[k.id], calls, highAt, highEnd)
+	}
+	f.checkDelays()
+}
+
+// checkBelowLimits checks that requests are served while there is room.
+func (f *limitFleet) checkBelowLimits(calls []limitCall, from, to time.Time) {
+	f.t.Helper()
+	for _, route := range []string{"draft", "view"} {
+		sent, served := 0, 0
+		for _, c := range calls {
+			if c.route != route || c.sentAt.Before(from) || c.sentAt.After(to) {
+				continue
+			}
+			sent++
+			if c.err == nil && c.status == http.StatusOK {
+				served++
+			}
+		}
+		f.t.Logf("route %s: served %d of %d requests below the limits", route, served, sent)
+		if float64(served) < minServedBelowLimit*float64(sent) {
+			f.t.Errorf("route %s: served %d of %d requests at half of the limits, want at least %v", route, served, sent, minServedBelowLimit)
+		}
+	}
+}
+
+// checkRefusals checks that no request waits for room.
+func (f *limitFleet) checkRefusals(calls []limitCall) {
+	f.t.Helper()
+	refused, faults := make(map[string]int), make(map[string]int)
+	var delays []time.Duration
+	for _, c := range calls {
+		took := c.endedAt.Sub(c.sentAt)
+		delay, ok := retryAfter(c.header)
+		switch {
+		case c.err != nil:
+			faults[fmt.Sprintf("%s: error", c.route)]++
+		case c.status == http.StatusOK && took > maxAnswerTime:
+			faults[fmt.Sprintf("%s: served after more than %v", c.route, maxAnswerTime)]++
+		case c.status == http.StatusOK:
+		case c.status != http.StatusServiceUnavailable:
+			faults[fmt.Sprintf("%s: status %d", c.route, c.status)]++
+		case !ok:
+			faults[fmt.Sprintf("%s: Retry-After %q", c.route, c.header.Values("Retry-After"))]++
+		case took > maxRefusalTime:
+			faults[fmt.Sprintf("%s: refused after more than %v", c.route, maxRefusalTime)]++
+		default:
+			refused[c.route]++
+			delays = append(delays, delay)
+		}
+	}
+	slices.Sort(delays)
+	if len(delays) > 0 {
+		f.t.Logf("refused at once: %v, delays of %v, %v and %v (least, median, greatest)",
+			refused, delays[0], delays[len(delays)/2], delays[len(delays)-1])
+	}
+	for fault, n := range faults {
+		f.t.Errorf("%s: %d requests, want none", fault, n)
+	}
+	for _, route := range []string{"draft", "view"} {
+		if refused[route] == 0 {
+			f.t.Errorf("route %s: no request was refused at ten times the limits", route)
+		}
+	}
+}
+
+// retryAfter returns the delay of a refusal, and false unless it is a positive
+// number of seconds.
+func retryAfter(h http.Header) (time.Duration, bool) {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(s > 0 && s < time.Hour.Seconds()) {
+		return 0, false
+	}
+	return time.Duration(s * float64(time.Second)), true
+}
+
+// checkDelays has one client send more at once than there is room for and come
+// back after the delay of its last refusal, at several nodes in turn.
+func (f *limitFleet) checkDelays() {
+	f.t.Helper()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for i, n := range f.nodes[:min(len(f.nodes), 3)] {
+		for _, route := range []string{"draft", "view"} {
+			calls := make([]keptCall, 40)
+			var wg sync.WaitGroup
+			for k := range calls {
+				wg.Go(func() { calls[k] = n.limitCall(transport, fmt.Sprintf("%d-%s-use%d", i, route, k), route, 0) })
+			}
+			wg.Wait()
+			calls = slices.DeleteFunc(calls, func(c keptCall) bool { return c.status != http.StatusServiceUnavailable })
+			if len(calls) == 0 {
+				f.t.Errorf("route %s: node %d refused none of 40 requests", route, i)
+				continue
+			}
+			last := slices.MaxFunc(calls, func(a, b keptCall) int { return a.endedAt.Compare(b.endedAt) })
+			delay, ok := retryAfter(last.header)
+			if !ok || delay > maxRoomDelay {
+				f.t.Errorf("route %s: the only client was refused with Retry-After %q, want at most %v", route, last.header.Get("Retry-After"), maxRoomDelay)
+				continue
+			}
+			time.Sleep(delay - time.Since(last.endedAt))
+			again := n.limitCall(transport, fmt.Sprintf("%d-%s-again", i, route), route, 0)
+			f.t.Logf("route %s at node %d: refused %d of 40, status %d after the delay of %v", route, i, len(calls), again.status, delay)
+			if again.status != http.StatusOK {
+				f.t.Errorf("route %s: the only client got %d after the delay of %v, want 200", route, again.status, delay)
+			}
+		}
+	}
+}
--- a/internal/proof/relay_limit_test.go
+++ b/internal/proof/relay_limit_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -398,14 +399,33 @@
 // another.
 func (f *limitFleet) checkLimited(k limitServer, arrivals []limitArrival, calls []limitCall, limitedAt, endedAt, stoppedAt time.Time) {
 	f.t.Helper()
-	var limit float64
-	if _, err := fmt.Sscan(k.limit, &limit); err != nil {
+	limit := f.checkLimit(k, arrivals, calls, limitedAt, endedAt)
+	unlimited := float64(countBetween(arrivals, limitedAt.Add(-4*time.Second), limitedAt)) / 4
+	recovered := endedAt.Add(limitEnded)
+	again := float64(countBetween(arrivals, recovered, stoppedAt)) / stoppedAt.Sub(recovered).Seconds()
+	f.t.Logf("%s: requests a second before the limit %.1f, after it %.1f", k.id, unlimited, again)
+	if unlimited < 2*limit {
+		f.t.Errorf("%s: got %.1f requests a second before its limit of %v, or the test shows nothing", k.id, unlimited, limit)
+	}
+	if again < unlimited/2 {
+		f.t.Errorf("%s: got %.1f requests a second from %v after its last answer with a limit, want at least half of the %.1f before it",
+			k.id, again, limitEnded, unlimited)
+	}
+}
+
+// checkLimit checks what a server got from limitSettled after its first answer
+// with a limit, while there was more demand than the limit. It returns the
+// limit.
+func (f *limitFleet) checkLimit(k limitServer, arrivals []limitArrival, calls []limitCall, limitedAt, endedAt time.Time) float64 {
+	f.t.Helper()
+	limit, err := strconv.ParseFloat(k.limit, 64)
+	if err != nil {
 		f.t.Fatal(err)
 	}
 	from := f.server(k.id).FirstNamed(limitedAt)
 	if from.IsZero() {
 		f.t.Errorf("%s: no answer named the limit, or the test shows nothing", k.id)
-		return
+		return limit
 	}
 	from = from.Add(limitSettled)
 	told := firstTold(calls, k.id, arrivals)
@@ -420,27 +440,17 @@
 			kinds[a.kind]++
 		}
 	}
-	got := countBetween(arrivals, from, endedAt)
-	use := float64(got) / (limit * endedAt.Sub(from).Seconds())
-	unlimited := float64(countBetween(arrivals, limitedAt.Add(-4*time.Second), limitedAt)) / 4
-	recovered := endedAt.Add(limitEnded)
-	again := float64(countBetween(arrivals, recovered, stoppedAt)) / stoppedAt.Sub(recovered).Seconds()
-	f.t.Logf("%s: limit %v: most in %v: %d, %d of the %d nodes that had told of it, allowed %.1f; use of the limit %.2f %v; a second before %.1f, after %.1f",
-		k.id, limit, limitWindow, most, mostOfTold, len(told), allowedInWindow(limit), use, kinds, unlimited, again)
+	use := float64(countBetween(arrivals, from, endedAt)) / (limit * endedAt.Sub(from).Seconds())
+	f.t.Logf("%s: limit %v: most in %v: %d, %d of the %d nodes that had told of it, allowed %.1f; use of the limit %.2f %v",
+		k.id, limit, limitWindow, most, mostOfTold, len(told), allowedInWindow(limit), use, kinds)
 	if float64(most) > allowedInWindow(limit) {
 		f.t.Errorf("%s: got %d requests within %v, %d of them of nodes that had passed on its limit, want at most %.1f",
 			k.id, most, limitWindow, mostOfTold, allowedInWindow(limit))
 	}
-	if unlimited < 2*limit {
-		f.t.Errorf("%s: got %.1f requests a second before its limit of %v, or the test shows nothing", k.id, unlimited, limit)
-	}
 	if use < minLimitUse {
 		f.t.Errorf("%s: got %.2f of its limit, want at least %v", k.id, use, minLimitUse)
 	}
-	if again < unlimited/2 {
-		f.t.Errorf("%s: got %.1f requests a second from %v after its last answer with a limit, want at least half of the %.1f before it",
-			k.id, again, limitEnded, unlimited)
-	}
+	return limit
 }
 
 // minServed is the part of the requests that is served while other servers have
