--- a/internal/proof/relay_limit_test.go
+++ b/internal/proof/relay_limit_test.go
@@ -64,20 +64,22 @@
 }
 
 func newLimitFleet(t *testing.T, nodes int, servers []limitServer) *limitFleet {
+	t.Helper()
+	f := newLimitPlatform(t, nodes, servers)
+	for i := range nodes {
+		f.addNode(i, f.address, f.peers[0])
+	}
+	f.waitReady(t)
+	return f
+}
+
+// newLimitPlatform returns a fleet without nodes, and with addresses for them.
+func newLimitPlatform(t *testing.T, nodes int, servers []limitServer) *limitFleet {
 	t.Helper()
 	f := &limitFleet{relayFleet: &relayFleet{}, t: t, byAddress: make(map[string]string)}
 	f.address = tpguestfake.Listen(t, &f.store)
 	for i, kind := range servers {
-		server := &tpguestfake.Server{ID: kind.id, Stage: kind.stage}
-		if kind.stage != "" {
-			server.EventsPerStream, server.EventInterval = 8, 10*time.Millisecond
-		}
-		address := tpguestfake.Listen(t, server)
-		f.servers, f.byAddress[address] = append(f.servers, server), kind.id
-		f.store.Set("servers", kind.id, map[string]any{
-			"service": kind.service, "address": address, "zone": fmt.Sprint("z", i%3), "slots": 64, "state": "ready",
-			"stage": kind.stage, "born": 1,
-		})
+		f.addServer(kind, fmt.Sprint("z", i%3), 1)
 	}
 	f.configure(1)
 	for i := range nodes {
@@ -85,13 +87,26 @@
 		f.peers = append(f.peers, tpprocess.FreeAddress(t))
 		f.metrics = append(f.metrics, tpprocess.FreeAddress(t))
 	}
-	for i := range nodes {
-		f.addNode(i, f.address, f.peers[0])
-	}
-	f.waitReady(t)
 	return f
 }
 
+// addServer starts a server and registers it. A server that was registered under
+// the ID before is replaced.
+func (f *limitFleet) addServer(kind limitServer, zone string, startedMs int64) *tpguestfake.Server {
+	f.t.Helper()
+	server := &tpguestfake.Server{ID: kind.id, Stage: kind.stage}
+	if kind.stage != "" {
+		server.EventsPerStream, server.EventInterval = 8, 10*time.Millisecond
+	}
+	address := tpguestfake.Listen(f.t, server)
+	f.servers, f.byAddress[address] = append(f.servers, server), kind.id
+	f.store.Set("servers", kind.id, map[string]any{
+		"service": kind.service, "address": address, "zone": zone, "slots": 64, "state": "ready",
+		"stage": kind.stage, "born": startedMs,
+	})
+	return server
+}
+
 func (f *limitFleet) addNode(i int, store, seed string) {
 	n := &relayNode{
 		name: fmt.Sprint("node-", i), frontAddress: tpprocess.FreeAddress(f.t), readyAddress: tpprocess.FreeAddress(f.t),
@@ -107,9 +122,15 @@
 	f.nodes = append(f.nodes, n)
 }
 
+// server returns the newest server with the ID.
 func (f *limitFleet) server(id string) *tpguestfake.Server {
-	i := slices.IndexFunc(f.servers, func(s *tpguestfake.Server) bool { return s.ID == id })
-	return f.servers[i]
+	for _, s := range slices.Backward(f.servers) {
+		if s.ID == id {
+			return s
+		}
+	}
+	f.t.Fatalf("the fleet has no server %s", id)
+	return nil
 }
 
 // limitCall is one request and its answer.
@@ -156,15 +177,16 @@
 func (l *limitLoad) setRate(rate float64) { l.rate.Store(int64(rate * 1000)) }
 
 func (l *limitLoad) startNode(i int, seed uint64, routes ...string) {
+	n := l.f.nodes[i]
 	for r, route := range routes {
 		rng := rand.New(rand.NewPCG(seed, uint64(i*len(routes)+r)))
-		l.wg.Go(func() { l.run(i, route, rng) })
+		l.wg.Go(func() { l.run(i, n, route, rng) })
 	}
 }
 
 // run sends the requests of one node and route. Their times are those of a
 // Poisson process.
-func (l *limitLoad) run(i int, route string, rng *rand.Rand) {
+func (l *limitLoad) run(i int, n *relayNode, route string, rng *rand.Rand) {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxLimitCalls}
 	defer transport.CloseIdleConnections()
 	var calls sync.WaitGroup
@@ -187,7 +209,7 @@
 			slots <- struct{}{}
 			calls.Go(func() {
 				defer func() { <-slots }()
-				c := limitCall{keptCall: l.f.nodes[i].limitCall(transport, id, route, prefix), route: route}
+				c := limitCall{keptCall: n.limitCall(transport, id, route, prefix), route: route}
 				c.node = i
 				l.mu.Lock()
 				defer l.mu.Unlock()
@@ -357,6 +379,7 @@
 		{"a1", "app", "", ""},
 		{"a2", "app", "", ""},
 	}
+	const malformed = "a1" // names only limits that say nothing
 	f := newLimitFleet(t, *limitNodes, kinds)
 	load := f.startLoad(seed, *limitRate, "draft", "swap", "view")
 	time.Sleep(3 * time.Second) // load without any limit
@@ -369,9 +392,12 @@
 			f.server(k.id).SetLimit(k.limit)
 		}
 	}
-	time.Sleep(4 * time.Second)
 	during := f.cost()
-	time.Sleep(12 * time.Second)
+	for _, values := range [][]string{{""}, {"NaN"}, {"+Inf", "-Inf"}, {"-3"}, {"soon"}, {"2,2"}, {"1e400"}, {"1e30"}} {
+		f.server(malformed).SetLimit(values...)
+		time.Sleep(2 * time.Second)
+	}
+	f.server(malformed).SetLimit()
 	costDuring := f.cost().since(during)
 	for _, k := range kinds {
 		f.server(k.id).SetLimit()
@@ -386,6 +412,12 @@
 		}
 	}
 	f.checkServed(calls, limitedAt, endedAt)
+	usual := float64(countBetween(arrivals[malformed], limitedAt.Add(-4*time.Second), limitedAt)) / 4
+	got := float64(countBetween(arrivals[malformed], limitedAt, endedAt)) / endedAt.Sub(limitedAt).Seconds()
+	t.Logf("%s: requests a second before it named malformed limits %.1f, while it did %.1f", malformed, usual, got)
+	if got < usual/2 {
+		t.Errorf("%s: got %.1f requests a second while it named malformed limits, want at least half of the %.1f before", malformed, got, usual)
+	}
 	for _, s := range f.servers {
 		for _, o := range s.Orders() {
 			t.Logf("order to %s: %v", s.ID, o)
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -129,7 +129,6 @@
 	if s.isLeaving() {
 		w.Header().Set("Server-Leaving", "1")
 	}
-	s.addLimit(w.Header())
 	switch {
 	case r.URL.Path == "/teaselpin/report":
 		answer(w, http.StatusOK, map[string]any{"stage": s.currentStage(), "busy": false, "sequence": s.currentSequence()})
@@ -140,6 +139,7 @@
 		clear(s.kvHandles)
 		s.mu.Unlock()
 	default:
+		s.addLimit(w.Header())
 		s.serveRequest(w, r)
 	}
 }
