Set the limits of the limited pool by a flag

Cause: with a limit of 4 the burst of 5 hides an excess of the rate. Change: -limit.each, 4 by default as before.

--- a/internal/proof/relay_limit_pool_test.go
+++ b/internal/proof/relay_limit_pool_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"flag"
 	"fmt"
 	"net/http"
 	"slices"
@@ -10,6 +11,8 @@
 	"time"
 )
 
+var limitOfEach = flag.Float64("limit.each", 4, "requests a second that each server of a limited pool takes")
+
 const (
 	// maxRefusalTime is the time within which a request that finds no room is
 	// refused.
@@ -38,19 +41,20 @@
 }
 
 func runLimitedPool(t *testing.T, seed uint64) {
+	limit := strconv.FormatFloat(*limitOfEach, 'g', -1, 64)
 	kinds := []limitServer{
-		{"p0", "llm", "prefill", "4"},
-		{"p1", "llm", "prefill", "4"},
-		{"d0", "llm", "decode", "4"},
-		{"d1", "llm", "decode", "4"},
-		{"a0", "app", "", "4"},
-		{"a1", "app", "", "4"},
+		{"p0", "llm", "prefill", limit},
+		{"p1", "llm", "prefill", limit},
+		{"d0", "llm", "decode", limit},
+		{"d1", "llm", "decode", limit},
+		{"a0", "app", "", limit},
+		{"a1", "app", "", limit},
 	}
 	f := newLimitFleet(t, *limitNodes, kinds)
 	for _, k := range kinds {
 		f.server(k.id).SetLimit(k.limit)
 	}
-	const routeLimit = 8 // of each pool, in requests a second
+	routeLimit := 2 * *limitOfEach // of each pool
 	drafts := f.startLoad(seed, routeLimit/2, "draft")
 	views := f.startLoad(seed+1, routeLimit/2, "view")
 	lowAt := time.Now().Add(limitSettled)
