Count crashes without a reset

What callers saw: a request that crashes servers which are silent until they are back was never refused and took down a server each time it came. Cause: the class is evidence that depends on the way of failing. Only a closed or reset connection counted as a crash. A step whose target fell silent ended as cancelled or timed out and left nothing, although the registrations show the end of the process. Change: exchanges tell that a target left a request unanswered on an open connection. The guard keeps these silences for each process, and drops them at its next answer. When the process has ended without one, they count as crashes, with the times of the request and of the end in the ID, so that they travel in the same reports. They do not count if the key was answered at any node since, if the end was announced, or if the target was silent long before the request was sent. Ends within 300 ms count once for a key, those of one target twice. Trials of such a quarantine begin 3 s apart by rank, because their failure becomes known late. Silences and ended processes are bounded. TestRequestThatSilencesTargetsIsNotSent fails with the node's guard before and passes.

--- /dev/null
+++ b/internal/guard/tpcrash/crashid.go
@@ -0,0 +1,116 @@
+package tpcrash
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// outageSpan is the time within which the ends of several processes count
+	// as one outage.
+	outageSpan = 300 * time.Millisecond
+	// maxSilentEnds is the number of ends of one target that count for a key if
+	// the target was silent: one faulty target alone quarantines nothing.
+	maxSilentEnds = 2
+	// silentMark separates the times in the ID of a crash without a reset.
+	silentMark = "~"
+)
+
+// CrashID identifies a crash by the target and the start of its process in Unix
+// milliseconds. All exchanges that one crash cuts have the same ID, at every
+// node.
+func CrashID(target string, startedMs int64) string {
+	return target + "@" + strconv.FormatInt(startedMs, 10)
+}
+
+// silentCrashID returns the ID of a crash without a reset. It adds the time at
+// which the unanswered request was sent and the end of the process to the
+// CrashID, both in Unix milliseconds.
+func silentCrashID(p *process, sentAt time.Time) string {
+	return strings.Join([]string{
+		CrashID(p.target, p.startedMs), strconv.FormatInt(sentAt.UnixMilli(), 10), strconv.FormatInt(p.endedMs, 10),
+	}, silentMark)
+}
+
+// parsedID holds the fields of a crash ID.
+type parsedID struct {
+	process       string // as CrashID returns it
+	silent        bool
+	sentAt, ended time.Time // if silent
+}
+
+// parseCrashID returns the fields of an ID. Times that cannot be read make it
+// the ID of a reset.
+func parseCrashID(id string) parsedID {
+	process, sentMs, endedMs := splitCrashID(id)
+	sent, sentErr := strconv.ParseInt(sentMs, 10, 64)
+	ended, endErr := strconv.ParseInt(endedMs, 10, 64)
+	if sentErr != nil || endErr != nil {
+		return parsedID{process: process}
+	}
+	return parsedID{process: process, silent: true, sentAt: time.UnixMilli(sent), ended: time.UnixMilli(ended)}
+}
+
+func splitCrashID(id string) (process, sentMs, endedMs string) {
+	end := strings.LastIndex(id, silentMark)
+	if end < 0 {
+		return id, "", ""
+	}
+	sent := strings.LastIndex(id[:end], silentMark)
+	if sent < 0 {
+		return id, "", ""
+	}
+	return id[:sent], id[sent+len(silentMark) : end], id[end+len(silentMark):]
+}
+
+func processOf(id string) string {
+	process, _, _ := splitCrashID(id)
+	return process
+}
+
+func isSilent(id string) bool { return parseCrashID(id).silent }
+
+func (id *parsedID) target() string {
+	return id.process[:max(0, strings.LastIndexByte(id.process, '@'))]
+}
+
+// sameOutage reports whether one event may have ended both processes.
+func (id *parsedID) sameOutage(other *parsedID) bool {
+	return id.ended.Sub(other.ended).Abs() < outageSpan
+}
+
+// indexProcess returns the index of the crash of the same process, or -1.
+func indexProcess(ids []string, id string) int {
+	process := processOf(id)
+	return slices.IndexFunc(ids, func(other string) bool {
+		return strings.HasPrefix(other, process) && processOf(other) == process
+	})
+}
+
+// countCrashes returns the number of unrelated crashes. Each reset counts, but
+// only one silent crash of each outage.
+func countCrashes(ids []string) int {
+	count := 0
+	var silent, counted []parsedID
+	for _, id := range ids {
+		if parsed := parseCrashID(id); parsed.silent {
+			silent = append(silent, parsed)
+		} else {
+			count++
+		}
+	}
+	slices.SortStableFunc(silent, func(a, b parsedID) int { return a.ended.Compare(b.ended) })
+	ofTarget := make(map[string]int)
+	for i := range silent {
+		id := &silent[i]
+		related := slices.ContainsFunc(counted, func(other parsedID) bool { return id.sameOutage(&other) })
+		if related || ofTarget[id.target()] >= maxSilentEnds {
+			continue
+		}
+		ofTarget[id.target()]++
+		counted = append(counted, *id)
+	}
+	return count + len(counted)
+}
--- a/internal/guard/tpcrash/entry.go
+++ b/internal/guard/tpcrash/entry.go
@@ -17,25 +17,55 @@
 	// quarantinedAt is the begin of the quarantine, and triedAt the time of the
 	// last trial or of the begin.
 	quarantinedAt, triedAt time.Time
-	trialFailed            bool // a crash followed the begin of the quarantine
+	trialFailed            bool      // a crash followed the begin of the quarantine
+	heldUntil              time.Time // until then there is no trial, because one is unanswered
 }
 
-// addCrashes adds the crashes that are new. It returns false if there are none.
-func (e *entry) addCrashes(now time.Time, ids []string) bool {
-	added := false
+// addCrashes adds the crashes that are new, and returns them.
+func (e *entry) addCrashes(now time.Time, ids []string) []string {
+	var added []string
 	for _, id := range ids {
-		if slices.Contains(e.crashes, id) || slices.Contains(e.cleared, id) || len(e.crashes) >= maxCrashIDs {
-			continue
+		if e.addCrash(id) {
+			added = append(added, id)
 		}
-		e.crashes = append(e.crashes, id)
-		added = true
 	}
-	if added {
+	if len(added) > 0 {
 		e.changedAt, e.announcedAt, e.crashedAt = now, now, now
 	}
 	return added
 }
 
+// addCrash returns false if the crash is known, cleared or one too many. A reset
+// replaces the silence of the same process.
+func (e *entry) addCrash(id string) bool {
+	if indexProcess(e.cleared, id) >= 0 {
+		return false
+	}
+	if i := indexProcess(e.crashes, id); i >= 0 {
+		if isSilent(id) || !isSilent(e.crashes[i]) {
+			return false
+		}
+		e.crashes[i] = id
+		return true
+	}
+	// One outage may end more processes than there is room for.
+	if len(e.crashes) >= maxCrashIDs || len(e.crashes) >= maxCrashIDs/2 && e.knowsOutage(id) {
+		return false
+	}
+	e.crashes = append(e.crashes, id)
+	return true
+}
+
+// knowsOutage reports whether one event may have caused a silent crash and one
+// that is known.
+func (e *entry) knowsOutage(id string) bool {
+	parsed := parseCrashID(id)
+	return parsed.silent && slices.ContainsFunc(e.crashes, func(known string) bool {
+		other := parseCrashID(known)
+		return other.silent && parsed.sameOutage(&other)
+	})
+}
+
 // noteTrial marks the trials of a quarantined key as failed if a crash follows
 // the begin of the quarantine by more than grace: those before it may belong to
 // the same outage.
@@ -43,12 +73,18 @@
 	e.trialFailed = e.trialFailed || e.quarantined && now.Sub(e.quarantinedAt) > grace
 }
 
+// noteSilentTrial is noteTrial for a silent crash. The end of its process
+// becomes known long after the request was sent at sentAt.
+func (e *entry) noteSilentTrial(sentAt time.Time, grace time.Duration) {
+	e.trialFailed = e.trialFailed || e.quarantined && sentAt.Sub(e.quarantinedAt) > grace
+}
+
 // clear makes crashes count no longer, whether they are known or not. It
 // returns false if nothing changes.
 func (e *entry) clear(now time.Time, ids []string) bool {
 	changed := false
 	for _, id := range ids {
-		if !slices.Contains(e.cleared, id) {
+		if indexProcess(e.cleared, id) < 0 {
 			e.cleared = append(e.cleared, id)
 			changed = true
 		}
@@ -57,7 +93,7 @@
 		return false
 	}
 	e.cleared = e.cleared[max(0, len(e.cleared)-maxClearedIDs):]
-	e.crashes = slices.DeleteFunc(e.crashes, func(id string) bool { return slices.Contains(ids, id) })
+	e.crashes = slices.DeleteFunc(e.crashes, func(id string) bool { return indexProcess(ids, id) >= 0 })
 	e.changedAt, e.announcedAt = now, now
 	return true
 }
@@ -66,7 +102,7 @@
 // counts.
 func (e *entry) repeatClearance(now time.Time, ids []string) {
 	for _, id := range ids {
-		if i := slices.Index(e.cleared, id); i >= 0 {
+		if i := indexProcess(e.cleared, id); i >= 0 {
 			// Reports hold the newest IDs only, so the ID moves to the end.
 			e.cleared = append(slices.Delete(e.cleared, i, i+1), id)
 			e.announcedAt = now
@@ -76,7 +112,18 @@
 
 // explains reports whether each crash of other is also one of e.
 func (e *entry) explains(other *entry) bool {
-	return !slices.ContainsFunc(other.crashes, func(id string) bool { return !slices.Contains(e.crashes, id) })
+	return !slices.ContainsFunc(other.crashes, func(id string) bool { return indexProcess(e.crashes, id) < 0 })
+}
+
+// restsOnSilence reports whether resets alone would not quarantine the key.
+func (e *entry) restsOnSilence() bool {
+	resets := 0
+	for _, id := range e.crashes {
+		if !isSilent(id) {
+			resets++
+		}
+	}
+	return resets < MaxCrashes
 }
 
 // evictionRank orders the entries of a full table: those with the lowest rank
--- a/internal/guard/tpcrash/guard.go
+++ b/internal/guard/tpcrash/guard.go
@@ -75,13 +75,24 @@
 // which a request does not carry, does not stop that request; and a key that
 // was answered shortly before lets a single request pass from time to time.
 type Guard struct {
+	// TrialDelay is the time without a trial of this node after the begin of a
+	// quarantine that rests on silent crashes. Nodes have different delays,
+	// because the failure of such a trial becomes known late.
+	TrialDelay time.Duration
+
 	entries          map[uint64]*entry
 	quarantinedCount int
 	// answered and answeredBefore hold the keys that were recently answered at
-	// this node.
-	answered, answeredBefore map[uint64]bool
+	// this node, and when.
+	answered, answeredBefore map[uint64]time.Time
 	answeredSince            time.Time
 	changes                  []Change
+	// processes holds the registered processes by target, and ended those that
+	// have lately ended, oldest first. silenceCount counts the silences of the
+	// former.
+	processes    map[string]*process
+	ended        []*process
+	silenceCount int
 }
 
 // RecordCrash records that a target ended an exchange before any part of the
@@ -90,7 +101,7 @@
 	for _, key := range Keys(req) {
 		e := g.entry(now, key)
 		e.noteTrial(now, ownGrace)
-		if e.addCrashes(now, []string{id}) {
+		if len(e.addCrashes(now, []string{id})) > 0 {
 			g.update(now, e, Change{Own: true})
 		}
 	}
@@ -100,10 +111,10 @@
 // with success. It clears the keys of the request of all crashes known so far.
 func (g *Guard) RecordAnswer(now time.Time, req *tpmessage.RelayRequest) {
 	keys := PartKeys(req)
-	if len(g.entries) > 0 || len(req.Body) <= maxSharedBodyBytes {
+	if len(g.entries) > 0 || g.silenceCount > 0 || len(req.Body) <= maxSharedBodyBytes {
 		keys = Keys(req)
 	}
-	g.recordAnswered(now, keys)
+	g.recordAnswered(now, now, keys)
 	for _, key := range keys {
 		if e, known := g.entries[key]; known && e.clear(now, slices.Clone(e.crashes)) {
 			g.update(now, e, Change{Own: true})
@@ -111,17 +122,28 @@
 	}
 }
 
-// recordAnswered adds keys to the set of answered keys.
-func (g *Guard) recordAnswered(now time.Time, keys []uint64) {
+// recordAnswered adds keys to the answered keys. At is the time of the answer,
+// or zero if it is not known.
+func (g *Guard) recordAnswered(now, at time.Time, keys []uint64) {
 	if g.answered == nil || now.Sub(g.answeredSince) >= answeredGeneration || len(g.answered) >= maxAnswered {
-		g.answeredBefore, g.answered, g.answeredSince = g.answered, make(map[uint64]bool), now
+		g.answeredBefore, g.answered, g.answeredSince = g.answered, make(map[uint64]time.Time), now
 	}
 	for _, key := range keys {
-		g.answered[key] = true
+		if known, ok := g.answered[key]; !ok || at.After(known) {
+			g.answered[key] = at
+		}
 	}
 }
 
-func (g *Guard) recentlyAnswered(key uint64) bool { return g.answered[key] || g.answeredBefore[key] }
+func (g *Guard) recentlyAnswered(key uint64) bool {
+	_, answered := g.answered[key]
+	_, before := g.answeredBefore[key]
+	return answered || before
+}
+
+func (g *Guard) answeredAfter(key uint64, t time.Time) bool {
+	return g.answered[key].After(t) || g.answeredBefore[key].After(t)
+}
 
 // Check reports whether a request must not be sent to a target, and the
 // quarantined key for which it is refused.
@@ -151,7 +173,12 @@
 // the crashes of e.
 func (g *Guard) explained(e *entry, keys []uint64) bool {
 	for _, other := range g.entries {
-		if other.quarantined && other.explains(e) && !slices.Contains(keys, other.key) {
+		if !other.quarantined || slices.Contains(keys, other.key) || !other.explains(e) {
+			continue
+		}
+		// At an outage, the ends of silent processes alone don't tell a popular key
+		// from the cause.
+		if !other.restsOnSilence() || !g.recentlyAnswered(other.key) {
 			return true
 		}
 	}
@@ -161,7 +188,10 @@
 // allowsTrial reports whether a request may pass although it carries the
 // quarantined key of e.
 func (g *Guard) allowsTrial(now time.Time, e *entry) bool {
-	if !g.recentlyAnswered(e.key) {
+	if !g.recentlyAnswered(e.key) || now.Before(e.heldUntil) {
+		return false
+	}
+	if e.restsOnSilence() && now.Sub(e.quarantinedAt) < g.TrialDelay {
 		return false
 	}
 	if e.trialFailed {
@@ -187,16 +217,43 @@
 			continue
 		}
 		if r.Answered {
-			g.recordAnswered(now, []uint64{r.Fingerprint})
+			g.recordAnswered(now, time.Time{}, []uint64{r.Fingerprint})
+		}
+		if answered := g.answeredSilences(r.Fingerprint, ids); len(answered) > 0 && e.clear(now, answered) {
+			g.update(now, e, Change{Own: true})
 		}
 		e.repeatClearance(now, ids)
-		if e.addCrashes(now, ids) {
-			e.noteTrial(now, peerGrace)
+		if added := e.addCrashes(now, ids); len(added) > 0 {
+			g.notePeerTrials(now, e, added)
 			g.update(now, e, Change{})
 		}
 	}
 }
 
+// notePeerTrials marks the trials of a key as failed if one of the crashes that
+// a peer reports followed the begin of the quarantine.
+func (g *Guard) notePeerTrials(now time.Time, e *entry, ids []string) {
+	for _, id := range ids {
+		if parsed := parseCrashID(id); parsed.silent {
+			e.noteSilentTrial(parsed.sentAt, peerGrace)
+		} else {
+			e.noteTrial(now, peerGrace)
+		}
+	}
+}
+
+// answeredSilences returns the silent crashes among ids since whose request was
+// sent this node has seen an answer to the key.
+func (g *Guard) answeredSilences(key uint64, ids []string) []string {
+	if !g.recentlyAnswered(key) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool {
+		parsed := parseCrashID(id)
+		return !parsed.silent || !g.answeredAfter(key, parsed.sentAt)
+	})
+}
+
 func acceptableIDs(ids []string) []string {
 	ids = ids[:min(len(ids), maxReportedIDs)]
 	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == "" || len(id) > maxIDBytes })
@@ -230,6 +287,7 @@
 
 // Expire ends quarantines and removes evidence by time.
 func (g *Guard) Expire(now time.Time) {
+	g.expireSilences(now)
 	for key, e := range g.entries {
 		switch {
 		case e.quarantined && now.Sub(e.crashedAt) >= QuarantineTime:
@@ -251,11 +309,12 @@
 // update begins or ends the quarantine of an entry whose crashes have changed.
 // Cause holds the Own and Expired fields of the change.
 func (g *Guard) update(now time.Time, e *entry, cause Change) {
-	quarantined := len(e.crashes) >= MaxCrashes
+	quarantined := countCrashes(e.crashes) >= MaxCrashes
 	if quarantined == e.quarantined {
 		return
 	}
 	e.quarantined, e.quarantinedAt, e.triedAt, e.trialFailed = quarantined, now, now, false
+	e.heldUntil = time.Time{}
 	cause.Key, cause.Quarantined = e.key, quarantined
 	if quarantined {
 		g.quarantinedCount++
--- a/internal/guard/tpcrash/key.go
+++ b/internal/guard/tpcrash/key.go
@@ -19,13 +19,6 @@
 // Name returns a key as 16 hexadecimal digits, as it appears in logs.
 func Name(key uint64) string { return fmt.Sprintf("%016x", key) }
 
-// CrashID identifies a crash by the target and the start of its process in Unix
-// milliseconds. All exchanges that one crash cuts have the same ID, at every
-// node.
-func CrashID(target string, startedMs int64) string {
-	return target + "@" + strconv.FormatInt(startedMs, 10)
-}
-
 // PartKeys returns the keys of the parts of a prompt that other requests may
 // share: all but the last.
 func PartKeys(req *tpmessage.RelayRequest) []uint64 {
--- a/internal/node/tprelaynode/guard.go
+++ b/internal/node/tprelaynode/guard.go
@@ -16,6 +16,10 @@
 	// evidenceReports is the number of load reports of a node in a large zone
 	// that carry a change of the evidence.
 	evidenceReports = 3
+	// trialStep is the time between the first trials of two nodes that follow
+	// each other in the ranking, and maxTrialRank the last rank that counts.
+	trialStep    = 3 * time.Second
+	maxTrialRank = 10
 )
 
 // evidencePeriod returns the time for which a change is reported to peers.
@@ -29,13 +33,21 @@
 	switch in.Kind {
 	case tpplace.InputStepResult:
 		r := &in.StepResult
+		switch r.Outcome {
+		case tpplace.OutcomeServed, tpplace.OutcomeRefused, tpplace.OutcomeFailed:
+			guard.RecordLife(now, r.Reservation.Target, r.StartedMs)
+		}
 		switch {
 		case r.Request == nil:
 		case r.Cut:
 			guard.RecordCrash(now, r.Request, tpcrash.CrashID(r.Reservation.Target, r.StartedMs))
+		case r.Silent:
+			guard.RecordSilence(now, r.Request, r.Reservation.Target, r.StartedMs, r.SentAt)
 		case r.Answered:
 			guard.RecordAnswer(now, r.Request)
 		}
+	case tpplace.InputTargets:
+		guard.RecordTargets(now, in.Targets)
 	case tpplace.InputStreamBegun:
 		guard.RecordAnswer(now, in.Begun)
 	case tpplace.InputSuspects:
@@ -65,7 +77,10 @@
 
 // tickGuard ends what is due and passes the evidence to the membership filter.
 func (n *Node) tickGuard(now time.Time) {
-	n.placement.guard.Expire(now)
+	guard := &n.placement.guard
+	rank := n.members.membersAhead(quarantineTask, func(tpmessage.Member) bool { return true })
+	guard.TrialDelay = trialStep * time.Duration(min(rank, maxTrialRank))
+	guard.Expire(now)
 	n.publishQuarantines(now)
 	n.publishEvidence(now)
 }
--- a/internal/node/tprelaynode/guard_test.go
+++ b/internal/node/tprelaynode/guard_test.go
@@ -36,13 +36,7 @@
 	n.members.node = n
 	n.members.liveMembers.Store(&[]tpmessage.Member{})
 	n.quarantines = &quarantineFilter{node: n, in: tpring.New[quarantineInput](tpring.Settings{Capacity: 16})}
-	var targets []tpmessage.RelayTarget
-	for i := range 4 {
-		targets = append(targets, tpmessage.RelayTarget{
-			Target: tpmessage.Target{Name: fmt.Sprint("d", i), Address: fmt.Sprint("d", i)}, Pool: "llm", Role: tpmessage.RoleDecode, StartedMs: 1,
-		})
-	}
-	n.handlePlacement(tpplace.Input{Kind: tpplace.InputTargets, Targets: targets})
+	n.handlePlacement(tpplace.Input{Kind: tpplace.InputTargets, Targets: guardedTargets(0, time.Time{})})
 	return n
 }
 
@@ -104,6 +98,77 @@
 	}
 }
 
+// guardedTargets returns the targets of newGuardedNode. Those below restarted
+// have another process.
+func guardedTargets(restarted int, at time.Time) []tpmessage.RelayTarget {
+	var targets []tpmessage.RelayTarget
+	for i := range 4 {
+		rt := tpmessage.RelayTarget{
+			Target: tpmessage.Target{Name: fmt.Sprint("d", i), Address: fmt.Sprint("d", i)}, Pool: "llm", Role: tpmessage.RoleDecode, StartedMs: 1,
+		}
+		if i < restarted {
+			rt.StartedMs = at.Add(time.Duration(i) * time.Second).UnixMilli()
+		}
+		targets = append(targets, rt)
+	}
+	return targets
+}
+
+// Guards against a request that reaches targets without end because they crash without a reset.
+func TestRequestThatSilencesTargetsIsNotSent(t *testing.T) {
+	for name, test := range map[string]struct {
+		outcome  tpplace.Outcome
+		restarts int
+		answered bool // the targets answer another request after the silence
+		want     bool // the request is refused
+	}{
+		"time budget is over":          {tpplace.OutcomeAbandoned, 3, false, true},
+		"silence is replaced":          {tpplace.OutcomeLost, 3, false, true},
+		"targets go on":                {tpplace.OutcomeLost, 0, false, false},
+		"targets answer, then restart": {tpplace.OutcomeLost, 3, true, false},
+	} {
+		n := newGuardedNode()
+		now := time.Now()
+		for i := range tpcrash.MaxCrashes {
+			target := fmt.Sprint("d", i)
+			n.handlePlacement(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
+				Reservation: tpplace.Reservation{Target: target}, Outcome: test.outcome, StartedMs: 1, Silent: true, SentAt: now,
+				Request: prompt(i, deadlyPart).Work.Request,
+			}})
+			if test.answered {
+				n.handlePlacement(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
+					Reservation: tpplace.Reservation{Target: target}, Outcome: tpplace.OutcomeServed, StartedMs: 1,
+				}})
+			}
+		}
+		n.handlePlacement(tpplace.Input{Kind: tpplace.InputTargets, Targets: guardedTargets(test.restarts, now)})
+		n.handlePlacement(tpplace.Input{Kind: tpplace.InputTargetRequest, TargetRequest: prompt(10, deadlyPart)})
+		if got := n.relay.Counters.Quarantined.Load() == 1; got != test.want {
+			t.Errorf("%s: refused %t, want %t", name, got, test.want)
+		}
+	}
+}
+
+// Guards against evidence from a target that has said that it is leaving.
+func TestLeavingTargetLeavesNoEvidence(t *testing.T) {
+	n := newGuardedNode()
+	now := time.Now()
+	for i := range tpcrash.MaxCrashes {
+		n.handlePlacement(tpplace.Input{Kind: tpplace.InputNotice, Notice: tpplace.Notice{
+			TargetNotice: tpmessage.TargetNotice{Leaving: true}, Target: guardedTargets(0, now)[i], At: now,
+		}})
+		n.handlePlacement(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: tpplace.StepResult{
+			Reservation: tpplace.Reservation{Target: fmt.Sprint("d", i)}, Outcome: tpplace.OutcomeLost, StartedMs: 1, Silent: true, SentAt: now,
+			Request: prompt(i, deadlyPart).Work.Request,
+		}})
+	}
+	n.handlePlacement(tpplace.Input{Kind: tpplace.InputTargets, Targets: guardedTargets(3, now)})
+	n.handlePlacement(tpplace.Input{Kind: tpplace.InputTargetRequest, TargetRequest: prompt(10, deadlyPart)})
+	if got := n.relay.Counters.Quarantined.Load(); got != 0 {
+		t.Errorf("refused requests: got %d, want 0", got)
+	}
+}
+
 // Guards against a quarantine that is not sent to the members at once.
 func TestQuarantineIsAnnounced(t *testing.T) {
 	n := newGuardedNode()
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -149,6 +149,9 @@
 // logs it unless it was known.
 func (n *Node) handleNotice(notice tpplace.Notice) {
 	isNew := n.placement.placer.HandleNotice(notice)
+	if notice.Leaving {
+		n.placement.guard.RecordLeaving(notice.Target.Name, notice.Target.StartedMs)
+	}
 	notices := n.placement.placer.Notices()
 	n.placement.notices.Store(&notices)
 	if isNew {
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -108,6 +108,10 @@
 	// Cut is true if the target cut the connection of a run or a call before
 	// any part of its answer arrived. Timeouts and failed connects are no cuts.
 	Cut bool
+	// Silent is true if a run or a call got no part of an answer although its
+	// connection stayed open. It was sent at SentAt.
+	Silent bool
+	SentAt time.Time
 	// Answered is true if a run or a call was answered completely and with
 	// success.
 	Answered bool
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -57,6 +57,9 @@
 	// Cut is true if the target closed or reset the connection after bytes of
 	// the request were written, as it does when it crashes.
 	Cut bool
+	// Silent is true if bytes of the request were written, and neither an answer
+	// nor the end of the connection arrived.
+	Silent bool
 }
 
 // Handle identifies a prompt that a target has read and keeps.
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -30,6 +30,7 @@
 	grant tpplace.Grant
 	// granted is true while the reservation of grant counts at its target.
 	granted bool
+	sentAt  time.Time // begin of the step in progress
 	// trial is the step that follows the one in progress, whose target is
 	// silent. It is nil if none has been accepted.
 	trial *trial
@@ -175,7 +176,7 @@
 func (t *task) execute() (end stepEnd, started time.Time) {
 	t.silenceReported = false
 	if tr := t.trial; tr != nil {
-		t.trial = nil
+		t.trial, t.sentAt = nil, tr.started
 		return tr.proceed(), tr.started
 	}
 	t.countStep(&t.grant)
@@ -184,6 +185,7 @@
 	begun := t.delivered
 	s.OnSilence = func(b bool) time.Duration { return t.handleSilence(b || begun) }
 	started = t.r.Clock.Now()
+	t.sentAt = started
 	return t.exchange(t.ctx, &t.grant, s, t.deliver), started
 }
 
@@ -381,6 +383,7 @@
 	r.Elapsed, r.Streamed = took, t.lastEventAt.Sub(t.firstEventAt)
 	r.Events, r.EventTokens = t.eventCount, t.eventTokens()
 	r.Cut = res.Cut && ran && !t.answerBegun
+	r.Silent, r.SentAt = res.Silent && ran && !t.answerBegun, t.sentAt
 	r.Answered = res.End == EndComplete && ran && res.Status/100 == 2 && (t.answerBegun || !t.req.Route.Stream)
 	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: r})
 }
@@ -406,7 +409,7 @@
 	}
 	return tpplace.StepResult{
 		Reservation: g.Reservation, Outcome: outcome, Route: t.req.Route.Name, Request: t.req,
-		StartedMs: g.Target.StartedMs, Cut: res.Cut && g.Step != tpplace.StepPrefill,
+		StartedMs: g.Target.StartedMs, Cut: res.Cut && g.Step != tpplace.StepPrefill, Silent: res.Silent && g.Step != tpplace.StepPrefill,
 	}
 }
 
--- a/internal/relay/stage3/tprelay/task_test.go
+++ b/internal/relay/stage3/tprelay/task_test.go
@@ -74,7 +74,7 @@
 	if a.end == tprelay.EndComplete {
 		_ = deliver(tpmessage.AnswerPart{Event: -1, End: true})
 	}
-	return tprelay.Result{End: a.end, Status: a.status, Cut: a.end == tprelay.EndIncomplete}, nil
+	return tprelay.Result{End: a.end, Status: a.status, Cut: a.end == tprelay.EndIncomplete, Silent: a.end == tprelay.EndTimeout}, nil
 }
 
 func (u *scriptedUpstream) Free(_ context.Context, h tprelay.Handle) {
@@ -424,6 +424,34 @@
 	}
 }
 
+// Guards against silent targets that leave no evidence, and against the silence within an answer taken for a crash.
+func TestSilencesAreReported(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		route  tpmessage.RelayRoute
+		step   tpplace.Step
+		events int
+		end    tprelay.End
+		want   bool
+	}{
+		{"call without an answer", notRepeatable, tpplace.StepCall, 0, tprelay.EndTimeout, true},
+		{"call within its answer", notRepeatable, tpplace.StepCall, 1, tprelay.EndTimeout, false},
+		{"stream before its first event", notResumable, tpplace.StepRun, 0, tprelay.EndTimeout, true},
+		{"stream after its first event", notResumable, tpplace.StepRun, 2, tprelay.EndTimeout, false},
+		{"complete call", notRepeatable, tpplace.StepCall, 1, tprelay.EndComplete, false},
+		{"call that is cut", notRepeatable, tpplace.StepCall, 0, tprelay.EndIncomplete, false},
+	} {
+		began := time.Now()
+		_, results := runScript(t, &scriptedUpstream{attempts: []attempt{{test.events, test.end, 200}}}, test.route, test.step, 0)
+		if len(results) != 1 {
+			t.Fatalf("%s: got %d results, want 1", test.name, len(results))
+		}
+		if got := results[0]; got.Silent != test.want || got.SentAt.Before(began) {
+			t.Errorf("%s: got silent %t, sent %v after the begin; want %t, sent after it", test.name, got.Silent, got.SentAt.Sub(began), test.want)
+		}
+	}
+}
+
 func TestLongAnswerThatBrokeOffIsNotJoined(t *testing.T) {
 	for _, next := range []attempt{{1, tprelay.EndComplete, 200}, {0, 0, 500}} {
 		u := &scriptedUpstream{attempts: []attempt{{40, tprelay.EndIncomplete, 200}, next}, eventBytes: 10 << 10}
--- a/internal/relay/stage3/tprelay/trial.go
+++ b/internal/relay/stage3/tprelay/trial.go
@@ -68,7 +68,7 @@
 	tr.cancel()
 	took := t.r.Clock.Now().Sub(tr.started)
 	result := t.stepResult(&tr.grant, tr.end.result)
-	result.Elapsed = took
+	result.Elapsed, result.SentAt = took, tr.started
 	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: result})
 	t.plan.AfterTrial(tr.grant.Target.Name, tr.grant.Step, tr.end.result.End)
 	t.logStep(&tr.grant, tr.end.result, took)
