Apply the rule of limits also while the demand rises

Cause: the test of limited pools counted requests only from 3 s after the rise of the demand, so that a burst at the rise was not seen. Change: requests count from 3 s after the first answer with a limit.

--- a/internal/proof/relay_limit_pool_test.go
+++ b/internal/proof/relay_limit_pool_test.go
@@ -51,6 +51,7 @@
 		{"a1", "app", "", limit},
 	}
 	f := newLimitFleet(t, *limitNodes, kinds)
+	limitedAt := time.Now()
 	for _, k := range kinds {
 		f.server(k.id).SetLimit(k.limit)
 	}
@@ -69,7 +70,7 @@
 	f.checkRefusals(calls)
 	arrivals := f.arrivals()
 	for _, k := range kinds {
-		f.checkLimit(k, arrivals[k.id], calls, highAt, highEnd)
+		f.checkLimit(k, arrivals[k.id], calls, limitedAt, highAt, highEnd)
 	}
 	f.checkDelays()
 }
--- a/internal/proof/relay_limit_test.go
+++ b/internal/proof/relay_limit_test.go
@@ -428,7 +428,7 @@
 // another.
 func (f *limitFleet) checkLimited(k limitServer, arrivals []limitArrival, calls []limitCall, limitedAt, endedAt, stoppedAt time.Time) {
 	f.t.Helper()
-	limit := f.checkLimit(k, arrivals, calls, limitedAt, endedAt)
+	limit := f.checkLimit(k, arrivals, calls, limitedAt, limitedAt, endedAt)
 	unlimited := float64(countBetween(arrivals, limitedAt.Add(-4*time.Second), limitedAt)) / 4
 	recovered := endedAt.Add(limitEnded)
 	again := float64(countBetween(arrivals, recovered, stoppedAt)) / stoppedAt.Sub(recovered).Seconds()
@@ -443,9 +443,11 @@
 }
 
 // checkLimit checks what a server got from limitSettled after its first answer
-// with a limit, while there was more demand than the limit. It returns the
-// limit.
-func (f *limitFleet) checkLimit(k limitServer, arrivals []limitArrival, calls []limitCall, limitedAt, endedAt time.Time) float64 {
+// with a limit, and its use of the limit from limitSettled after a time from
+// which there is more demand. It returns the limit.
+func (f *limitFleet) checkLimit(
+	k limitServer, arrivals []limitArrival, calls []limitCall, limitedAt, demandAt, endedAt time.Time,
+) float64 {
 	f.t.Helper()
 	limit, err := strconv.ParseFloat(k.limit, 64)
 	if err != nil {
@@ -469,7 +471,11 @@
 			kinds[a.kind]++
 		}
 	}
-	use := float64(countBetween(arrivals, from, endedAt)) / (limit * endedAt.Sub(from).Seconds())
+	useFrom := from
+	if at := demandAt.Add(limitSettled); at.After(from) {
+		useFrom = at
+	}
+	use := float64(countBetween(arrivals, useFrom, endedAt)) / (limit * endedAt.Sub(useFrom).Seconds())
 	f.t.Logf("%s: limit %v: most in %v: %d, %d of the %d nodes that had told of it, allowed %.1f; use of the limit %.2f %v",
 		k.id, limit, limitWindow, most, mostOfTold, len(told), allowedInWindow(limit), use, kinds)
 	if float64(most) > allowedInWindow(limit) {
