Test a deadly part whose crashes reset nothing, with processes

Cause: no test with processes had a server that is silent from a crash until another process has its name. The stand-in's crashes closed all connections. Change: CrashDark makes a crash of the stand-in leave its connections open and silent until the end of the test, as a loss of power does. The test of deadly parts runs with it as well, with one deadly request in 25 for 16 s. TestDeadlyPartStopsCrashing is as before.

--- a/internal/proof/relay_crash_test.go
+++ b/internal/proof/relay_crash_test.go
@@ -26,14 +26,16 @@
 )
 
 // newCrashFleet returns relay nodes and engines that crash when they begin an
-// answer to a prompt with deadlyPart.
-func newCrashFleet(t *testing.T, nodes int) *relayFleet {
+// answer to a prompt with deadlyPart. If dark is set, a crash closes none of
+// their connections.
+func newCrashFleet(t *testing.T, nodes int, dark bool) *relayFleet {
 	t.Helper()
 	f := &relayFleet{}
 	f.address = tpguestfake.Listen(t, &f.store)
 	for i, stage := range []string{"prefill", "decode", "decode", "decode", "decode", "decode"} {
 		server := &tpguestfake.Server{
 			ID: fmt.Sprint("s", i), Stage: stage, EventsPerStream: 8, EventInterval: 10 * time.Millisecond, CrashPart: deadlyPart,
+			CrashDark: dark,
 		}
 		address := tpprocess.FreeAddress(t)
 		register := func(born int64) {
@@ -65,11 +67,21 @@
 
 // Guards against a part of a prompt that crashes one server after the other.
 func TestDeadlyPartStopsCrashing(t *testing.T) {
-	f := newCrashFleet(t, 3)
+	testDeadlyPart(t, newCrashFleet(t, 3, false), 10, 9*time.Second)
+}
+
+// Guards against a part of a prompt that crashes one server after the other without a reset.
+func TestDeadlyPartStopsSilentCrashes(t *testing.T) {
+	testDeadlyPart(t, newCrashFleet(t, 3, true), 25, 16*time.Second)
+}
+
+// testDeadlyPart sends requests every 20 ms, of which one in deadlyRatio is
+// deadly.
+func testDeadlyPart(t *testing.T, f *relayFleet, deadlyRatio int, duration time.Duration) {
+	t.Helper()
 	for _, n := range f.nodes {
 		tpprocess.Eventually(t, "the nodes are ready", n.isReady)
 	}
-	const duration = 9 * time.Second
 	rng := rand.New(rand.NewPCG(20261205, 1))
 	var mu sync.Mutex
 	var calls []promptCall
@@ -78,7 +90,7 @@
 	for i := 0; time.Since(begin) < duration; i++ {
 		time.Sleep(20 * time.Millisecond) // pace of the clients
 		// The first second shows how sound requests are usually served.
-		c := promptCall{sentAt: time.Now(), deadly: i%10 == 9 && time.Since(begin) > time.Second}
+		c := promptCall{sentAt: time.Now(), deadly: i%deadlyRatio == deadlyRatio-1 && time.Since(begin) > time.Second}
 		node := rng.IntN(len(f.nodes))
 		parts := fmt.Sprintf("first:400,caller%d:100,", rng.IntN(5))
 		if c.deadly {
--- a/internal/standin/tpguestfake/crash.go
+++ b/internal/standin/tpguestfake/crash.go
@@ -22,13 +22,17 @@
 
 	mu      sync.Mutex
 	running *http.Server // nil while the process is down
-	ended   bool
-	timer   *time.Timer
+	// listener is that of the running process, and dark are those that went dark.
+	listener *darkListener
+	dark     []func()
+	ended    bool
+	timer    *time.Timer
 }
 
 // ListenRestarting serves s at a host:port until the end of the test. A crash
-// closes all connections of the server, which starts again at the address after
-// downTime. It calls started with the start of the new process in Unix
+// closes all connections of the server, or darkens them if CrashDark is set. The
+// server starts again at the address after downTime. Dark connections stay open
+// until the end of the test. It calls started with the start of the new process in Unix
 // milliseconds.
 func ListenRestarting(t testing.TB, s *Server, address string, downTime time.Duration, started func(born int64)) {
 	t.Helper()
@@ -51,7 +55,8 @@
 
 func (p *restartingServer) serve(l net.Listener) {
 	p.running = &http.Server{Handler: p.server, ReadHeaderTimeout: time.Minute}
-	go func(running *http.Server) { _ = running.Serve(l) }(p.running)
+	p.listener = &darkListener{Listener: l, dark: make(chan struct{}), ended: make(chan struct{})}
+	go func(running *http.Server, l net.Listener) { _ = running.Serve(l) }(p.running, p.listener)
 }
 
 func (p *restartingServer) crash() {
@@ -63,7 +68,13 @@
 	p.server.mu.Lock()
 	p.server.crashes = append(p.server.crashes, time.Now())
 	p.server.mu.Unlock()
-	_ = p.running.Close()
+	if p.server.CrashDark {
+		close(p.listener.dark)
+		_ = p.listener.Close()
+		p.dark = append(p.dark, p.endDarkness(p.running, p.listener))
+	} else {
+		_ = p.running.Close()
+	}
 	p.running = nil
 	p.timer = time.AfterFunc(p.downTime, p.restart)
 }
@@ -83,9 +94,21 @@
 	p.started(time.Now().UnixMilli())
 }
 
+// endDarkness returns a function that closes the connections of a process that
+// went dark.
+func (p *restartingServer) endDarkness(process *http.Server, l *darkListener) func() {
+	return func() {
+		_ = process.Close()
+		close(l.ended)
+	}
+}
+
 func (p *restartingServer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, end := range p.dark {
+		end()
+	}
 	p.ended = true
 	if p.timer != nil {
 		p.timer.Stop()
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -51,6 +51,7 @@
 	EventInterval    time.Duration   // pause after each event
 	HoldAnswersUntil <-chan struct{} // if not nil, answers wait until it is closed
 	CrashPart        string          // if not empty, an answer to a prompt with this part crashes the server; see ListenRestarting
+	CrashDark        bool            // a crash closes no connection, as a loss of power does
 
 	mu             sync.Mutex
 	arrivals       []Arrival
@@ -226,6 +227,9 @@
 	if s.CrashPart != "" && strings.Contains(r.Header.Get("X-Teaselpin-Prefix-Hash"), s.CrashPart+":") {
 		time.Sleep(crashDelay) // injected fault: works on the request before it crashes
 		s.crash()
+		if s.CrashDark {
+			<-r.Context().Done()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if fault != FaultMissingStamp {
