Bound the allowances that may be unused

What servers see: at 69 nodes a server gets 31 to 39 requests in some 4 s, of 29 that its limit of 4 allows, when the demand rises after a time of little demand. Cause: an allowance that came back unused added to the credit of the issuer, and so did time. The bound on the credit held for a step, not for what the nodes held: that grew until each node with demand held one. Change: nodes report what they have used as well. An issuer has at most the allowances of 1.75 s and 3 more that are unused or not settled, issued or saved. With that bound an allowance may live 4 s instead of 1.5 s, which a node of a large pool needs to have a request for it. Nodes give back what they hold when a limit falls.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -102,7 +102,7 @@
 	for _, a := range hb.Allowances {
 		m.Allowances = append(m.Allowances, &tpwire.Allowance{
 			Target: a.Target, StartedMs: a.StartedMs, Granted: uint32(a.Granted),
-			LeftMs: uint32(a.Left.Milliseconds()), Returned: uint32(a.Returned),
+			LeftMs: uint32(a.Left.Milliseconds()), Returned: uint32(a.Returned), Used: uint32(a.Used),
 		})
 	}
 	for _, l := range hb.Leaving {
@@ -147,7 +147,7 @@
 	for _, a := range m.GetAllowances() {
 		hb.Allowances = append(hb.Allowances, tpmessage.Allowance{
 			Target: a.GetTarget(), StartedMs: a.GetStartedMs(), Granted: int(a.GetGranted()),
-			Left: time.Duration(a.GetLeftMs()) * time.Millisecond, Returned: int(a.GetReturned()),
+			Left: time.Duration(a.GetLeftMs()) * time.Millisecond, Returned: int(a.GetReturned()), Used: int(a.GetUsed()),
 		})
 	}
 	for _, l := range m.GetLeavingTargets() {
--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -53,7 +53,7 @@
 	want.Loads[0].Limits = []tpmessage.TargetLimit{{
 		Target: "i-1", StartedMs: 1 << 41, Statement: tpmessage.LimitNamed, PerSecond: 2.2, Age: 300 * time.Millisecond, Demand: 0.7, Room: 2,
 	}}
-	want.Allowances = []tpmessage.Allowance{{Target: "i-1", StartedMs: 1 << 41, Granted: 2, Left: 1400 * time.Millisecond, Returned: 1}}
+	want.Allowances = []tpmessage.Allowance{{Target: "i-1", StartedMs: 1 << 41, Granted: 2, Left: 1400 * time.Millisecond, Returned: 1, Used: 3}}
 	want.Suspects = []tpmessage.SuspectRequest{{Fingerprint: 7, Targets: []string{"a"}}}
 	want.Leaving = []tpmessage.LeavingTarget{{Name: "a", Age: time.Second}}
 	want.Usage = []tpmessage.Usage{{Node: "n", Organisation: "o", PrefillPieces: 1, DecodePieces: 2}}
--- a/internal/node/tprelaynode/allot.go
+++ b/internal/node/tprelaynode/allot.go
@@ -9,9 +9,9 @@
 
 // allot distributes allowances for requests to targets with a limit.
 func (m *members) allot(now time.Time) {
-	returned := m.node.placement.returned
-	for list, err := returned.TryTake(); err == nil; list, err = returned.TryTake() {
-		m.allowances.Return(list)
+	settled := m.node.placement.settled
+	for list, err := settled.TryTake(); err == nil; list, err = settled.TryTake() {
+		m.allowances.Settle(list)
 	}
 	m.placeAllowances(m.allowances.Step(now, m.ownLoad))
 }
--- a/internal/node/tprelaynode/guard_test.go
+++ b/internal/node/tprelaynode/guard_test.go
@@ -32,7 +32,7 @@
 			load:     tpring.New[tpmessage.NodeLoad](tpring.Settings{Capacity: 1}),
 			tasks:    tpring.New[tpplace.Grant](tpring.Settings{Capacity: 16}),
 			evidence: tpring.New[[]tpmessage.SuspectRequest](tpring.Settings{Capacity: 1}),
-			returned: tpring.New[[]tpmessage.Allowance](tpring.Settings{Capacity: 1}),
+			settled:  tpring.New[[]tpmessage.Allowance](tpring.Settings{Capacity: 1}),
 		},
 	}
 	n.members.node = n
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -22,9 +22,9 @@
 	// silence, a replacement that is given back, the end of a step and the request
 	// for the next target.
 	inputsPerTask = 6
-	// returnedRingCapacity is the number of lists of unused allowances that wait
+	// settledRingCapacity is the number of lists of settled allowances that wait
 	// for the membership. Both filters handle one at each of their ticks.
-	returnedRingCapacity = 4
+	settledRingCapacity = 4
 	// loadTickInterval is the interval at which the node publishes its own
 	// load.
 	loadTickInterval = 100 * time.Millisecond
@@ -54,7 +54,7 @@
 //	front -> placement ring -> placement -> tasks ring -> relay
 //	tasks -> placement ring (step results, target requests for further steps)
 //	peers -> placement ring (evidence about requests that crash targets, allowances)
-//	placement -> allowances ring (those that were not used) -> membership
+//	placement -> allowances ring (those that were used or have ended) -> membership
 type placementFilter struct {
 	in     *tpring.Ring[tpplace.Input]
 	tasks  *tpring.Ring[tpplace.Grant]
@@ -64,8 +64,8 @@
 	// evidence holds the latest report of the guard for peers. reported is true
 	// if that report is not empty.
 	evidence *tpring.Ring[[]tpmessage.SuspectRequest]
-	// returned holds allowances that the node has not used, for the membership.
-	returned *tpring.Ring[[]tpmessage.Allowance]
+	// settled holds allowances that were used or have ended, for the membership.
+	settled  *tpring.Ring[[]tpmessage.Allowance]
 	reported bool
 	// notices holds the notices that the placer knows, for other filters.
 	notices atomic.Pointer[tpplace.Notices]
@@ -78,7 +78,7 @@
 		load:  tpring.New[tpmessage.NodeLoad](tpring.Settings{Capacity: 1}),
 
 		evidence: tpring.New[[]tpmessage.SuspectRequest](tpring.Settings{Capacity: 1}),
-		returned: tpring.New[[]tpmessage.Allowance](tpring.Settings{Capacity: returnedRingCapacity}),
+		settled:  tpring.New[[]tpmessage.Allowance](tpring.Settings{Capacity: settledRingCapacity}),
 		placer: tpplace.New(tpplace.Settings{
 			Node: n.cfg.Name, Zone: n.cfg.Zone,
 			Budget: tpplace.BudgetSettings{Ratio: n.cfg.Budget.Ratio, Slack: n.cfg.Budget.Slack, Window: n.cfg.Budget.Window},
@@ -87,7 +87,7 @@
 	p.notices.Store(&tpplace.Notices{})
 	n.deps.Rings.Add("placement", p.in)
 	n.deps.Rings.Add("tasks", p.tasks)
-	n.deps.Rings.Add("allowances", p.returned)
+	n.deps.Rings.Add("allowances", p.settled)
 	return p
 }
 
@@ -118,8 +118,8 @@
 func (n *Node) handlePlacement(in tpplace.Input) {
 	now := n.clock.Now()
 	if in.Kind == tpplace.InputTick {
-		if returned := n.placement.placer.TakeReturned(now); len(returned) > 0 {
-			_ = n.placement.returned.PutDropOldest(returned)
+		if settled := n.placement.placer.TakeSettled(now); len(settled) > 0 {
+			_ = n.placement.settled.PutDropOldest(settled)
 		}
 		_ = n.placement.load.PutDropOldest(n.placement.placer.Load(now))
 		n.tickGuard(now)
--- a/internal/relay/stage2/tpplace/limit.go
+++ b/internal/relay/stage2/tpplace/limit.go
@@ -15,6 +15,9 @@
 	// limitStatementTTL is the time for which a node tells the others that a
 	// limit has ended. They have heard of it after a few reports.
 	limitStatementTTL = 30 * time.Second
+	// allowanceTime is the time for whose expected requests a node asks for
+	// allowances.
+	allowanceTime = 1500 * time.Millisecond
 	// allowanceRenewal is the time before the end of an allowance at which a node
 	// asks for the next one. It takes a few reports to arrive.
 	allowanceRenewal = 600 * time.Millisecond
@@ -57,7 +60,6 @@
 	observed map[limitKey]limitState // from answers to this node
 	reported map[limitKey]limitState // the latest from other nodes
 	accounts map[limitKey]*limitAccount
-	returned []tpmessage.Allowance // ended without use since the last call of TakeReturned
 }
 
 // limitAccount is the demand of this node for requests at one process, and its
@@ -66,6 +68,9 @@
 	demand     rate
 	peerDemand float64 // requests a second, of the other nodes
 	allowances []allowance
+	// returned and used count the allowances that ended without use, and those
+	// that were used, since the last call of TakeSettled.
+	returned, used int
 }
 
 // allowance is a number of requests that may be sent until a time.
@@ -85,17 +90,15 @@
 	return n
 }
 
-// expire removes the allowances that have ended and returns their number.
-func (a *limitAccount) expire(now time.Time) int {
-	n := 0
+// expire removes the allowances that have ended.
+func (a *limitAccount) expire(now time.Time) {
 	a.allowances = slices.DeleteFunc(a.allowances, func(b allowance) bool {
 		if now.Before(b.until) {
 			return false
 		}
-		n += b.count
+		a.returned += b.count
 		return true
 	})
-	return n
 }
 
 // use uses the allowance that ends first.
@@ -103,6 +106,7 @@
 	if len(a.allowances) == 0 {
 		return
 	}
+	a.used++
 	a.allowances[0].count--
 	if a.allowances[0].count == 0 {
 		a.allowances = a.allowances[1:]
@@ -145,7 +149,7 @@
 		p.limits.observed = make(map[limitKey]limitState)
 	}
 	p.limits.observed[key] = limitState{named: named, perSecond: n.Limit, at: n.At}
-	p.updateLimited(key)
+	p.updateLimited(key, known)
 	return named != known.named || known.perSecond != n.Limit
 }
 
@@ -168,16 +172,25 @@
 			if p.limits.reported == nil {
 				p.limits.reported = make(map[limitKey]limitState)
 			}
+			known := p.limits.limit(key)
 			p.limits.reported[key] = limitState{named: l.Statement == tpmessage.LimitNamed, perSecond: l.PerSecond, at: at}
-			p.updateLimited(key)
+			p.updateLimited(key, known)
 		}
 	}
 }
 
 // updateLimited brings the copy of the limited processes for other filters up to
-// date with one process.
-func (p *Placer[P]) updateLimited(key limitKey) {
-	limited := p.limits.limit(key).named
+// date with one process, of which another state was known before. If its limit
+// is lower now, the allowances of the node end.
+func (p *Placer[P]) updateLimited(key limitKey, before limitState) {
+	state := p.limits.limit(key)
+	if a, ok := p.limits.accounts[key]; ok && before.named && (!state.named || state.perSecond < before.perSecond) {
+		for _, b := range a.allowances {
+			a.returned += b.count
+		}
+		a.allowances = nil
+	}
+	limited := state.named
 	if limited == p.notices.limited[key] {
 		return
 	}
@@ -209,16 +222,16 @@
 	}
 }
 
-// TakeReturned returns the allowances that ended without use since the last
-// call.
-func (p *Placer[P]) TakeReturned(now time.Time) []tpmessage.Allowance {
+// TakeSettled returns the allowances that were used or ended without use since
+// the last call.
+func (p *Placer[P]) TakeSettled(now time.Time) []tpmessage.Allowance {
+	var out []tpmessage.Allowance
 	for key, a := range p.limits.accounts {
-		if n := a.expire(now); n > 0 {
-			p.limits.returned = append(p.limits.returned, tpmessage.Allowance{Target: key.name, StartedMs: key.startedMs, Returned: n})
+		if a.expire(now); a.returned > 0 || a.used > 0 {
+			out = append(out, tpmessage.Allowance{Target: key.name, StartedMs: key.startedMs, Returned: a.returned, Used: a.used})
+			a.returned, a.used = 0, 0
 		}
 	}
-	out := p.limits.returned
-	p.limits.returned = nil
 	return out
 }
 
@@ -259,7 +272,7 @@
 	}
 	if demand := a.demand.value(now); demand >= minLimitDemand {
 		l.Demand = demand
-		l.Room = max(0, int(math.Ceil(demand*tpallot.Lifetime.Seconds()))-a.held(now.Add(allowanceRenewal)))
+		l.Room = max(0, int(math.Ceil(demand*allowanceTime.Seconds()))-a.held(now.Add(allowanceRenewal)))
 	}
 }
 
@@ -338,9 +351,7 @@
 		return
 	}
 	a := p.limits.account(limitKeyOf(&t.RelayTarget))
-	if n := a.expire(now); n > 0 {
-		p.limits.returned = append(p.limits.returned, tpmessage.Allowance{Target: t.Name, StartedMs: t.StartedMs, Returned: n})
-	}
+	a.expire(now)
 	a.use()
 }
 
@@ -372,7 +383,7 @@
 	maps.DeleteFunc(p.limits.observed, isOld)
 	maps.DeleteFunc(p.limits.reported, isOld)
 	for key := range p.notices.limited {
-		p.updateLimited(key)
+		p.updateLimited(key, p.limits.limit(key))
 	}
 	maps.DeleteFunc(p.limits.accounts, func(key limitKey, _ *limitAccount) bool { return !p.notices.limited[key] })
 }
--- a/internal/relay/stage2/tpplace/limit_test.go
+++ b/internal/relay/stage2/tpplace/limit_test.go
@@ -74,11 +74,11 @@
 	if got := mustGrant(t, p, ended, call(ended)).Target.Name; got != "s1" {
 		t.Errorf("after the end of the allowance: got %s, want s1", got)
 	}
-	if got, want := fmt.Sprint(p.TakeReturned(ended)), fmt.Sprint([]tpmessage.Allowance{{Target: "s0", StartedMs: 1, Returned: 3}}); got != want {
-		t.Errorf("returned: got %s, want %s", got, want)
+	if got, want := fmt.Sprint(p.TakeSettled(ended)), fmt.Sprint([]tpmessage.Allowance{{Target: "s0", StartedMs: 1, Returned: 3, Used: 2}}); got != want {
+		t.Errorf("settled: got %s, want %s", got, want)
 	}
-	if got := p.TakeReturned(ended); len(got) != 0 {
-		t.Errorf("returned again: got %v, want none", got)
+	if got := p.TakeSettled(ended); len(got) != 0 {
+		t.Errorf("settled again: got %v, want none", got)
 	}
 }
 
--- a/internal/relay/tpallot/allotter.go
+++ b/internal/relay/tpallot/allotter.go
@@ -11,16 +11,19 @@
 )
 
 const (
-	// Lifetime is the time from the issue of an allowance to its end. In any
-	// 4 s a target gets at most the requests issued in 4 s and Lifetime and
-	// those saved before, which is less than one and a half times its limit and
-	// 5 requests.
-	Lifetime = 1500 * time.Millisecond
-	// savedRequests and savedTime bound the allowances that the issuer saves
-	// while there is no demand: a number of requests and the requests of a time.
-	// Those of less than a round of reports would be lost at a high limit.
+	// Lifetime is the time from the issue of an allowance to its end. In a large
+	// pool a node may have a request for it only after seconds.
+	Lifetime = 4 * time.Second
+	// settleTime is the time after the end of an allowance from which one that
+	// is not settled counts as used. Reports of a large zone take a second.
+	settleTime = 1500 * time.Millisecond
+	// An issuer has at most savedRequests and the requests of savedTime that may
+	// be unused, be they issued or still to be issued. In any 4 s a target gets at
+	// most those and the requests of 4 s, which is less than one and a half times
+	// its limit and 5 requests. Within savedTime an allowance is settled if it is
+	// used at once.
 	savedRequests = 3
-	savedTime     = 250 * time.Millisecond
+	savedTime     = 1750 * time.Millisecond
 	// MinPerSecond replaces a lower limit. A target whose limit is zero gets a
 	// request now and then, because only an answer tells that the limit ended.
 	MinPerSecond = 0.2
@@ -78,10 +81,12 @@
 	issuer    bool    // this node issues the allowances
 	credit    float64 // requests that may be issued
 	updatedAt time.Time
+	issued    []batch // not settled; each counts as used from its time on
 	pool      []batch // granted to this zone, not assigned to a node yet
-	returned  int     // to be returned to the issuer
-	zones     map[string]*account
-	nodes     map[string]*account
+	// returned and used are to be told to the issuer.
+	returned, used int
+	zones          map[string]*account
+	nodes          map[string]*account
 }
 
 // Input is what a collector knows at a step.
@@ -155,14 +160,34 @@
 // credit of the issuer.
 func (s *state) setIssuer(now time.Time, issuer bool, perSecond float64) {
 	if !issuer || !s.issuer {
-		s.credit = 0
+		s.credit, s.issued = 0, nil
 	} else {
-		saved := savedRequests + perSecond*savedTime.Seconds()
-		s.credit = min(saved, s.credit+perSecond*now.Sub(s.updatedAt).Seconds())
+		s.issued = slices.DeleteFunc(s.issued, func(b batch) bool { return !now.Before(b.until) })
+		unsettled := 0
+		for _, b := range s.issued {
+			unsettled += b.count
+		}
+		most := savedRequests + perSecond*savedTime.Seconds() - float64(unsettled)
+		s.credit = max(0, min(most, s.credit+perSecond*now.Sub(s.updatedAt).Seconds()))
 	}
 	s.issuer, s.updatedAt = issuer, now
 }
 
+// settle removes issued allowances, the oldest first, and returns their number,
+// which is n at most.
+func (s *state) settle(n int) int {
+	settled := 0
+	for settled < n && len(s.issued) > 0 {
+		part := min(n-settled, s.issued[0].count)
+		s.issued[0].count -= part
+		settled += part
+		if s.issued[0].count == 0 {
+			s.issued = s.issued[1:]
+		}
+	}
+	return settled
+}
+
 // issue assigns the credit to the zones.
 func (a *Allotter) issue(now time.Time, s *state, key process, in *Input) {
 	var asks []ask
@@ -173,6 +198,7 @@
 	until := now.Add(Lifetime)
 	for zone, n := range a.divide(int(s.credit), asks) {
 		s.credit -= float64(n)
+		s.issued = append(s.issued, batch{count: n, until: until.Add(settleTime)})
 		if zone == in.Zone {
 			s.pool = append(s.pool, batch{count: n, until: until})
 			continue
@@ -224,17 +250,18 @@
 	}
 }
 
-// takeBack returns allowances that were not used to the credit of the issuer.
+// takeBack takes back allowances that were not used. Those that the issuer does
+// not know, because another one issued them, are lost.
 func (s *state) takeBack(n int) {
 	if s.issuer {
-		s.credit += float64(n) // setIssuer bounds it
+		s.credit += float64(s.settle(n))
 	} else {
 		s.returned += n
 	}
 }
 
 // Receive records the allowances of a message to this zone's collector: those
-// that another collector grants, and those that a node or a zone returns.
+// that another collector grants, and those that a node or a zone has settled.
 func (a *Allotter) Receive(now time.Time, list []tpmessage.Allowance) {
 	for _, in := range list {
 		s, ok := a.processes[process{target: in.Target, startedMs: in.StartedMs}]
@@ -247,6 +274,11 @@
 		if in.Returned > 0 {
 			s.takeBack(in.Returned)
 		}
+		if s.issuer {
+			s.settle(in.Used)
+		} else {
+			s.used += in.Used
+		}
 	}
 }
 
@@ -259,15 +291,15 @@
 	return out
 }
 
-// TakeForZone returns what is assigned to another zone, and what is to be
-// returned to it as the issuer.
+// TakeForZone returns what is assigned to another zone, and what is settled if
+// that is the zone of the issuer.
 func (a *Allotter) TakeForZone(now time.Time, zone string, issuerZone func(target string) string) []tpmessage.Allowance {
 	var out []tpmessage.Allowance
 	for key, s := range a.processes {
 		out = s.zones[zone].take(now, key, out)
-		if s.returned > 0 && issuerZone(key.target) == zone {
-			out = append(out, tpmessage.Allowance{Target: key.target, StartedMs: key.startedMs, Returned: s.returned})
-			s.returned = 0
+		if s.returned+s.used > 0 && issuerZone(key.target) == zone {
+			out = append(out, tpmessage.Allowance{Target: key.target, StartedMs: key.startedMs, Returned: s.returned, Used: s.used})
+			s.returned, s.used = 0, 0
 		}
 	}
 	return out
--- a/internal/relay/tpallot/doc.go
+++ b/internal/relay/tpallot/doc.go
@@ -7,8 +7,9 @@
 // members, issues the allowances of a target at the rate of its limit. They go
 // to the collectors of the zones and from these to the nodes, in the reports
 // and answers that these exchange anyway, drawn in proportion to the demand.
-// An allowance expires after Lifetime. One that was not used is returned on the
-// same way and issued again, so that a node can hold one in advance.
+// An allowance expires after Lifetime. Nodes settle each on the same way: one
+// that was not used is issued again. What may be unused is bounded, whether it is
+// issued or saved, so that nodes can hold allowances in advance.
 //
 // A lost message, node or collector loses allowances and creates none. A new
 // issuer starts without any.
--- a/internal/relay/tpallot/exchange.go
+++ b/internal/relay/tpallot/exchange.go
@@ -16,11 +16,12 @@
 	Collector *tpcollect.Collector
 	Allotter  Allotter
 
-	returned []tpmessage.Allowance // unused allowances of this node, for the next report
+	settled []tpmessage.Allowance // of this node, for the next report
 }
 
-// Return records allowances that this node has not used.
-func (e *Exchange) Return(list []tpmessage.Allowance) { e.returned = append(e.returned, list...) }
+// Settle records allowances that this node has used, and those that ended
+// without use.
+func (e *Exchange) Settle(list []tpmessage.Allowance) { e.settled = append(e.settled, list...) }
 
 // Step distributes allowances if this node is the collector of its zone, and
 // returns those for the node itself. Own is the load of this node.
@@ -30,23 +31,23 @@
 		return nil
 	}
 	nodes, zones := e.Collector.ZoneLoads(now, own)
-	e.Allotter.Receive(now, e.takeReturned())
+	e.Allotter.Receive(now, e.takeSettled())
 	e.Allotter.Step(now, Input{Zone: e.Zone, Nodes: nodes, Zones: zones, IssuerZone: e.Collector.IssuerZone})
 	return e.Allotter.TakeForNode(now, e.Node)
 }
 
-func (e *Exchange) takeReturned() []tpmessage.Allowance {
-	out := e.returned
-	e.returned = nil
+func (e *Exchange) takeSettled() []tpmessage.Allowance {
+	out := e.settled
+	e.settled = nil
 	return out
 }
 
 // InReport returns the allowances in a report to an address: those that this
-// node has not used, or those of another zone if this node and the receiver are
+// node has settled, or those of another zone if this node and the receiver are
 // collectors.
 func (e *Exchange) InReport(now time.Time, address string) []tpmessage.Allowance {
 	if !e.Collector.IsCollector() {
-		return e.takeReturned()
+		return e.takeSettled()
 	}
 	zone, ok := e.Collector.CollectorAt(address)
 	if !ok {
--- a/internal/relay/tpallot/outstanding_test.go
+++ b/internal/relay/tpallot/outstanding_test.go
@@ -56,7 +56,7 @@
 		outstanding = kept
 		most = max(most, len(outstanding))
 	}
-	if bound := limit*Lifetime.Seconds() + savedRequests + limit*savedTime.Seconds(); float64(most) > bound {
+	if bound := savedRequests + limit*savedTime.Seconds(); float64(most) > bound {
 		t.Errorf("allowances held unused at a time: got %d, want at most %v", most, bound)
 	}
 }
--- a/internal/relay/tpallot/region_test.go
+++ b/internal/relay/tpallot/region_test.go
@@ -188,7 +188,7 @@
 
 // tick does what a node does every 100 ms.
 func (r *simRegion) tick(n *simNode) {
-	n.exchange.Return(n.placer.TakeReturned(r.now))
+	n.exchange.Settle(n.placer.TakeSettled(r.now))
 	n.load = n.placer.Load(r.now)
 	r.place(n, n.exchange.Step(r.now, n.load))
 	for _, address := range n.collector.Reports(r.now) {
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -249,6 +249,7 @@
 	Granted   int           // for the receiver
 	Left      time.Duration // time for which the granted requests may be sent
 	Returned  int           // granted before to the sender, which has not used them
+	Used      int           // granted before to the sender, which has used them
 }
 
 // CachedPrefix is a shared prompt prefix that a target has processed and may
