--- a/internal/command/tpcommand/relay.go
+++ b/internal/command/tpcommand/relay.go
@@ -69,8 +69,10 @@
 	defer closeUpstream()
 	orderClient, closeOrderClient := tpguest.NewOrderClient()
 	defer closeOrderClient()
+	dutyClient, closeDutyClient := tpguest.NewDutyClient(cfg.DutyAPI)
+	defer closeDutyClient()
 	_, cleanup, err := tprelaynode.New(cfg, tprelaynode.Deps{
-		Log: log, Store: store, Viewer: store, Upstream: upstream, Engines: orderClient,
+		Log: log, Store: store, Viewer: store, Upstream: upstream, Engines: orderClient, DutyAPI: dutyClient,
 		Kinds:        tprelaynode.ObjectKinds{Config: tpguest.KindConfig, Targets: tpguest.KindServers},
 		DecodeConfig: tpguest.DecodeConfig, DecodeTargets: tpguest.DecodeTargets,
 		Front: func(n *tprelaynode.Node) http.Handler {
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -18,6 +18,7 @@
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/relay/stage1/tproute"
 	"teaselpin.example/teaselpin/internal/relay/stage3/tprelay"
+	"teaselpin.example/teaselpin/internal/relay/tpholder"
 	"teaselpin.example/teaselpin/internal/relay/tprolecontrol"
 	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
@@ -59,6 +60,8 @@
 	Viewer     tpobject.Viewer
 	Upstream   tprelay.Upstream
 	Engines    tprolecontrol.Engines
+	// DutyAPI may be nil if the settings name no duty.
+	DutyAPI tpholder.API
 	// Kinds names the kinds of objects to follow.
 	Kinds ObjectKinds
 	// DecodeConfig and DecodeTargets decode the objects of the two kinds.
@@ -82,10 +85,13 @@
 	deps  Deps
 	clock tpclock.Clock
 	// leaseClock is the clock for the end of the lease's authority.
-	leaseClock   tpclock.Clock
-	log          zerolog.Logger
-	table        atomic.Pointer[tproute.Table]
-	leaving      atomic.Bool
+	leaseClock tpclock.Clock
+	log        zerolog.Logger
+	table      atomic.Pointer[tproute.Table]
+	leaving    atomic.Bool
+	// dutyTerm is the node's term over the lease, for calls to the duty API. It
+	// is nil until the lease has changed for the first time.
+	dutyTerm     atomic.Pointer[tpholder.Term]
 	started      time.Time
 	stopDeadline time.Time // servers close requests in progress at this time
 	// drainsUntil is stopDeadline once the node accepts no new connections, and
@@ -283,6 +289,12 @@
 		vars.Set("relay", n.counters())
 		vars.Set("latency", n.latency.metricsVar())
 		vars.Set("follow", n.objects.metricsVar())
+		if n.cfg.DutyAPI != "" {
+			vars.Set("dutyHolder", expvar.Func(func() any {
+				holder, held := n.dutyHolder()
+				return map[string]any{"held": held, "fencing": holder.Fencing}
+			}))
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(vars.String()))
 	})
--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -7,6 +7,7 @@
 
 	"teaselpin.example/teaselpin/internal/order/stage2/tplease"
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
+	"teaselpin.example/teaselpin/internal/relay/tpholder"
 	"teaselpin.example/teaselpin/internal/relay/tprolecontrol"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
 	"teaselpin.example/teaselpin/pkg/tpring"
@@ -107,7 +108,11 @@
 		return n.members.leaseRank(task, holder)
 	}
 	lastHeld, lastFencing := false, uint64(0)
+	term := tpholder.Term{}
 	duty.Sink = func(a tpmessage.Authority) {
+		term = term.Next(n.leaseClock.Now(), a, n.cfg.LeaseGuard)
+		published := term
+		n.dutyTerm.Store(&published)
 		if a.Held == lastHeld && a.Fencing == lastFencing {
 			_ = n.roles.in.Put(roleInput{authority: &a}) // a renewal
 			return
@@ -128,6 +133,16 @@
 	return nil
 }
 
+// dutyHolder returns this node as the holder of the lease, and false if it may
+// not call the duty API now. It must be asked immediately before each call.
+func (n *Node) dutyHolder() (tpmessage.DutyHolder, bool) {
+	term := n.dutyTerm.Load()
+	if term == nil || n.leaving.Load() || !term.MayCall(n.leaseClock.Now()) {
+		return tpmessage.DutyHolder{}, false
+	}
+	return tpmessage.DutyHolder{Name: n.cfg.Name, Fencing: term.Authority.Fencing}, true
+}
+
 func (f *roleFilter) handle(in roleInput) {
 	now := f.node.leaseClock.Now()
 	if loads, err := f.loads.TryTake(); err == nil {
--- a/internal/node/tprelaynode/settings.go
+++ b/internal/node/tprelaynode/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -35,6 +36,10 @@
 	Metrics string   `yaml:"metrics"` // host:port of the counters
 	Seeds   []string `yaml:"seeds"`   // host:port at which some nodes serve peers
 	Store   string   `yaml:"store"`   // host:port of the object store
+	// DutyAPI is the host:port of the API for duties that one node holds at a
+	// time, or empty if there is none. Duties names the duties that it accepts.
+	DutyAPI string   `yaml:"dutyAPI"`
+	Duties  []string `yaml:"duties"`
 	// Bootstrap is true while the whole region starts for the first time, before
 	// there are requests.
 	Bootstrap bool `yaml:"bootstrap"`
@@ -76,6 +81,9 @@
 	if s.Metrics != "" {
 		faults = append(faults, checkAddress("metrics", s.Metrics))
 	}
+	if s.DutyAPI != "" {
+		faults = append(faults, checkAddress("dutyAPI", s.DutyAPI))
+	}
 	for i, seed := range s.Seeds {
 		faults = append(faults, checkAddress(fmt.Sprintf("seeds[%d]", i), seed))
 	}
@@ -88,6 +96,11 @@
 	return errors.Join(faults...)
 }
 
+// HasDuty reports whether the duty API accepts the named duty.
+func (s *Settings) HasDuty(name string) bool {
+	return s.DutyAPI != "" && slices.Contains(s.Duties, name)
+}
+
 func checkAddress(field, value string) error {
 	if _, port, err := net.SplitHostPort(value); err != nil || port == "" {
 		return fmt.Errorf("%s: want host:port, found %q", field, value)
--- /dev/null
+++ b/internal/relay/tpholder/doc.go
@@ -0,0 +1,3 @@
+// Package tpholder decides when the holder of the region's lease may call the
+// duty API.
+package tpholder
