Do not take an answer that ended early for a complete one

Cause: an answer without a length is complete at the end of its connection. When the connection is reset while the request is being written, the write receives the error and the read sees an ordinary end. net/http accepts any three digits as a status, so that 000 counted as a status, and as "not run" if the header said so.

Change: such an answer is complete only if the whole request was written (tpconn.RequestWrite, for both clients of targets); a final status outside 200 to 599 ends the exchange without an answer.

--- a/internal/edge/tpconn/pool.go
+++ b/internal/edge/tpconn/pool.go
@@ -39,6 +39,8 @@
 // Exchange is one request and its answer on a connection. The zero value is an
 // exchange without a connection.
 type Exchange struct {
+	// RequestWrite is the write of the request.
+	RequestWrite
 	conn   *conn
 	reused bool
 	wrote  atomic.Bool
@@ -71,7 +73,7 @@
 // is written, and another one is used.
 func (p *Pool) Send(r *http.Request, id string, body []byte) (*http.Response, *Exchange, error) {
 	for {
-		x := &Exchange{}
+		x := &Exchange{RequestWrite: NewRequestWrite()}
 		res, err := p.attempt(x, r, id, body)
 		if !errors.Is(err, errNoClaim) {
 			return res, x, err
@@ -94,6 +96,7 @@
 			}
 		},
 		WroteHeaderField: func(string, []string) { x.wrote.Store(true) },
+		WroteRequest:     x.Record,
 	}))
 	out.Body, out.ContentLength = nil, int64(len(body))
 	if len(body) > 0 || transportMayRetry(r) {
--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -172,6 +172,10 @@
 		return tpsender.Result{Outcome: outcome, Stalled: chunkTimedOut(ctx), Err: err}
 	}
 	defer resp.Body.Close()
+	if err := tpconn.CheckStatus(resp.StatusCode); err != nil {
+		on.Abandon()
+		return tpsender.Result{Outcome: tpmessage.OutcomeInterrupted, Err: Error.New("%s: %w: %s", target.Name, err, resp.Status)}
+	}
 	if resp.StatusCode != http.StatusOK {
 		if !namesRequest(resp, on, req.ID) {
 			on.Abandon()
@@ -258,16 +262,19 @@
 func (t *Transport) call(ctx context.Context, req *tpmessage.Request, target tpmessage.Target,
 	deliver func(tpmessage.Chunk) error,
 ) tpsender.Result {
-	resp, outcome, err := t.post(ctx, target, PathCalls, req, req.Body)
+	resp, write, outcome, err := t.post(ctx, target, PathCalls, req, req.Body)
 	if err != nil {
 		return tpsender.Result{Outcome: outcome, Err: err}
 	}
 	defer resp.Body.Close()
+	if err := tpconn.CheckStatus(resp.StatusCode); err != nil {
+		return tpsender.Result{Outcome: tpmessage.OutcomeInterrupted, Err: Error.New("%s: %w: %s", target.Name, err, resp.Status)}
+	}
 	if resp.Header.Get(HeaderNotRun) != "" {
 		return refusedResult(target, resp)
 	}
 	report := leavingReport(target, resp)
-	result, err := io.ReadAll(io.LimitReader(resp.Body, MaxResultBytes+1))
+	result, err := io.ReadAll(io.LimitReader(write.Body(ctx, resp), MaxResultBytes+1))
 	if err == nil && len(result) > MaxResultBytes {
 		err = errResultTooLong
 	}
@@ -290,21 +297,23 @@
 // OutcomeInterrupted otherwise.
 func (t *Transport) post(ctx context.Context, target tpmessage.Target, path string, req *tpmessage.Request,
 	body []byte,
-) (*http.Response, tpmessage.Outcome, error) {
+) (*http.Response, tpconn.RequestWrite, tpmessage.Outcome, error) {
 	var connected atomic.Bool
+	write := tpconn.NewRequestWrite()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: write.Record,
 	})
 	r, err := newPost(ctx, target, path, req, body)
 	if err != nil {
-		return nil, tpmessage.OutcomeNotSent, err
+		return nil, write, tpmessage.OutcomeNotSent, err
 	}
 	resp, err := t.unpooledClient.Do(r)
 	if err == nil {
-		return resp, tpmessage.OutcomeDone, nil
+		return resp, write, tpmessage.OutcomeDone, nil
 	}
 	outcome, err := unansweredResult(target, connected.Load(), err)
-	return nil, outcome, err
+	return nil, write, outcome, err
 }
 
 func newPost(ctx context.Context, target tpmessage.Target, path string, req *tpmessage.Request,
