Authenticate requests by the keys of organisations

The operator's configuration may name organisations with API keys. The relay passed such keys to targets and peers, and any caller could use any route.

The store's client replaces the keys by hashes before a configuration enters another package. A node answers 401 to a request without a known key, unless the route is public, and 503 while its copy of the configuration is unconfirmed. Targets get the name of the organisation in X-Teaselpin-Tenant, and its priority comes before that of the route. Without organisations, requests are forwarded as before.

go test ./platform/tpguest/ ./internal/relay/stage1/... ./internal/relay/stage3/... ./internal/relay/tpfollow/ ./internal/node/tprelaynode/ passes.

--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -108,6 +108,7 @@
 	relay       *tprelay.Relay
 	front       *http.Server
 	latency     latencyHistograms
+	access      accessState
 	cleanup     []func()
 }
 
@@ -303,11 +304,13 @@
 func (n *Node) counters() expvar.Var {
 	c := n.relay.Counters
 	return expvar.Func(func() any {
-		return map[string]uint64{
+		counters := map[string]uint64{
 			"requests": c.Requests.Load(), "prefills": c.Prefills.Load(), "runs": c.Runs.Load(),
 			"calls": c.Calls.Load(), "retries": c.Retries.Load(), "resumes": c.Resumes.Load(),
 			"refused": c.Refused.Load(), "unknown": c.Unknown.Load(), "broken": c.Broken.Load(), "left": c.Disconnected.Load(),
 			"panics": c.Panics.Load(), "quarantined": c.Quarantined.Load(),
 		}
+		n.addAccessCounters(counters)
+		return counters
 	})
 }
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -193,6 +193,9 @@
 	serving := true
 	for _, follower := range f.followers {
 		f.deliver(now, follower, &in)
+		if follower.Kind == f.node.deps.Kinds.Config {
+			f.node.access.setConfirmedAt(follower)
+		}
 		follower.SetPassive(passive)
 		follower.PeerInterval = f.peerInterval(running)
 		if follower.WatchStalled(now) {
@@ -411,6 +414,7 @@
 	n.table.Store(tproute.NewTable(cfg))
 	n.log.Info().Str("event", "configurationInForce").Uint64("generation", cfg.Generation).Uint64("before", before).
 		Uint64("version", v.Version).Str("source", source).Int("routes", len(cfg.Routes)).Send()
+	n.logOrganisations(cfg)
 	_ = n.roles.in.Put(roleInput{config: cfg})
 }
 
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -206,19 +206,21 @@
 func (n *Node) refuseGrant(g *tpplace.Grant) {
 	req := g.Work.Request
 	n.relay.Counters.Refused.Add(1)
-	n.log.Info().Str("event", "end").Str("request", req.ID).Str("route", req.Route.Name).
+	withOrganisation(n.log.Info().Str("event", "end").Str("request", req.ID).Str("route", req.Route.Name).
 		Uint64("generation", req.Generation).Str("outcome", "refused").Str("reason", g.Refusal.Reason).
-		Int64("retryAfterMs", g.Refusal.RetryAfter.Milliseconds()).Int("sends", 0).Send()
+		Int64("retryAfterMs", g.Refusal.RetryAfter.Milliseconds()).Int("sends", 0), req).Send()
 	// The answer ring of a request that was not sent is empty, or closed
 	// because the client has disconnected.
 	_ = g.Work.Answer.TryPut(tpmessage.AnswerPart{Refusal: g.Refusal, Event: -1})
 }
 
-// Submit routes a request and passes it to the placement filter. If the request
-// cannot be routed or the ring accepts no new request, it returns a refusal.
+// Submit routes a request, finds the organisation of its key and passes it to the
+// placement filter. If the request cannot be routed, may not use its route, or the
+// ring accepts no new request, it returns a refusal.
 // TimeLeft is the client's timeout; 0 means that the client sets none.
 func (n *Node) Submit(work *tpmessage.RelayWork, timeLeft time.Duration) *tpmessage.RelayRefusal {
 	req := work.Request
+	age := n.access.age(n.leaseClock.Now())
 	t := n.table.Load()
 	if t == nil {
 		return n.rejectRequest(req, tpmessage.StatusUnavailable, "no configuration is known yet")
@@ -228,10 +230,14 @@
 	if route == nil {
 		return n.rejectRequest(req, tpmessage.StatusNotFound, "no route")
 	}
+	req.Route, req.Generation = *route, t.Config.Generation
+	if ref := n.admit(t, route, req, age); ref != nil {
+		return ref
+	}
 	if pool == nil {
 		return n.rejectRequest(req, tpmessage.StatusUnavailable, "the route has no pool")
 	}
-	req.Route, req.Pool, req.Generation = *route, *pool, t.Config.Generation
+	req.Pool = *pool
 	limit := defaultTimeout
 	if route.Timeout > 0 {
 		limit = route.Timeout
@@ -259,7 +265,7 @@
 		ref.RetryAfter = unavailableRetryAfter
 	}
 	n.relay.Counters.Refused.Add(1)
-	n.log.Info().Str("event", "end").Str("request", req.ID).Str("host", req.Host).Str("outcome", "turnedAway").
-		Int("status", status).Str("reason", reason).Send()
+	withOrganisation(n.log.Info().Str("event", "end").Str("request", req.ID).Str("host", req.Host).Str("outcome", "turnedAway").
+		Int("status", status).Str("reason", reason), req).Send()
 	return ref
 }
--- a/internal/node/tprelaynode/settings.go
+++ b/internal/node/tprelaynode/settings.go
@@ -22,10 +22,13 @@
 	// DefaultLeaseGuard is how long a new holder of the lease waits before its
 	// first order.
 	DefaultLeaseGuard = 3 * time.Second
+	// DefaultRevokeAfter is how old the configuration may be with StrictRevoke.
+	DefaultRevokeAfter = 5 * time.Second
 )
 
 // Settings configures a node that relays requests. A zero Window, StopDelay,
-// StopGrace or LeaseGuard means the default.
+// StopGrace, LeaseGuard or
+// RevokeAfter means the default.
 type Settings struct {
 	Name    string   `yaml:"name"`
 	Region  string   `yaml:"region"`
@@ -51,6 +54,10 @@
 	StopGrace  time.Duration `yaml:"stopGrace"`
 	LeaseGuard time.Duration `yaml:"leaseGuard"`
 	Budget     Budget        `yaml:"budget"`
+	// StrictRevoke makes the node refuse all keys once its copy of the
+	// configuration has been unconfirmed for longer than RevokeAfter.
+	StrictRevoke bool          `yaml:"strictRevoke"`
+	RevokeAfter  time.Duration `yaml:"revokeAfter"`
 	// InitialPrefillFraction is the initial fraction of the engines in the
 	// prefill role, from 0 to 1; zero means a default that follows the slots of
 	// the engines.
@@ -121,4 +128,7 @@
 	if s.LeaseGuard <= 0 {
 		s.LeaseGuard = DefaultLeaseGuard
 	}
+	if s.RevokeAfter <= 0 {
+		s.RevokeAfter = DefaultRevokeAfter
+	}
 }
--- a/internal/relay/stage1/tproute/table.go
+++ b/internal/relay/stage1/tproute/table.go
@@ -16,6 +16,7 @@
 	Config       *tpmessage.RelayConfig
 	routesByHost map[string][]*tpmessage.RelayRoute // keys in lower case; longest path prefix first
 	poolsByName  map[string]*tpmessage.RelayPool
+	holders      map[tpmessage.KeyHash]*tpmessage.RelayOrganisation // nil without organisations
 }
 
 // NewTable returns the table of a configuration. It keeps pointers into cfg.
@@ -38,6 +39,7 @@
 			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
 		})
 	}
+	t.holders = holdersOf(cfg)
 	return t
 }
 
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -522,5 +522,8 @@
 	if t.grant.Refusal != nil {
 		e = e.Str("reason", t.grant.Refusal.Reason)
 	}
+	if t.req.Organisation != "" {
+		e = e.Str("organisation", t.req.Organisation)
+	}
 	e.Send()
 }
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -17,6 +17,7 @@
 	Stream       bool // the answer is a series of numbered events
 	Idempotent   bool // a request may run more than once
 	Resumable    bool // another target may continue a stream that was cut
+	Public       bool // a request needs no key
 	MaxAttempts  int  // maximum number of targets that may run one request
 	Priority     int  // 0 is the most urgent
 	Timeout      time.Duration
@@ -86,6 +87,12 @@
 	Routes     []RelayRoute
 	Pools      []RelayPool
 	Limits     RelayLimits
+	// HasOrganisations is true if requests need a key of one of Organisations,
+	// which may be empty.
+	HasOrganisations bool
+	Organisations    []RelayOrganisation
+	// OrganisationFaults holds the entries that are left out of Organisations.
+	OrganisationFaults []OrganisationFault
 }
 
 // RelayTarget is a registered target.
@@ -133,21 +140,27 @@
 
 // RelayRequest is a request that the relay forwards without changing its body.
 type RelayRequest struct {
-	ID              string
-	Method          string
-	URI             string // path and query as the client sent them
-	Host            string
-	Header          map[string][]string // without hop-by-hop fields and those that the system sets
-	Body            []byte
-	Route           RelayRoute
-	Pool            RelayPool
-	Generation      uint64 // of the configuration that routed the request
-	PromptParts     []PromptPart
-	PromptTokens    int
-	MaxOutputTokens int
-	ResumeAfter     int // number of the last event that the client received, or -1
-	Arrived         time.Time
-	Deadline        time.Time // for the beginning of the answer
+	ID     string
+	Method string
+	URI    string // path and query as the client sent them
+	Host   string
+	Header map[string][]string // without hop-by-hop fields and those that the system sets
+	Body   []byte
+	// OrganisationHeader holds the client's fields that may name a key or an
+	// organisation. They are forwarded only if the configuration has no
+	// organisations. It is nil once the request has been routed.
+	OrganisationHeader map[string][]string
+	Credential         Credential
+	Organisation       string // name of the key's organisation, or empty
+	Route              RelayRoute
+	Pool               RelayPool
+	Generation         uint64 // of the configuration that routed the request
+	PromptParts        []PromptPart
+	PromptTokens       int
+	MaxOutputTokens    int
+	ResumeAfter        int // number of the last event that the client received, or -1
+	Arrived            time.Time
+	Deadline           time.Time // for the beginning of the answer
 	// CompletionDeadline is the deadline for the end of an answer that began by
 	// Deadline.
 	CompletionDeadline time.Time
@@ -286,8 +299,9 @@
 
 // HTTP statuses of the system's own answers to relayed requests.
 const (
-	StatusNotFound    = 404 // the configuration has no such route
-	StatusUnknown     = 502 // the request may have run
-	StatusUnavailable = 503 // the request has not run and will not run
-	StatusTimeout     = 504 // the deadline has passed and the request may have run
+	StatusUnauthorized = 401 // the configuration has no such key
+	StatusNotFound     = 404 // the configuration has no such route
+	StatusUnknown      = 502 // the request may have run
+	StatusUnavailable  = 503 // the request has not run and will not run
+	StatusTimeout      = 504 // the deadline has passed and the request may have run
 )
