--- a/internal/node/tprelaynode/node_test.go
+++ b/internal/node/tprelaynode/node_test.go
@@ -65,6 +65,12 @@
 
 // configure writes a configuration whose last route leads to the given service.
 func (s *site) configure(version int, service string) {
+	s.store.Set("config", "main", configuration(version, service))
+}
+
+// configuration returns a configuration whose last route leads to the given
+// service.
+func configuration(version int, service string) map[string]any {
 	route := func(name, kind, service string, more map[string]any) map[string]any {
 		r := map[string]any{
 			"name": name, "host": "one.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service,
@@ -75,7 +81,7 @@
 		}
 		return r
 	}
-	s.store.Set("config", "main", map[string]any{
+	return map[string]any{
 		"version": version,
 		"routes": []any{
 			route("draft", "stream", "llm", map[string]any{"resumable": true, "target_gap_ms": 400}),
@@ -87,7 +93,7 @@
 			map[string]any{"name": "app"},
 		},
 		"limits": map[string]any{"max_body_bytes": 1 << 20},
-	})
+	}
 }
 
 // node is a running node and its addresses.
