End requests whose key was removed, with strictRevoke

A request in progress went on after its key was removed. With strictRevoke it now ends at revokeAfter after the version arrived: as broken if its answer has begun, with 503 if it was not run, with 502 if it may have run. Without the setting nothing changes.

--- a/internal/node/tprelaynode/access_test.go
+++ b/internal/node/tprelaynode/access_test.go
@@ -240,3 +240,61 @@
 		})
 	}
 }
+
+// Guards against requests that outlast their key with strictRevoke, against ones
+// that are cut without it or although their key is still valid, and against an
+// answer that looks complete although it was ended.
+func TestStrictRevokeEndsRequests(t *testing.T) {
+	for _, strict := range []bool{true, false} {
+		t.Run(fmt.Sprintf("strict=%v", strict), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.configureKeys(2, "a", "b")
+			release := make(chan struct{})
+			s.servers[4].HoldAnswersUntil = release
+			for _, server := range s.servers[:4] {
+				server.EventsPerStream, server.EventInterval = 20, 100*time.Millisecond
+			}
+			n := s.startWith(t, tprelaynode.Settings{
+				Name: "node-0", Peers: tpprocess.FreeAddress(t), StrictRevoke: strict, RevokeAfter: 300 * time.Millisecond,
+			})
+			n.untilReady(t)
+			requests := []struct{ name, path, key string }{
+				{"stream", "/draft/x", "a"},
+				{"call", "/swap/x", "a"},
+				{"stream with a valid key", "/draft/x", "b"},
+				{"call to a public route", "/open/x", "a"},
+			}
+			answers := make([]chan answer, len(requests))
+			for i, r := range requests {
+				answers[i] = make(chan answer, 1)
+				go func() { answers[i] <- n.post(t.Context(), r.name, r.path, keyHeader(r.key)) }()
+			}
+			eventually(t, func() string {
+				streams := 0
+				for _, server := range s.servers[:4] {
+					streams += len(server.Arrivals())
+				}
+				if got := len(s.servers[4].Arrivals()); got < 2 || streams < 2 {
+					return fmt.Sprintf("requests at the servers: got %d calls and %d streams, want 2 of each", got, streams)
+				}
+				return ""
+			})
+			s.configureKeys(3, "b")
+			time.Sleep(time.Second) // above revokeAfter and the time of the change
+			close(release)
+			for i, r := range requests {
+				got := <-answers[i]
+				ended := strict && i < 2
+				switch {
+				case ended && i == 0 && got.err == nil:
+					t.Errorf("%s: got %+v, want a broken answer", r.name, got)
+				case ended && i == 1 && got.status != 502:
+					t.Errorf("%s: got %+v, want 502, since it may have run", r.name, got)
+				case !ended && (got.err != nil || got.status != 200):
+					t.Errorf("%s: got %+v, want the whole answer", r.name, got)
+				}
+			}
+		})
+	}
+}
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -109,6 +109,7 @@
 	front       *http.Server
 	latency     latencyHistograms
 	access      accessState
+	keyUses     keyUses
 	cleanup     []func()
 }
 
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -208,6 +208,7 @@
 		serving = serving && follower.Serving()
 	}
 	f.setServing(serving)
+	f.node.keyUses.expire(now)
 	if in.auditEnded {
 		f.audits.Done(now, in.err)
 	}
@@ -415,6 +416,7 @@
 	n.log.Info().Str("event", "configurationInForce").Uint64("generation", cfg.Generation).Uint64("before", before).
 		Uint64("version", v.Version).Str("source", source).Int("routes", len(cfg.Routes)).Send()
 	n.logOrganisations(cfg)
+	n.updateKeyUses()
 	_ = n.roles.in.Put(roleInput{config: cfg})
 }
 
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -234,6 +234,9 @@
 	if ref := n.admit(t, route, req, age); ref != nil {
 		return ref
 	}
+	if n.cfg.StrictRevoke && req.Organisation != "" && !route.Public {
+		n.useKey(work)
+	}
 	if pool == nil {
 		return n.rejectRequest(req, tpmessage.StatusUnavailable, "the route has no pool")
 	}
--- a/internal/relay/stage1/tproute/access.go
+++ b/internal/relay/stage1/tproute/access.go
@@ -7,9 +7,9 @@
 )
 
 // maxConfirmedAge is the age up to which the node's copy of the configuration
-// counts as confirmed. Copies are confirmed every 700 ms, or every 1.4 s at a
-// node that does so by itself, and a key must be known everywhere 3 s after its
-// configuration was acknowledged.
+// counts as confirmed. It is below the 3 s after which a configuration must be in
+// force everywhere, so that a key which this node does not know is not a key of
+// such a configuration.
 const maxConfirmedAge = 2 * time.Second
 
 // CopyAge is what a node knows of the age of its copy of the configuration. The
--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// Revoke returns the action that ends a request whose key was removed, in place
+// of the action after its last step.
+func (p *Plan) Revoke(after Action) Action {
+	switch {
+	case after == ActionFinish, after == ActionTimeout:
+		return after
+	case p.possibleRuns == 0:
+		return ActionRefuse
+	}
+	return ActionUnknown
+}
+
 // GiveUp returns the action that ends a request whose next step was refused by
 // the placer.
 func (p *Plan) GiveUp(now time.Time) Action { return p.finalAction(now) }
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -73,6 +73,13 @@
 		lastEvent: req.ResumeAfter,
 	}
 	t.ctx, t.cancel = context.WithDeadline(g.Work.Ctx, req.CompletionDeadline)
+	if g.Work.Authority != nil {
+		stop, cancel := context.AfterFunc(g.Work.Authority, t.cancel), t.cancel
+		t.cancel = func() {
+			stop()
+			cancel()
+		}
+	}
 	return t
 }
 
@@ -104,7 +111,17 @@
 func (t *task) run() {
 	t.r.Counters.Requests.Add(1)
 	for {
+		if t.isRevoked() && t.trial == nil {
+			t.reportResult(Result{End: EndCancelled}, 0)
+			t.finishRevoked(ActionDisconnected)
+			return
+		}
 		action := t.step()
+		if t.isRevoked() {
+			t.abandonTrial()
+			t.finishRevoked(action)
+			return
+		}
 		switch action {
 		case ActionPrefill, ActionRun:
 			if t.requestNext(action) {
@@ -117,6 +134,23 @@
 	}
 }
 
+// isRevoked reports whether the request must end because its key was removed. A
+// client that has disconnected needs no answer.
+func (t *task) isRevoked() bool {
+	return t.work.Authority != nil && t.work.Authority.Err() != nil && t.work.Ctx.Err() == nil
+}
+
+// finishRevoked ends the request because its key was removed.
+func (t *task) finishRevoked(after Action) {
+	action := t.plan.Revoke(after)
+	if action != ActionFinish {
+		t.grant.Refusal = &tpmessage.RelayRefusal{
+			Status: tpmessage.StatusUnavailable, Reason: "the key was removed", RetryAfter: retryAfter,
+		}
+	}
+	t.finish(action)
+}
+
 // refuseForWindow refuses a request that no worker can take.
 func (t *task) refuseForWindow() {
 	t.reportResult(Result{End: EndCancelled}, 0)
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -188,6 +188,9 @@
 	Answer *tpring.Ring[AnswerPart]
 	// Ctx is done when the client has disconnected.
 	Ctx context.Context
+	// Authority is done when the request must end because its key was removed.
+	// It is nil for a request that does not end for that reason.
+	Authority context.Context
 }
 
 // AnswerHead is the HTTP status and the header of an answer.
