Keep copies of store responses out of the library's log

net/http writes up to 4 KB of an unsolicited response to standard error. A second copy of a response of the store would have put keys there. The relay command leaves the quoted bytes out of the library's lines.

--- a/internal/command/tpcommand/relay.go
+++ b/internal/command/tpcommand/relay.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net/http"
+	"os"
 	"runtime/debug"
 
 	"github.com/rs/zerolog"
@@ -49,6 +51,7 @@
 		return err
 	}
 	defer stopLog()
+	stdlog.SetOutput(libraryLog{os.Stderr})
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(logWriter).With().Timestamp().Logger()
 	dutyEnded := make(chan struct{}, 1)
