Add the decisions of usage reports

The holder of the lease has to report the requests of each organisation by window, once, with counts that never differ between two reports.

tpusage counts by window and organisation, and decides what the holder asks, fixes in the store, sends, repeats and gives up. tprelay records the begin of each request once, and the peers' service has the call Usage. The duty is off unless the settings list it.

Test: go test ./internal/relay/tpusage

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -28,6 +28,10 @@
 	// LookupView returns the node's view of an object kind, and false if it has
 	// none. LookupView is nil on a node that watches no object kinds.
 	LookupView func(kind string) (tpobject.View, bool)
+	// AnswerUsage passes a request for counts to the filter that counts and
+	// returns the answer. An error is sent to the peer as unavailable.
+	// AnswerUsage is nil on a node that counts nothing.
+	AnswerUsage func(tpmessage.UsageRequest) (tpmessage.UsageAnswer, error)
 }
 
 // minCompressBytes is the size from which answers are compressed. Views are
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -105,6 +105,7 @@
 	roles     *roleFilter
 	// quarantines stores the quarantines of the placement filter's guard.
 	quarantines *quarantineFilter
+	usage       *usageFilter // nil without the duty
 	relay       *tprelay.Relay
 	front       *http.Server
 	latency     latencyHistograms
@@ -141,7 +142,8 @@
 	n.objects = newObjectFilter(n)
 	n.roles = newRoleFilter(n)
 	n.quarantines = newQuarantineFilter(n)
-	steps := []func() error{n.startPlacement, n.startQuarantines, n.startMembers, n.startObjects, n.startRoles, n.startServers}
+	n.usage = newUsageFilter(n)
+	steps := []func() error{n.startUsage, n.startPlacement, n.startQuarantines, n.startMembers, n.startObjects, n.startRoles, n.startServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -208,6 +210,9 @@
 func (n *Node) startServers() error {
 	peers := http.NewServeMux()
 	server := &tppeer.MembersServer{Receive: n.members.receive, LookupView: n.objects.heldView}
+	if n.usage != nil {
+		server.AnswerUsage = n.usage.receive
+	}
 	peers.Handle(tppeer.MembersPath, server.Handler())
 	if _, err := n.serve("peers", n.cfg.Peers, http.MaxBytesHandler(peers, tppeer.MaxMessageBytes)); err != nil {
 		return err
@@ -295,6 +300,9 @@
 				return map[string]any{"held": held, "fencing": holder.Fencing}
 			}))
 		}
+		if n.usage != nil {
+			vars.Set("usage", n.usage.metricsVar())
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(vars.String()))
 	})
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -100,6 +100,9 @@
 		IsBlocked: func(t *tpmessage.RelayTarget) bool { return p.notices.Load().IsBlocked(n.clock.Now(), t) },
 		IsLimited: func(t *tpmessage.RelayTarget) bool { return p.notices.Load().IsLimited(t) },
 	}
+	if n.usage != nil {
+		n.relay.RecordBegin = n.usage.recordBegin
+	}
 	// The placement filter stops last, because running tasks use it until they
 	// end.
 	if err := startFilter(n, "placement", p.in, n.handlePlacement); err != nil {
--- a/internal/node/tprelaynode/settings.go
+++ b/internal/node/tprelaynode/settings.go
@@ -22,10 +22,14 @@
 	// DefaultLeaseGuard is how long a new holder of the lease waits before its
 	// first order.
 	DefaultLeaseGuard = 3 * time.Second
+	// DefaultUsageWindow is the length of a window of the reports of usage, and
+	// DefaultUsageLate the time after its end at which its report is due.
+	DefaultUsageWindow = 5 * time.Second
+	DefaultUsageLate   = 10 * time.Second
 )
 
 // Settings configures a node that relays requests. A zero Window, StopDelay,
-// StopGrace or LeaseGuard means the default.
+// StopGrace, LeaseGuard, UsageWindow or UsageLate means the default.
 type Settings struct {
 	Name    string   `yaml:"name"`
 	Region  string   `yaml:"region"`
@@ -40,6 +44,9 @@
 	// time, or empty if there is none. Duties names the duties that it accepts.
 	DutyAPI string   `yaml:"dutyAPI"`
 	Duties  []string `yaml:"duties"`
+	// UsageWindow and UsageLate apply to the duty "usage".
+	UsageWindow time.Duration `yaml:"usageWindow"`
+	UsageLate   time.Duration `yaml:"usageLate"`
 	// Bootstrap is true while the whole region starts for the first time, before
 	// there are requests.
 	Bootstrap bool `yaml:"bootstrap"`
@@ -84,6 +91,9 @@
 	if s.DutyAPI != "" {
 		faults = append(faults, checkAddress("dutyAPI", s.DutyAPI))
 	}
+	if s.UsageWindow < 0 || s.UsageLate < 0 {
+		faults = append(faults, errors.New("usageWindow, usageLate: must not be negative"))
+	}
 	for i, seed := range s.Seeds {
 		faults = append(faults, checkAddress(fmt.Sprintf("seeds[%d]", i), seed))
 	}
@@ -121,4 +131,10 @@
 	if s.LeaseGuard <= 0 {
 		s.LeaseGuard = DefaultLeaseGuard
 	}
+	if s.UsageWindow <= 0 {
+		s.UsageWindow = DefaultUsageWindow
+	}
+	if s.UsageLate <= 0 {
+		s.UsageLate = DefaultUsageLate
+	}
 }
--- a/internal/relay/stage3/tprelay/relay.go
+++ b/internal/relay/stage3/tprelay/relay.go
@@ -130,6 +130,9 @@
 	// RecordEnd is called at the end of each request with its outcome and the
 	// time since its arrival.
 	RecordEnd func(outcome string, took time.Duration)
+	// RecordBegin is called once for each request of an organisation that began
+	// to run, with the time at which it began. If it is nil, nothing is counted.
+	RecordBegin func(organisation string, at time.Time)
 
 	workers    pond.Pool
 	trials     pond.Pool // runs the steps that begin while the target before keeps the request
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
@@ -41,6 +42,7 @@
 	// silenceReported is true if the placer knows of a silence in the step in
 	// progress.
 	silenceReported bool
+	beginRecorded   atomic.Bool // of the request, whichever targets it reaches
 	plan            Plan
 	ctx             context.Context
 	cancel          context.CancelFunc
@@ -163,6 +165,7 @@
 		t.handle = Handle{} // taken over by the target
 	}
 	t.reportResult(res, 0)
+	t.recordBeginAfter(&t.grant, end.result, started)
 	if len(end.failure) > 0 || res.End == EndComplete {
 		t.failedAnswer = end.failure
 	}
@@ -242,6 +245,7 @@
 	if part.Event >= 0 || !t.req.Route.Stream {
 		t.parts++
 	}
+	t.recordBeginWith(&part)
 	t.noteBegin(&part)
 	if !t.req.Route.Stream {
 		return t.buffer(part)
--- a/internal/relay/stage3/tprelay/trial.go
+++ b/internal/relay/stage3/tprelay/trial.go
@@ -71,6 +71,7 @@
 	result.Elapsed, result.SentAt = took, tr.started
 	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: result})
 	t.plan.AfterTrial(tr.grant.Target.Name, tr.grant.Step, tr.end.result.End)
+	t.recordBeginAfter(&tr.grant, tr.end.result, tr.started)
 	t.logStep(&tr.grant, tr.end.result, took)
 	return false
 }
@@ -150,6 +151,13 @@
 		return
 	}
 	g := &t.trial.grant
+	res := Result{End: EndIncomplete}
+	select {
+	case <-t.trial.ended:
+		res = t.trial.end.result
+	default:
+	}
+	t.recordBeginAfter(g, res, t.trial.started)
 	t.trial.cancel()
 	t.returnReservation(g)
 	t.plan.AfterTrial(g.Target.Name, g.Step, EndCancelled)
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -142,6 +142,7 @@
 	Route           RelayRoute
 	Pool            RelayPool
 	Generation      uint64 // of the configuration that routed the request
+	Organisation    string // that sent the request, or empty
 	PromptParts     []PromptPart
 	PromptTokens    int
 	MaxOutputTokens int
