--- a/internal/relay/tpusage/reporter.go
+++ b/internal/relay/tpusage/reporter.go
@@ -310,7 +310,7 @@
 			case before.own && before.fixed:
 				w = *before
 				w.Settled, w.stored = e.Settled, e.Era == r.era
-			case before.own && !e.Settled && maps.Equal(before.Counts, e.Counts):
+			case before.own && e.Era == r.era && !e.Settled && maps.Equal(before.Counts, e.Counts):
 				w.own, w.repeats, w.asked, w.answered = true, before.repeats, before.asked, before.answered
 			}
 		}
