Tell the reporter of usage the time of the region before it holds the lease

A new holder whose own clock is behind could take a window as open at the time at which it learnt of a new era, and report it with other counts than the holder before. The reporter takes the offset that earlier holders told this node.

--- a/internal/node/tprelaynode/usage.go
+++ b/internal/node/tprelaynode/usage.go
@@ -78,6 +78,7 @@
 	// holder is the name of the node that last asked for counts.
 	holder atomic.Pointer[string]
 	era    func() uint64 // of the store
+	offset atomic.Int64  // of the counter's clock, for the reporter
 	// Counters of windows and of requests that were not counted.
 	sent, repeated, missed, uncounted atomic.Uint64
 }
@@ -163,6 +164,7 @@
 	// The peer's call would wait for ever if this step panicked.
 	defer in.reply.Close()
 	_ = in.reply.Put(f.counter.Answer(f.node.leaseClock.Now(), in.request))
+	f.offset.Store(int64(f.counter.Clock.Offset))
 }
 
 // receive passes a request of a peer, or of this node as the holder, to the
@@ -193,6 +195,7 @@
 	case in.result != nil:
 		in.result(now)
 	default:
+		f.reporter.SetOffset(time.Duration(f.offset.Load()))
 		f.reporter.SetEra(now, f.era())
 		held, fencing := false, uint64(0)
 		if term := n.dutyTerm.Load(); term != nil {
--- a/internal/relay/tpusage/collection.go
+++ b/internal/relay/tpusage/collection.go
@@ -33,6 +33,7 @@
 // member is what the holder knows of a member's process.
 type member struct {
 	member   tpmessage.Member
+	source   string
 	asking   bool
 	retry    retry // after a call that failed
 	answered int64 // the counts up to this window are gathered
@@ -61,14 +62,15 @@
 func (c *collection) setMembers(members []tpmessage.Member) {
 	before := make(map[string]*member, len(c.members))
 	for _, m := range c.members {
-		before[Source(m.member.Name, m.member.Incarnation)] = m
+		before[m.source] = m
 	}
 	c.members = make([]*member, 0, len(members))
 	var clocks []time.Duration
 	for _, m := range members {
-		known := before[Source(m.Name, m.Incarnation)]
+		source := Source(m.Name, m.Incarnation)
+		known := before[source]
 		if known == nil {
-			known = &member{}
+			known = &member{source: source}
 		}
 		known.member = m
 		c.members = append(c.members, known)
@@ -90,16 +92,15 @@
 		if c.inFlight == MaxAsks {
 			break
 		}
-		source := Source(m.member.Name, m.member.Incarnation)
 		ask := Ask{Member: m.member, Request: tpmessage.UsageRequest{First: first, Last: last}}
 		if m.sampled && c.timed {
-			ask.Request.Source, ask.Request.Offset = source, c.median-m.clock
+			ask.Request.Source, ask.Request.Offset = m.source, c.median-m.clock
 		}
 		wanted := last >= first && m.answered < last
 		if m.member.Leaving && open >= first {
 			ask.Request.Last, wanted = open, true
 		}
-		wanted = wanted && !c.final[source]
+		wanted = wanted && !c.final[m.source]
 		if !wanted {
 			ask.Request.First, ask.Request.Last = 1, 0
 		}
@@ -118,7 +119,7 @@
 func (c *collection) handle(clock *Clock, next int64, a Answer, held bool) {
 	c.inFlight--
 	source := Source(a.Member.Name, a.Member.Incarnation)
-	i := slices.IndexFunc(c.members, func(m *member) bool { return Source(m.member.Name, m.member.Incarnation) == source })
+	i := slices.IndexFunc(c.members, func(m *member) bool { return m.source == source })
 	if i < 0 || !held {
 		return
 	}
@@ -192,7 +193,7 @@
 func (c *collection) progress(window int64) (asked, answered int) {
 	for _, m := range c.members {
 		asked++
-		if m.answered >= window || c.final[Source(m.member.Name, m.member.Incarnation)] {
+		if m.answered >= window || c.final[m.source] {
 			answered++
 		}
 	}
--- a/internal/relay/tpusage/reporter.go
+++ b/internal/relay/tpusage/reporter.go
@@ -170,6 +170,9 @@
 	r.era, r.barred, r.known = era, r.clock.Window(now), false
 }
 
+// SetOffset sets the offset of the clock that an earlier holder has told.
+func (r *Reporter[P]) SetOffset(offset time.Duration) { r.clock.Offset = offset }
+
 // SetMembers sets the live members, this node included.
 func (r *Reporter[P]) SetMembers(members []tpmessage.Member) {
 	if !r.held {
