Follow a store that is restored from an older copy

Cause: a restoration takes versions back and assigns them again. A node kept its view because its version was higher, applied changes of one history to another, and took an entry of the older copy for a target that had left.

Views and marks carry the era (ViewMark.era, ViewMessage.era, absent in era 0), and versions are compared within an era only. HandleWatch takes the era, so the existing calls in the tests of tpfollow pass 0.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -94,7 +94,7 @@
 	}
 	for _, v := range hb.Views {
 		m.Views = append(m.Views, &tpwire.ViewMark{
-			Kind: v.Kind, Version: v.Version, Digest: v.Digest,
+			Kind: v.Kind, Era: v.Era, Version: v.Version, Digest: v.Digest,
 			Disturbed: v.Disturbed, DisturbedAgeMs: uint32(v.DisturbedAge.Milliseconds()),
 			Confirmed: v.Confirmed, ConfirmedAgeMs: uint32(v.ConfirmedAge.Milliseconds()),
 		})
@@ -139,7 +139,7 @@
 	}
 	for _, v := range m.GetViews() {
 		hb.Views = append(hb.Views, tpmessage.ViewVersion{
-			Kind: v.GetKind(), Version: v.GetVersion(), Digest: v.GetDigest(),
+			Kind: v.GetKind(), Era: v.GetEra(), Version: v.GetVersion(), Digest: v.GetDigest(),
 			Disturbed: v.GetDisturbed(), DisturbedAge: time.Duration(v.GetDisturbedAgeMs()) * time.Millisecond,
 			Confirmed: v.GetConfirmed(), ConfirmedAge: time.Duration(v.GetConfirmedAgeMs()) * time.Millisecond,
 		})
@@ -167,7 +167,7 @@
 	if !known {
 		return nil, twirp.NotFoundError("no view of " + m.GetKind())
 	}
-	out := &tpwire.ViewMessage{Kind: v.Kind, Version: v.Version}
+	out := &tpwire.ViewMessage{Kind: v.Kind, Era: v.Era, Version: v.Version}
 	for _, o := range v.Objects {
 		out.Objects = append(out.Objects, &tpwire.ViewObject{Name: o.Name, Version: o.Version, Value: o.Value})
 	}
@@ -182,7 +182,7 @@
 	if err != nil {
 		return tpobject.View{}, Error.New("view of %s from %s: %w", kind, address, err)
 	}
-	v := tpobject.View{Kind: m.GetKind(), Version: m.GetVersion()}
+	v := tpobject.View{Kind: m.GetKind(), Era: m.GetEra(), Version: m.GetVersion()}
 	for _, o := range m.GetObjects() {
 		v.Objects = append(v.Objects, tpobject.Object{Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()})
 	}
--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -49,6 +49,7 @@
 	want.Loads[0].Nodes, want.Loads[0].Report = 3, true
 	want.Loads[0].Changing = []string{"i-1"}
 	want.Views[0].Disturbed, want.Views[0].DisturbedAge = true, 1500*time.Millisecond
+	want.Views[0].Era = 2
 	want.Views[0].Confirmed, want.Views[0].ConfirmedAge = true, 700*time.Millisecond
 	want.Loads[0].Limits = []tpmessage.TargetLimit{{
 		Target: "i-1", StartedMs: 1 << 41, Statement: tpmessage.LimitNamed, PerSecond: 2.2, Age: 300 * time.Millisecond, Demand: 0.7, Room: 2,
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -48,7 +48,7 @@
 	kind         string              // kind of the objects
 	view         tpobject.View
 	changes      []tpobject.Change
-	version      uint64 // of the store
+	era, version uint64 // of the store, for the result of a watch
 	err          error
 	peer         string // address
 	viewVersions []tpmessage.ViewVersion
@@ -232,7 +232,7 @@
 	case tpfollow.ActionView:
 		changed = follower.HandleView(now, in.view, in.err)
 	case tpfollow.ActionWatch:
-		changed = follower.HandleWatch(now, in.changes, in.version, in.err)
+		changed = follower.HandleWatch(now, in.changes, in.era, in.version, in.err)
 	case tpfollow.ActionAudit:
 		changed = follower.HandleAudit(now, in.view, in.err)
 	case tpfollow.ActionPeer:
@@ -377,6 +377,7 @@
 	f.logDecodeErrors(v.Version, decodeErrors)
 	n.log.Info().Str("event", "registrations").Uint64("version", v.Version).Str("source", source).
 		Int("count", len(list)).Bool("disturbed", follower.Disturbed(now)).Bool("outage", follower.MayHaveLapsed(now)).Send()
+	f.registry.SetEra(v.Era)
 	f.registry.Set(now, list, follower.MayHaveLapsed(now))
 	f.targetsKnown.Store(true)
 }
@@ -461,7 +462,11 @@
 	if c.action.Kind == tpfollow.ActionView {
 		in.view, in.err = f.readAll(c.ctx, c.kind)
 	} else {
+		in.era = tpobject.EraOf(f.node.deps.Viewer)
 		in.changes, in.version, in.err = f.node.deps.Viewer.Follow(c.ctx, c.kind, c.action.After)
+		if in.err == nil && tpobject.EraOf(f.node.deps.Viewer) != in.era {
+			in.err = tpobject.ErrHistoryGone // the changes may be of either era
+		}
 		if c.ctx.Err() != nil {
 			in.err = tpfollow.ErrInterrupted
 		}
--- a/internal/relay/tpfollow/audit_test.go
+++ b/internal/relay/tpfollow/audit_test.go
@@ -150,7 +150,7 @@
 	if f.Serving() || !f.WatchStalled(epoch) {
 		t.Fatal("a watch beside which an audit failed counts as served")
 	}
-	f.HandleWatch(epoch, nil, 0, tpfollow.ErrInterrupted)
+	f.HandleWatch(epoch, nil, 0, 0, tpfollow.ErrInterrupted)
 	if a := f.Next(); a.Kind != tpfollow.ActionView || a.Delay == 0 {
 		t.Errorf("call after the interrupted watch: got %+v, want a delayed read", a)
 	}
@@ -186,7 +186,7 @@
 		if !f.WatchStalled(epoch.Add(600 * time.Millisecond)) {
 			t.Errorf("%s: a watch that does not report the change is not interrupted", name)
 		}
-		f.HandleWatch(epoch, nil, 0, tpfollow.ErrInterrupted)
+		f.HandleWatch(epoch, nil, 0, 0, tpfollow.ErrInterrupted)
 		if f.Disturbed(epoch.Add(time.Second)) {
 			t.Errorf("%s: the interruption counts as a failure of the platform", name)
 		}
--- a/internal/relay/tpfollow/follower.go
+++ b/internal/relay/tpfollow/follower.go
@@ -92,7 +92,7 @@
 	newerPeer           string        // address of the peer with the newest other content, or empty
 	peerReadAt          time.Time     // last read of a peer's view
 	newerPeerAt         time.Time     // when newerPeer was first set
-	newerPeerVersion    uint64        // version of the content of newerPeer
+	newerPeerView       tpobject.View // era and version of the content of newerPeer
 	watchPending        bool          // the call in progress is a watch
 	watchFailed         bool          // an audit has failed during the watch in progress
 	missedSince         time.Time     // when the node learnt a change that the watch in progress has not reported, or zero
@@ -116,7 +116,7 @@
 // CurrentVersion returns the version and the digest of the current view, which
 // nodes exchange to compare their views.
 func (f *Follower) CurrentVersion() tpmessage.ViewVersion {
-	return tpmessage.ViewVersion{Kind: f.Kind, Version: f.view.Version, Digest: f.digest}
+	return tpmessage.ViewVersion{Kind: f.Kind, Era: f.view.Era, Version: f.view.Version, Digest: f.digest}
 }
 
 // Mark returns CurrentVersion with what the node knows at a time of the
@@ -238,7 +238,7 @@
 // the content changed.
 func (f *Follower) HandleView(now time.Time, v tpobject.View, err error) bool {
 	f.platformCallPending, f.contacted = false, true
-	if err != nil {
+	if err != nil || v.Era < f.view.Era {
 		f.recordFailure(now)
 		return false
 	}
@@ -253,7 +253,7 @@
 // reports whether the content changed.
 func (f *Follower) HandleAudit(now time.Time, v tpobject.View, err error) bool {
 	f.contacted = true
-	if err != nil {
+	if err != nil || v.Era < f.view.Era {
 		f.watchFailed = f.watchPending
 		if !f.leavesCallsToOthers() {
 			f.recordFailure(now)
@@ -268,12 +268,21 @@
 	return changed
 }
 
-// HandleWatch processes the result of a watch. It reports whether the content
-// changed.
-func (f *Follower) HandleWatch(now time.Time, changes []tpobject.Change, version uint64, err error) bool {
+// HandleWatch processes the result of a watch, with the era of the store. It
+// discards a result of a newer era than the view: the watch began at a version
+// of another history, and the objects are read again. A result of an older era
+// was sent before the store was restored and counts as a failure. HandleWatch
+// reports whether the content changed.
+func (f *Follower) HandleWatch(now time.Time, changes []tpobject.Change, era, version uint64, err error) bool {
 	f.platformCallPending, f.watchPending, f.watchFailed = false, false, false
 	f.missedSince = time.Time{}
 	switch {
+	case err == nil && era > f.view.Era:
+		f.canWatch = false
+		return false
+	case err == nil && era < f.view.Era:
+		f.recordFailure(now)
+		return false
 	case errors.Is(err, tpobject.ErrHistoryGone), errors.Is(err, ErrInterrupted):
 		f.canWatch = false
 		return false
@@ -290,7 +299,7 @@
 	if version < f.view.Version {
 		return false
 	}
-	next := tpobject.View{Kind: f.Kind, Version: version, Objects: slices.Clone(f.view.Objects)}
+	next := tpobject.View{Kind: f.Kind, Era: era, Version: version, Objects: slices.Clone(f.view.Objects)}
 	for _, c := range changes {
 		next.Objects = apply(next.Objects, c)
 	}
@@ -301,7 +310,7 @@
 func (f *Follower) Peer(now time.Time, v tpobject.View, err error) bool {
 	f.peerCallPending = false
 	f.newerPeer = ""
-	if err != nil || (f.known && v.Version <= f.view.Version) {
+	if err != nil || (f.known && !f.view.Older(&v)) {
 		return false
 	}
 	f.canWatch = true
@@ -313,22 +322,27 @@
 // HandlePeerVersion processes the version and the digest of a peer's view. A
 // passive follower relies on the failure of which the peer tells, because it
 // makes no calls that could fail. It tells others of it, and of a confirmation,
-// in turn, with its age.
+// in turn, with its age. A peer that has not heard of the store's era tells
+// nothing about the store as it is.
 func (f *Follower) HandlePeerVersion(now time.Time, peer string, version tpmessage.ViewVersion) {
+	if version.Era < f.view.Era {
+		return
+	}
 	if failedAt := now.Add(-version.DisturbedAge - relayAllowance); version.Disturbed && f.passive && failedAt.After(f.failedAt) {
 		f.failedAt = failedAt
 	}
 	if version.Confirmed {
 		f.hearConfirmation(version, now.Add(-version.ConfirmedAge-relayAllowance))
 	}
-	if version.Version == 0 || (f.known && (version.Version <= f.view.Version || version.Digest == f.digest)) {
+	told := tpobject.View{Era: version.Era, Version: version.Version}
+	if told.Era == 0 && told.Version == 0 || f.known && (!f.view.Older(&told) || version.Digest == f.digest) {
 		return
 	}
 	if f.newerPeer == "" {
 		f.newerPeerAt = now
 	}
-	if version.Version > f.newerPeerVersion || f.newerPeer == "" {
-		f.newerPeer, f.newerPeerVersion = peer, version.Version
+	if f.newerPeer == "" || f.newerPeerView.Older(&told) {
+		f.newerPeer, f.newerPeerView = peer, told
 	}
 }
 
@@ -344,14 +358,14 @@
 }
 
 // hearConfirmation applies the confirmation of a peer's view to the node's own
-// view if that has the same content or a higher version, which includes the
-// changes of the lower ones. Otherwise it keeps the confirmation for the content
-// that the node may learn next.
+// view if that has the same content or a higher version of the same era, which
+// includes the changes of the lower ones. Otherwise it keeps the confirmation for
+// the content that the node may learn next.
 func (f *Follower) hearConfirmation(version tpmessage.ViewVersion, at time.Time) {
 	f.recordRead(at)
 	switch {
 	case !f.known:
-	case version.Digest == f.digest, version.Version < f.view.Version:
+	case version.Digest == f.digest, version.Era == f.view.Era && version.Version < f.view.Version:
 		f.confirm(at)
 	case at.After(f.heard.at):
 		f.heard = confirmation{digest: version.Digest, at: at}
@@ -388,20 +402,20 @@
 // replace sets the view unless it is older than the current one, and reports
 // whether the content changed.
 func (f *Follower) replace(now time.Time, v tpobject.View) bool {
-	if f.known && v.Version < f.view.Version {
+	if f.known && v.Older(&f.view) {
 		return false
 	}
 	if !f.known {
 		f.knownAt = now
 	}
 	slices.SortFunc(v.Objects, byName)
-	digest := digestOf(v.Objects)
+	digest := digestOf(v.Era, v.Objects)
 	changed := !f.known || digest != f.digest
 	f.view, f.digest, f.known = v, digest, true
 	if f.heard.digest == digest {
 		f.confirm(f.heard.at)
 	}
-	if f.newerPeerVersion <= v.Version {
+	if !v.Older(&f.newerPeerView) {
 		f.newerPeer = ""
 	}
 	return changed
@@ -427,10 +441,16 @@
 	return slices.Insert(objects, i, c.Object)
 }
 
-// digestOf returns a hash of the names and versions of the objects.
-func digestOf(objects []tpobject.Object) uint64 {
+// digestOf returns a hash of the era, unless it is 0, and of the names and
+// versions of the objects. Without the era, an object whose version was assigned
+// twice would not count as changed.
+func digestOf(era uint64, objects []tpobject.Object) uint64 {
 	var h xxh3.Hasher
 	var b [8]byte
+	if era > 0 {
+		binary.LittleEndian.PutUint64(b[:], era)
+		_, _ = h.Write(b[:])
+	}
 	for i := range objects {
 		_, _ = h.WriteString(objects[i].Name)
 		binary.LittleEndian.PutUint64(b[:], objects[i].Version)
--- a/internal/relay/tpfollow/follower_test.go
+++ b/internal/relay/tpfollow/follower_test.go
@@ -48,7 +48,7 @@
 		t.Errorf("version of the object: got %d, want 8", got.Objects[0].Version)
 	}
 	// The watch in progress returns an older change.
-	if f.HandleWatch(epoch, []tpobject.Change{{Object: object("a", 4)}}, 6, nil) {
+	if f.HandleWatch(epoch, []tpobject.Change{{Object: object("a", 4)}}, 0, 6, nil) {
 		t.Error("an older change is applied")
 	}
 	if got, _ := f.View(); got.Objects[0].Version != 8 || got.Version != 9 {
@@ -72,7 +72,7 @@
 func TestHistoryGoneListsAgain(t *testing.T) {
 	f := newFollower(t, view(5))
 	f.Next()
-	f.HandleWatch(epoch, nil, 0, tpobject.ErrHistoryGone)
+	f.HandleWatch(epoch, nil, 0, 0, tpobject.ErrHistoryGone)
 	if got, want := f.Next().Kind, tpfollow.ActionView; got != want {
 		t.Errorf("action: got %v, want %v", got, want)
 	}
@@ -91,7 +91,7 @@
 			t.Fatalf("wait before call %d: got %v after %v", i, a.Delay, last)
 		}
 		last = a.Delay
-		f.HandleWatch(epoch, nil, 0, tpobject.ErrUnavailable)
+		f.HandleWatch(epoch, nil, 0, 0, tpobject.ErrUnavailable)
 	}
 	if !f.Disturbed(epoch) || f.Serving() {
 		t.Error("a platform that refuses calls does not count as disturbed")
@@ -219,12 +219,12 @@
 		followers[i] = newFollower(t, view(5))
 		followers[i].SetPassive(i > 0)
 	}
-	followers[0].HandleWatch(epoch, nil, 0, errors.New("turned away"))
+	followers[0].HandleWatch(epoch, nil, 0, 0, errors.New("turned away"))
 	served := epoch.Add(time.Second)
 	heard := 0
 	for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
 		if now.Equal(served) {
-			followers[0].HandleWatch(now, nil, 5, nil)
+			followers[0].HandleWatch(now, nil, 0, 5, nil)
 		}
 		for _, from := range rng.Perm(nodes) {
 			m := followers[from].CurrentVersion()
@@ -251,7 +251,7 @@
 // Guards against a node that counts the platform as disturbed for good because it leaves the calls to others after a failed one.
 func TestFailureOfAPassiveFollowerEnds(t *testing.T) {
 	f := newFollower(t, view(5))
-	f.HandleWatch(epoch, nil, 0, errors.New("turned away"))
+	f.HandleWatch(epoch, nil, 0, 0, errors.New("turned away"))
 	if !f.Disturbed(epoch.Add(time.Hour)) {
 		t.Error("an hour after a failed call that was not repeated: got undisturbed, want disturbed")
 	}
@@ -294,7 +294,7 @@
 		// Something changes every millisecond.
 		now = now.Add(a.Delay + time.Millisecond)
 		calls++
-		f.HandleWatch(now, nil, uint64(5+calls), nil)
+		f.HandleWatch(now, nil, 0, uint64(5+calls), nil)
 	}
 	if got, most := calls, 12; got > most {
 		t.Errorf("watches in 1 s of steady changes: got %d, want at most %d", got, most)
--- a/internal/standin/tpguestfake/store.go
+++ b/internal/standin/tpguestfake/store.go
@@ -27,6 +27,7 @@
 	changed           chan struct{}  // closed and replaced at each change
 	callCounts        map[string]int // by HTTP method
 	rawTexts          []string       // pairs of a placeholder and the text that replaces it in answers
+	era               uint64         // number of restorations
 }
 
 type entry struct {
@@ -42,6 +43,8 @@
 	revision uint64
 	removed  bool
 	object   any
+	entry    entry // after the change, for Restore
+	at       time.Time
 }
 
 type wireObject struct {
@@ -116,7 +119,9 @@
 }
 
 func (s *Store) recordEvent(kind string, e *entry, removed bool) {
-	s.history = append(s.history, event{kind: kind, revision: s.revision, removed: removed, object: e.toWire()})
+	s.history = append(s.history, event{
+		kind: kind, revision: s.revision, removed: removed, object: e.toWire(), entry: *e, at: time.Now(),
+	})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -197,6 +202,7 @@
 	defer s.mu.Unlock()
 	s.init()
 	s.callCounts[r.Method]++
+	s.nameEra(w)
 	if status := s.refusalStatus(r); status != 0 {
 		w.WriteHeader(status)
 		return
@@ -311,7 +317,9 @@
 		status, changed := s.refusalStatus(r), s.changed
 		events, revision := s.eventsAfter(kind, after), s.revision
 		compacted := after < s.compactedRevision
+		compacted = compacted || s.era > 0 && after > s.revision
 		suppressEvents, rawTexts := s.suppressEvents, s.rawTexts
+		s.nameEra(w)
 		s.mu.Unlock()
 		switch {
 		case status != 0:
--- a/pkg/tpmessage/heartbeat.go
+++ b/pkg/tpmessage/heartbeat.go
@@ -21,7 +21,8 @@
 // ViewVersion identifies the newest view that a node has of a kind of objects.
 type ViewVersion struct {
 	Kind    string
-	Version uint64 // version of the store
+	Era     uint64 // era of the store, which rises when it is restored from an older copy
+	Version uint64 // version of the store; comparable within an era
 	Digest  uint64 // hash of the content
 	// Disturbed is true if calls to the platform have recently failed, at the
 	// node or at one of which it has heard, so that registrations may have
--- a/pkg/tpobject/store.go
+++ b/pkg/tpobject/store.go
@@ -68,7 +68,10 @@
 
 // View holds all objects of one kind at one version of the store.
 type View struct {
-	Kind    string
+	Kind string
+	// Era is the era of the store, as EraSource defines it. Versions of different
+	// eras cannot be compared.
+	Era     uint64
 	Version uint64 // of the store
 	Objects []Object
 	// ReadAt is when the read of the platform began that returned the view, by the
@@ -86,3 +89,30 @@
 	// complete, or ErrHistoryGone if the platform no longer stores the changes.
 	Follow(ctx context.Context, kind string, after uint64) ([]Change, uint64, error)
 }
+
+// EraSource is implemented by a Store that may be restored from an older copy.
+// The era rises with each restoration, which loses the writes since the copy and
+// assigns their versions again.
+type EraSource interface {
+	// Era returns the highest era that an answer of the store has named. An
+	// answer of a lower era counts as not received. So an answer to a call is of
+	// the era before the call if the era after it is the same. Era is safe for
+	// concurrent use.
+	Era() uint64
+}
+
+// EraOf returns the era of a store. It is 0 for a store that is no EraSource.
+func EraOf(store any) uint64 {
+	if s, ok := store.(EraSource); ok {
+		return s.Era()
+	}
+	return 0
+}
+
+// Older reports whether v is of an earlier state of the store than other.
+func (v *View) Older(other *View) bool {
+	if v.Era != other.Era {
+		return v.Era < other.Era
+	}
+	return v.Version < other.Version
+}
