Keep the lease safe when the store is restored

Cause: a restored store has lost grants and assigns their versions again. A number was granted to a second holder, and a candidate took the lease while the holder whose grant was lost still acted.

Change: tplease.Lease knows the era of the store (SetEra). In era e a grant has the number max(last known + 1, e x 2^32 + version replaced); the lease object names the era of its writer (era, absent in era 0). What was read or written while the era changed does not count. A holder goes on to the end of its term and renews with a new grant; a candidate waits a term and its margin from when it learns of the era; a release across an era writes nothing. Era 0 and stores without an era behave as before. The policy EraBlind ignores eras.

--- a/internal/order/stage2/tplease/authority.go
+++ b/internal/order/stage2/tplease/authority.go
@@ -13,6 +13,9 @@
 	// before an order's body is sent, and a new holder waits until late bodies
 	// expire.
 	Fenced() bool
+	// FollowsEras reports whether the lease takes account of a store that is
+	// restored from an older copy.
+	FollowsEras() bool
 }
 
 // Strict is the policy in production. A holder acts until the end of its term,
@@ -25,6 +28,16 @@
 // Fenced implements AuthorityPolicy.
 func (Strict) Fenced() bool { return true }
 
+// FollowsEras implements AuthorityPolicy.
+func (Strict) FollowsEras() bool { return true }
+
+// EraBlind is Strict for a store that is never restored from an older copy.
+// Tests use it to show that they detect what a restoration leads to.
+type EraBlind struct{ Strict }
+
+// FollowsEras implements AuthorityPolicy.
+func (EraBlind) FollowsEras() bool { return false }
+
 // Naive is a policy that does not prevent two holders from acting at the same
 // time. A holder acts until it reads that it lost the lease, and all grants
 // have the same fencing number. Tests use it to show that they detect the
@@ -39,3 +52,6 @@
 
 // Fenced implements AuthorityPolicy.
 func (Naive) Fenced() bool { return false }
+
+// FollowsEras implements AuthorityPolicy.
+func (Naive) FollowsEras() bool { return false }
--- a/internal/order/stage2/tplease/duty.go
+++ b/internal/order/stage2/tplease/duty.go
@@ -84,8 +84,10 @@
 		d.lease.RaiseAbove(fencing)
 	}
 	d.lease.SetRank(d.Rank(d.cfg.Name, d.lease.Holder()))
-	now := d.Clock.Now()
+	before := d.lease.Authority()
+	now := d.setEra()
 	a := d.lease.Next(now)
+	d.reportChange(before)
 	switch a.Kind {
 	case ActionWait:
 		d.wait(ctx, a.At.Sub(now))
@@ -99,6 +101,14 @@
 	return true
 }
 
+// setEra passes the era of the store to the lease and returns the time.
+func (d *Duty[T]) setEra() time.Time {
+	era := tpobject.EraOf(d.Store)
+	now := d.Clock.Now()
+	d.lease.SetEra(now, era)
+	return now
+}
+
 func (d *Duty[T]) wait(ctx context.Context, delay time.Duration) {
 	select {
 	case <-d.Clock.After(delay):
@@ -110,7 +120,7 @@
 	d.Counters.Reads.Add(1)
 	before := d.lease.Authority()
 	snapshot, err := Read(ctx, d.Store, d.cfg.Name)
-	d.lease.Read(d.Clock.Now(), snapshot, err)
+	d.lease.Read(d.setEra(), snapshot, err)
 	d.reportChange(before)
 }
 
@@ -122,7 +132,7 @@
 	if err == nil {
 		version, err = d.Store.Put(ctx, a.Lease.Name, value, a.Version)
 	}
-	d.lease.Wrote(d.Clock.Now(), version, err)
+	d.lease.Wrote(d.setEra(), version, err)
 	d.reportChange(before)
 }
 
--- a/internal/order/stage2/tplease/lease.go
+++ b/internal/order/stage2/tplease/lease.go
@@ -59,6 +59,11 @@
 	}
 }
 
+// eraBits is the number of bits by which an era raises the fencing numbers. A
+// restoration loses fewer than 1<<eraBits versions, so that each number of an
+// era exceeds those of the eras before.
+const eraBits = 32
+
 // ActionKind is the kind of a step that the duty performs for the lease.
 type ActionKind uint8
 
@@ -87,7 +92,7 @@
 
 // pendingWrite is a write whose outcome is not known.
 type pendingWrite struct {
-	lease  tpmessage.Lease
+	lease  tpmessage.Lease // Era is that before the call
 	sentAt time.Time
 }
 
@@ -111,6 +116,14 @@
 	raiseAbove      uint64 // the next grant must have a fencing number above it
 	releasing       bool
 	ended           bool
+	era             uint64    // of the store
+	eraAt           time.Time // when this candidate learned of era, or zero
+	callEra         uint64    // era before the call in progress
+	knownFencing    uint64    // highest fencing number that this candidate has seen
+	// carried is true if the grant that is held is of an era before era.
+	// carriedFencing is its number.
+	carried        bool
+	carriedFencing uint64
 }
 
 // New returns a lease that this candidate does not hold.
@@ -131,6 +144,26 @@
 // actions.
 func (l *Lease[T]) Release() { l.releasing = true }
 
+// SetEra sets the highest era of the store that is known. The caller sets it
+// before each call of Next and, after the call to the platform, before Read or
+// Wrote. Now must not be earlier than the time at which the caller read the era.
+//
+// A store that is restored from an older copy has lost grants, and assigns their
+// versions again. A holder goes on until the end of its term, which is not longer
+// than the time that each candidate waits after it has learnt of the era. What
+// was read or written in a call during which the era changed does not count.
+func (l *Lease[T]) SetEra(now time.Time, era uint64) {
+	if era <= l.era || !l.policy.FollowsEras() {
+		return
+	}
+	l.era, l.eraAt = era, now
+	l.snapshotCurrent = false
+	l.snapshotAt = time.Time{} // the next version cannot be compared with the last one
+	if l.held && !l.carried {
+		l.carried, l.carriedFencing = true, l.snapshot.Lease.Fencing
+	}
+}
+
 // MayAct reports whether this candidate may act as the holder at time now.
 func (l *Lease[T]) MayAct(now time.Time) bool {
 	return l.held && now.Before(l.policy.Until(l.deadline))
@@ -138,10 +171,14 @@
 
 // Authority returns this candidate's authority over the lease.
 func (l *Lease[T]) Authority() tpmessage.Authority {
+	fencing := l.snapshot.Lease.Fencing
+	if l.carried {
+		fencing = l.carriedFencing
+	}
 	return tpmessage.Authority{
 		Lease:   l.cfg.Name,
 		Held:    l.held && !l.releasing,
-		Fencing: l.snapshot.Lease.Fencing,
+		Fencing: fencing,
 		Until:   l.policy.Until(l.deadline),
 		Fenced:  l.policy.Fenced(),
 	}
@@ -160,7 +197,16 @@
 // Next returns the next action. The caller must read now before it performs the
 // action, because a holder's term counts from a time before its write was sent.
 func (l *Lease[T]) Next(now time.Time) Action {
+	l.callEra = l.era
+	if l.carried && !now.Before(l.deadline) {
+		l.held, l.carried = false, false
+	}
 	switch {
+	case l.releasing && l.carried && l.pending == nil:
+		// The store may have lost the grant. The other candidates wait for its
+		// end in any case.
+		l.ended = true
+		return Action{Kind: ActionEnd}
 	case l.ended:
 		return Action{Kind: ActionEnd}
 	case now.Before(l.retryAt):
@@ -183,8 +229,8 @@
 		return l.write(now, tpmessage.Lease{Name: l.cfg.Name, Fencing: l.snapshot.Lease.Fencing, Term: l.cfg.Term})
 	}
 	fencing := l.snapshot.Lease.Fencing
-	if fencing <= l.raiseAbove && l.policy.Fenced() {
-		return l.write(now, l.newGrant(fencing+1))
+	if l.carried || fencing <= l.raiseAbove && l.policy.Fenced() {
+		return l.write(now, l.newGrant(l.nextFencing()))
 	}
 	if now.Before(l.renewAt) {
 		return Action{Kind: ActionWait, At: l.renewAt}
@@ -193,12 +239,19 @@
 }
 
 func (l *Lease[T]) nextCandidateAction(now time.Time) Action {
-	takeoverAt := l.snapshotAt.Add(time.Duration(l.rank) * l.cfg.Margin)
-	if l.snapshot.Lease.Holder != "" {
-		takeoverAt = takeoverAt.Add(max(l.cfg.Term, l.snapshot.Lease.Term) + l.cfg.Margin)
+	precedence := time.Duration(l.rank) * l.cfg.Margin
+	term := max(l.cfg.Term, l.snapshot.Lease.Term) + l.cfg.Margin
+	takeoverAt := l.snapshotAt.Add(precedence)
+	// A release that was sent in an earlier era may have replaced a grant of this
+	// one, if it took effect late.
+	if l.snapshot.Lease.Holder != "" || l.snapshot.Lease.Era != l.era {
+		takeoverAt = takeoverAt.Add(term)
+	}
+	if eraEnd := l.eraAt.Add(precedence + term); l.era > 0 && takeoverAt.Before(eraEnd) {
+		takeoverAt = eraEnd
 	}
 	if !now.Before(takeoverAt) {
-		fencing := l.snapshot.Lease.Fencing + 1
+		fencing := l.nextFencing()
 		if !l.policy.Fenced() {
 			fencing = 1
 		}
@@ -213,12 +266,24 @@
 	return Action{Kind: ActionWait, At: l.nextReadAt}
 }
 
+// nextFencing returns the number of a new grant, which replaces the version of
+// snapshot. After a restoration, the last number that is known may be lower than
+// that of a grant that was lost, so the era raises the number. The version makes
+// it unique: only one write replaces it.
+func (l *Lease[T]) nextFencing() uint64 {
+	if l.era == 0 {
+		return l.snapshot.Lease.Fencing + 1
+	}
+	return max(l.knownFencing+1, l.era<<eraBits+l.snapshot.Version)
+}
+
 func (l *Lease[T]) newGrant(fencing uint64) tpmessage.Lease {
 	return tpmessage.Lease{Name: l.cfg.Name, Holder: l.cfg.Holder, Fencing: fencing, Term: l.cfg.Term}
 }
 
 func (l *Lease[T]) write(now time.Time, value tpmessage.Lease) Action {
 	l.writeCount++
+	value.Era = l.era
 	value.Nonce = l.cfg.Incarnation + "/" + strconv.FormatUint(l.writeCount, 10)
 	l.pending = &pendingWrite{lease: value, sentAt: now}
 	return Action{Kind: ActionWrite, Lease: value, Version: l.snapshot.Version}
@@ -228,8 +293,11 @@
 // matches an error of tpobject.
 func (l *Lease[T]) Wrote(now time.Time, version uint64, err error) {
 	switch {
-	case err == nil:
+	case err == nil && l.callEra == l.era:
 		l.update(now, Snapshot{Lease: l.pending.lease, Version: version})
+	case err == nil:
+		// The store was restored in the meantime. The object is read back.
+		l.snapshotCurrent = false
 	case errors.Is(err, tpobject.ErrConflict):
 		l.pending = nil
 		l.snapshotCurrent = false
@@ -250,6 +318,9 @@
 		l.retryAt = now.Add(l.cfg.RenewInterval / retryDivisor)
 		return
 	}
+	if l.callEra != l.era {
+		return // what was read may be of either era
+	}
 	l.update(now, snapshot)
 }
 
@@ -261,8 +332,17 @@
 	l.snapshotCurrent = true
 	l.snapshot = snapshot
 	l.nextReadAt = now.Add(l.cfg.RenewInterval << min(2*l.rank, maxPollShift))
-	l.held = l.cfg.Owns(snapshot.Lease)
-	if l.pending != nil && l.pending.lease.Nonce == snapshot.Lease.Nonce {
+	l.knownFencing = max(l.knownFencing, snapshot.Lease.Fencing)
+	ofEra := snapshot.Lease.Era == l.era || !l.policy.FollowsEras()
+	if l.carried && !ofEra {
+		// Nobody has been granted the lease in this era.
+		l.pending = nil
+		return
+	}
+	// A grant of an earlier era was lost, or is older than one that was.
+	l.held = ofEra && l.cfg.Owns(snapshot.Lease)
+	l.carried = false
+	if l.pending != nil && ofEra && l.pending.lease.Nonce == snapshot.Lease.Nonce {
 		l.deadline = l.pending.sentAt.Add(l.cfg.Term)
 		l.renewAt = l.pending.sentAt.Add(l.cfg.RenewInterval)
 		l.ended = l.releasing && !l.held
--- a/pkg/tpmessage/order.go
+++ b/pkg/tpmessage/order.go
@@ -28,7 +28,8 @@
 	Holder  string        `json:"holder"`
 	Fencing uint64        `json:"fencing"` // increases with each grant
 	Term    time.Duration `json:"term"`
-	Nonce   string        `json:"nonce"` // identifies the write, to find its outcome after a lost answer
+	Era     uint64        `json:"era,omitempty"` // era of the store that the writer knew
+	Nonce   string        `json:"nonce"`         // identifies the write, to find its outcome after a lost answer
 }
 
 // Authority is the state of a lease at an instant, as its holder knows it.
