Check reports of usage by window and against their due time

TestUsageReportsMatchTheServers compared sums alone, so counts in the wrong windows, or late reports, would have passed. It now also compares each window within 5% and 5 requests, and the delay of each report with usageLate.

Command: go test -race -run 'Usage|Pipelines' ./internal/node/tprelaynode

--- a/internal/node/tprelaynode/usage_test.go
+++ b/internal/node/tprelaynode/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -80,35 +81,55 @@
 	})
 }
 
-// began returns the number of requests that the servers began, by organisation
-// and window. A request counts once.
-func (s *usageSite) began() map[string]uint64 {
-	began, seen := make(map[string]uint64), make(map[string]bool)
+// counts holds numbers of requests by window and organisation.
+type counts map[int64]map[string]uint64
+
+func (c counts) add(window int64, organisation string, n uint64) {
+	if c[window] == nil {
+		c[window] = make(map[string]uint64)
+	}
+	c[window][organisation] += n
+}
+
+// sums returns the numbers of all windows by organisation.
+func (c counts) sums() map[string]uint64 {
+	sums := make(map[string]uint64)
+	for _, w := range c {
+		for organisation, n := range w {
+			sums[organisation] += n
+		}
+	}
+	return sums
+}
+
+func windowOf(at time.Time) int64 { return at.UnixNano() / int64(usageWindow) }
+
+// began returns the requests that the servers began. A request counts once.
+func (s *usageSite) began() counts {
+	began, seen := make(counts), make(map[string]bool)
 	for _, server := range s.servers {
 		for _, a := range server.Arrivals() {
 			if organisation := a.Header.Get(organisationHeader); a.Run && !seen[a.ID] {
 				seen[a.ID] = true
-				began[organisation]++
+				began.add(windowOf(a.At), organisation, 1)
 			}
 		}
 	}
 	return began
 }
 
-// reported returns the sums of the reports, and the last window.
-func (s *usageSite) reported() (sums map[string]uint64, last int64) {
-	sums, windows := make(map[string]uint64), make(map[int64]bool)
+// reported returns the reports, and the greatest delay of one after the end of its
+// window.
+func (s *usageSite) reported() (reports counts, latest time.Duration) {
+	reports = make(counts)
 	for _, c := range s.duty.Calls() {
-		if !c.Done || windows[c.Window] {
+		if !c.Done || reports[c.Window] != nil {
 			continue
 		}
-		windows[c.Window] = true
-		last = max(last, c.Window)
-		for organisation, n := range c.Counts {
-			sums[organisation] += n
-		}
+		reports[c.Window] = maps.Clone(c.Counts)
+		latest = max(latest, c.At.Sub(time.Unix(0, (c.Window+1)*int64(usageWindow))))
 	}
-	return sums, last
+	return reports, latest
 }
 
 // Guards against reports that differ from the requests which the servers began:
@@ -141,16 +162,28 @@
 	for _, stop := range stops {
 		stop()
 	}
-	end := time.Now().UnixNano() / int64(usageWindow)
+	end := windowOf(time.Now())
 	eventually(t, func() string {
-		if _, last := s.reported(); last < end {
-			return fmt.Sprintf("last reported window: got %d, want %d", last, end)
+		if reports, _ := s.reported(); reports[end] == nil {
+			return fmt.Sprintf("window %d is not among %d reports", end, len(reports))
 		}
 		return ""
 	})
 	want := s.began()
-	if got, _ := s.reported(); !maps.Equal(got, want) || len(got) != 3 {
-		t.Errorf("reported requests: got %v, want %v", got, want)
+	got, latest := s.reported()
+	if !maps.Equal(got.sums(), want.sums()) || len(got.sums()) != 3 {
+		t.Errorf("reported requests: got %v, want %v", got.sums(), want.sums())
+	}
+	for window, organisations := range want {
+		for organisation, n := range organisations {
+			// The arrival at a server and the head of its answer may be in two windows.
+			if diff := math.Abs(float64(got[window][organisation]) - float64(n)); diff > 5+0.05*float64(n) {
+				t.Errorf("window %d: %s: got %d, want %d", window, organisation, got[window][organisation], n)
+			}
+		}
+	}
+	if latest > tprelaynode.DefaultUsageLate {
+		t.Errorf("latest report: got it %v after the end of its window, want %v", latest, tprelaynode.DefaultUsageLate)
 	}
 	for _, fault := range tpguestfake.CheckDuty(s.duty.Calls(), 3*time.Second) {
 		t.Error(fault)
