Scale pools of engines by the demand

All servers of a service with autoscale are billed, and no node orders fewer, although most are not needed.

The holder of the lease now decides twice a second how many plain and spot targets each zone has (internal/relay/tpscale) and orders them from the duty API (internal/node/tprelaynode/scale.go). It first orders spot targets for the plain ones, removes the plain ones when the others serve, and lowers the number to the peak of the demand at a utilisation of 0.5 once the demand has been known for 10 s. So many stay that a loss of the spot targets of one zone leaves enough. Nothing starts unless the settings list the duty scale.

The settings page also gets the rows of dutyAPI and duties, without which TestSettingsReference fails.

The fixture of TestDeadMembersAreSuspectedWithoutACollector gets a scale filter that does not run, because the membership passes it the loads.

Tests: go test -race -p 2 ./internal/node/tprelaynode ./internal/relay/tpscale and go test ./platform/tpguest ./pkg/tpconfig pass.

--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -330,8 +330,8 @@
 	}
 }
 
-// publishLoads passes the outstanding loads of all nodes to the placement and
-// role filters, if they may have changed since the last call.
+// publishLoads passes the outstanding loads of all nodes to the placement, role
+// and scale filters, if they may have changed since the last call.
 func (m *members) publishLoads(now time.Time) {
 	if now.Sub(m.refreshedAt) >= memberRefreshInterval {
 		m.refreshMembers(now)
@@ -345,7 +345,9 @@
 	_ = m.node.placement.in.TryPutBelow(in, newRequestLimit)
 	ownLoad := m.ownLoad
 	ownLoad.At = now
-	_ = m.node.roles.loads.PutDropOldest(append(loads, ownLoad))
+	loads = append(loads, ownLoad)
+	_ = m.node.roles.loads.PutDropOldest(loads)
+	m.node.scale.setLoads(loads)
 }
 
 // refreshMembers reads the live members from the table.
--- a/internal/node/tprelaynode/members_test.go
+++ b/internal/node/tprelaynode/members_test.go
@@ -175,6 +175,7 @@
 	n := newGuardedNode()
 	n.clock = clock
 	n.roles = &roleFilter{loads: tpring.New[[]tpmessage.NodeLoad](tpring.Settings{Capacity: 1})}
+	n.scale = &scaleFilter{}
 	m := newEvidenceMembers(n, "node-5")
 	m.out = tpring.New[outgoingHeartbeat](tpring.Settings{Capacity: heartbeatRingCapacity})
 	m.table.SetAddress("node-5")
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -103,6 +103,7 @@
 	objects   *objectFilter
 	members   *members
 	roles     *roleFilter
+	scale     *scaleFilter
 	// quarantines stores the quarantines of the placement filter's guard.
 	quarantines *quarantineFilter
 	relay       *tprelay.Relay
@@ -140,8 +141,9 @@
 	n.members = newMembers(n)
 	n.objects = newObjectFilter(n)
 	n.roles = newRoleFilter(n)
+	n.scale = newScaleFilter(n)
 	n.quarantines = newQuarantineFilter(n)
-	steps := []func() error{n.startPlacement, n.startQuarantines, n.startMembers, n.startObjects, n.startRoles, n.startServers}
+	steps := []func() error{n.startPlacement, n.startQuarantines, n.startMembers, n.startScale, n.startObjects, n.startRoles, n.startServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -295,6 +297,9 @@
 				return map[string]any{"held": held, "fencing": holder.Fencing}
 			}))
 		}
+		if n.scale.enabled {
+			vars.Set("scale", n.scale.metricsVar())
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(vars.String()))
 	})
--- a/internal/node/tprelaynode/node_test.go
+++ b/internal/node/tprelaynode/node_test.go
@@ -17,6 +17,7 @@
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/node/tprelaynode"
 	"teaselpin.example/teaselpin/internal/proof/tpprocess"
+	"teaselpin.example/teaselpin/internal/relay/tpholder"
 	"teaselpin.example/teaselpin/internal/standin/tpguestfake"
 	"teaselpin.example/teaselpin/pkg/tpring"
 	"teaselpin.example/teaselpin/platform/tpguest"
@@ -31,6 +32,7 @@
 	address string // of the store
 	servers []*tpguestfake.Server
 	log     io.Writer // of the nodes, or nil
+	dutyAPI tpholder.API
 }
 
 // newSite registers four engines and one plain service, and writes the first
@@ -125,7 +127,7 @@
 		log = zerolog.New(s.log)
 	}
 	relay, cleanup, err := tprelaynode.New(cfg, tprelaynode.Deps{
-		Log: log, Store: store, Viewer: store, Upstream: upstream, Engines: orderClient,
+		Log: log, Store: store, Viewer: store, Upstream: upstream, Engines: orderClient, DutyAPI: s.dutyAPI,
 		Kinds:        tprelaynode.ObjectKinds{Config: tpguest.KindConfig, Targets: tpguest.KindServers},
 		DecodeConfig: tpguest.DecodeConfig, DecodeTargets: tpguest.DecodeTargets,
 		Front: func(n *tprelaynode.Node) http.Handler {
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -412,12 +412,14 @@
 	n.log.Info().Str("event", "configurationInForce").Uint64("generation", cfg.Generation).Uint64("before", before).
 		Uint64("version", v.Version).Str("source", source).Int("routes", len(cfg.Routes)).Send()
 	_ = n.roles.in.Put(roleInput{config: cfg})
+	n.scale.setConfig(cfg)
 }
 
 func (f *objectFilter) publishTargets(list []tpmessage.RelayTarget) {
 	n := f.node
 	_ = n.placement.in.Put(tpplace.Input{Kind: tpplace.InputTargets, Targets: list})
 	_ = n.roles.in.Put(roleInput{targets: list})
+	n.scale.setTargets(list)
 	leaving := 0
 	for _, t := range list {
 		if t.Draining {
--- a/internal/node/tprelaynode/roles.go
+++ b/internal/node/tprelaynode/roles.go
@@ -158,7 +158,7 @@
 		f.controller.SetConfig(in.config)
 	case in.targets != nil:
 		f.targets = in.targets
-		f.marked = f.markLeaving()
+		f.marked = markLeaving(f.node.placement.notices.Load(), f.targets)
 		f.controller.SetTargets(f.marked)
 	case in.authority != nil:
 		f.controller.SetAuthority(now, *in.authority)
@@ -167,7 +167,7 @@
 	default:
 		// Setting the same targets again would end the delay after a refused
 		// order.
-		if marked := f.markLeaving(); !slices.Equal(marked, f.marked) {
+		if marked := markLeaving(f.node.placement.notices.Load(), f.targets); !slices.Equal(marked, f.marked) {
 			f.marked = marked
 			f.controller.SetTargets(marked)
 		}
@@ -181,9 +181,8 @@
 
 // markLeaving returns the targets, with those draining that have said in an
 // answer that they are leaving.
-func (f *roleFilter) markLeaving() []tpmessage.RelayTarget {
-	notices := f.node.placement.notices.Load()
-	list := slices.Clone(f.targets)
+func markLeaving(notices *tpplace.Notices, targets []tpmessage.RelayTarget) []tpmessage.RelayTarget {
+	list := slices.Clone(targets)
 	for i := range list {
 		list[i].Draining = list[i].Draining || notices.IsLeaving(&list[i])
 	}
--- /dev/null
+++ b/internal/relay/tpscale/demand.go
@@ -0,0 +1,74 @@
+package tpscale
+
+import "time"
+
+type demandSample struct {
+	at     time.Time
+	demand float64
+}
+
+// demandHistory holds the demands of the recent past. The zero value is empty.
+type demandHistory struct {
+	samples []demandSample
+	since   time.Time // first sample of the present demand, or zero if there is none
+}
+
+// add appends a demand and drops those that are older than the given time. A
+// time without demand, in which the loads of the nodes may be missing, counts as
+// one in which it is unknown.
+func (h *demandHistory) add(now time.Time, demand float64, keep time.Duration) {
+	first := 0
+	for first < len(h.samples) && now.Sub(h.samples[first].at) > keep {
+		first++
+	}
+	h.samples = append(h.samples[:copy(h.samples, h.samples[first:])], demandSample{at: now, demand: demand})
+	switch {
+	case h.peak() <= idleDemand:
+		h.since = time.Time{}
+	case h.since.IsZero():
+		h.since = now
+	}
+}
+
+func (h *demandHistory) peak() float64 {
+	highest := 0.0
+	for _, s := range h.samples {
+		highest = max(highest, s.demand)
+	}
+	return highest
+}
+
+// knownFor returns the time for which there has been demand.
+func (h *demandHistory) knownFor(now time.Time) time.Duration {
+	if h.since.IsZero() {
+		return 0
+	}
+	return now.Sub(h.since)
+}
+
+// rise returns the slope per second over riseWindow. It returns zero below the
+// peak, so that an oscillation within the recent range requires no targets, and
+// while the demand has been known for less than the window.
+func (h *demandHistory) rise(now time.Time) float64 {
+	if len(h.samples) == 0 || h.knownFor(now) < riseWindow {
+		return 0
+	}
+	last := h.samples[len(h.samples)-1]
+	if last.demand < h.peak() {
+		return 0
+	}
+	for _, s := range h.samples {
+		if elapsed := last.at.Sub(s.at); elapsed <= riseWindow && elapsed > 0 {
+			return (last.demand - s.demand) / elapsed.Seconds()
+		}
+	}
+	return 0
+}
+
+func (h *demandHistory) observation(now time.Time, startup time.Duration) Observation {
+	o := Observation{Peak: h.peak(), Rise: h.rise(now), Startup: startup}
+	if len(h.samples) > 0 {
+		o.Demand = h.samples[len(h.samples)-1].demand
+	}
+	return o
+}
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -64,6 +64,23 @@
 type RelayPool struct {
 	Name   string
 	Engine *EngineTraits // nil for a plain service
+	// Autoscale is nil if the number of targets is not to be changed.
+	// AutoscaleFault says why, if the configuration asks for it with values that
+	// cannot be used. It names the field.
+	Autoscale      *Autoscale
+	AutoscaleFault string
+}
+
+// Autoscale says how many targets a pool may have, and what they cost. Targets
+// of both kinds count: those that the platform may reclaim (spot) and the others
+// (plain).
+type Autoscale struct {
+	Min, Max  int           // targets in each availability zone
+	Startup   time.Duration // from an order until a new target starts to serve
+	SpotPrice float64       // of a spot target relative to a plain one; zero if there are none
+	// ZonePrices holds the relative price of a target by availability zone. It
+	// is 1 for zones that are not named.
+	ZonePrices map[string]float64
 }
 
 // EngineTraits holds the properties that the model engines of a pool share.
@@ -94,9 +111,13 @@
 	Pool      string // empty if the registration cannot be read
 	Slots     int    // number of slots that the target registered
 	Draining  bool
+	Spot      bool // the platform may reclaim the target at any time
 	Role      Role
 	StartedMs int64  // start of the target's process in Unix milliseconds
 	Revision  uint64 // of the registration
+	// LeavesIn is the time from the registration until a draining target is
+	// taken away, or zero if the registration does not say it.
+	LeavesIn time.Duration
 }
 
 // TargetNotice is what a target says about itself in an answer. The zero value
