--- a/internal/relay/tpscale/demand.go
+++ b/internal/relay/tpscale/demand.go
@@ -22,20 +22,36 @@
 		first++
 	}
 	h.samples = append(h.samples[:copy(h.samples, h.samples[first:])], demandSample{at: now, demand: demand})
+	highest := 0.0
+	for _, s := range h.samples {
+		highest = max(highest, s.demand)
+	}
 	switch {
-	case h.peak() <= idleDemand:
+	case highest <= idleDemand:
 		h.since = time.Time{}
 	case h.since.IsZero():
 		h.since = now
 	}
 }
 
-func (h *demandHistory) peak() float64 {
-	highest := 0.0
+// peak returns the highest demand before the given time, or of all samples
+// without one. While caches fill, prompts are read whole, so samples of the
+// warm-up count only while there are no others.
+func (h *demandHistory) peak(before time.Time) float64 {
+	warm, cold := 0.0, 0.0
 	for _, s := range h.samples {
-		highest = max(highest, s.demand)
+		switch {
+		case !before.IsZero() && s.at.After(before):
+		case !h.since.IsZero() && s.at.Sub(h.since) >= warmUpPeriod:
+			warm = max(warm, s.demand)
+		default:
+			cold = max(cold, s.demand)
+		}
+	}
+	if warm > 0 {
+		return warm
 	}
-	return highest
+	return cold
 }
 
 // knownFor returns the time for which there has been demand.
@@ -47,23 +63,17 @@
 }
 
 // rise returns the growth of the peak per second over riseWindow: an oscillation
-// within the range before it is no growth. It returns zero while the demand has
-// been known for less than the window.
+// within the range before it is no growth. It returns zero until the window is
+// past the warm-up.
 func (h *demandHistory) rise(now time.Time) float64 {
-	if h.knownFor(now) < riseWindow {
+	if h.knownFor(now) < warmUpPeriod+riseWindow {
 		return 0
 	}
-	before := 0.0
-	for _, s := range h.samples {
-		if now.Sub(s.at) >= riseWindow {
-			before = max(before, s.demand)
-		}
-	}
-	return (h.peak() - before) / riseWindow.Seconds()
+	return (h.peak(time.Time{}) - h.peak(now.Add(-riseWindow))) / riseWindow.Seconds()
 }
 
 func (h *demandHistory) observation(now time.Time, startup time.Duration) Observation {
-	o := Observation{Peak: h.peak(), Rise: h.rise(now), Startup: startup}
+	o := Observation{Peak: h.peak(time.Time{}), Rise: h.rise(now), Startup: startup}
 	if len(h.samples) > 0 {
 		o.Demand = h.samples[len(h.samples)-1].demand
 	}
--- a/internal/relay/tpscale/plan.go
+++ b/internal/relay/tpscale/plan.go
@@ -43,12 +43,15 @@
 			pl.count[key] = p.subject(key).expected()
 		}
 	}
-	limit := len(pl.zones) * p.cfg.Autoscale.Max
-	pl.needed = int(math.Ceil(min(required, float64(limit))))
 	if !known {
-		pl.needed = max(pl.needed, p.initial)
+		if o.Peak <= warmUpUtilisation*float64(p.initial) {
+			required = 0
+		}
+		required = max(float64(p.initial), required)
 		pl.reserve = max(pl.reserve, unknownReserve*float64(p.initial))
 	}
+	limit := len(pl.zones) * p.cfg.Autoscale.Max
+	pl.needed = int(math.Ceil(min(required, float64(limit))))
 	pl.needed = min(max(pl.needed, len(pl.zones)*p.cfg.Autoscale.Min), limit)
 	pl.plain = pl.needed
 	if pl.hasSpot() {
--- a/internal/relay/tpscale/scaler_test.go
+++ b/internal/relay/tpscale/scaler_test.go
@@ -382,6 +382,24 @@
 	}
 }
 
+// Guards against targets that are ordered for the demand of the first seconds, in
+// which empty caches multiply it.
+func TestEmptyCachesNeedNoMoreTargets(t *testing.T) {
+	p, s := newPlatform(fullPool), newScaler()
+	p.run(s, 10*time.Second, 0)
+	for step := range 60 {
+		for _, o := range p.tick(s, demand+60*math.Exp(-float64(step)*tick.Seconds()/1.5)) {
+			if o.Reason == tpscale.ReasonRaise {
+				t.Errorf("order %v after the first demand: got %+v, want none", time.Duration(step)*tick, o.ScaleOrder)
+			}
+		}
+		p.advance(tick)
+	}
+	if got := len(p.ready()); got > 65 {
+		t.Errorf("targets after 30 s: got %d, want at most 65", got)
+	}
+}
+
 // Guards against plain targets that are removed while the spot ones have other
 // roles than they.
 func TestReplacementsHaveTheRoles(t *testing.T) {
@@ -415,3 +433,19 @@
 		t.Errorf("plain targets after the spot ones have both roles: got %d, want at most 10", got)
 	}
 }
+
+// BenchmarkDecision is one decision for the servers of a region, after one of
+// them has changed.
+func BenchmarkDecision(b *testing.B) {
+	p, s := newPlatform(map[string]int{"a": 450, "b": 450, "c": 433}), newScaler()
+	s.SetConfig(start, newConfig(func(c *tpmessage.RelayPool) { c.Autoscale.Max = 900 }))
+	s.SetHolder(start, true, 1)
+	list := p.registered()
+	b.ReportAllocs()
+	for i := range b.N {
+		now := start.Add(time.Duration(i) * tick)
+		s.SetTargets(now, list)
+		s.SetDemand(now, 9*demand)
+		s.Step(now)
+	}
+}
--- a/internal/relay/tpscale/settings.go
+++ b/internal/relay/tpscale/settings.go
@@ -48,6 +48,12 @@
 	arrivalMargin = 5 * time.Second
 	// idleDemand is the demand, in engines, up to which there counts as none.
 	idleDemand = 0.1
+	// warmUpPeriod is the time with demand in which the caches of the targets
+	// fill. Its demand does not count later.
+	warmUpPeriod = 4 * time.Second
+	// warmUpUtilisation is the utilisation up to which the first targets suffice
+	// until the demand is known. It falls soon, as caches fill.
+	warmUpUtilisation = 0.7
 	// riseWindow is the time over which the growth of the demand is computed.
 	riseWindow = 3 * time.Second
 	// maxRise is the largest rise that is expected, as a part of the peak.
