--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -103,6 +103,7 @@
 	objects   *objectFilter
 	members   *members
 	roles     *roleFilter
+	scale     *scaleFilter
 	// quarantines stores the quarantines of the placement filter's guard.
 	quarantines *quarantineFilter
 	usage       *usageFilter // nil without the duty
@@ -143,9 +144,10 @@
 	n.members = newMembers(n)
 	n.objects = newObjectFilter(n)
 	n.roles = newRoleFilter(n)
+	n.scale = newScaleFilter(n)
 	n.quarantines = newQuarantineFilter(n)
 	n.usage = newUsageFilter(n)
-	steps := []func() error{n.startUsage, n.startPlacement, n.startQuarantines, n.startMembers, n.startObjects, n.startRoles, n.startServers}
+	steps := []func() error{n.startUsage, n.startPlacement, n.startQuarantines, n.startMembers, n.startScale, n.startObjects, n.startRoles, n.startServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -305,6 +307,9 @@
 		if n.usage != nil {
 			vars.Set("usage", n.usage.metricsVar())
 		}
+		if n.scale.enabled {
+			vars.Set("scale", n.scale.metricsVar())
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(vars.String()))
 	})
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -419,12 +419,14 @@
 	n.logOrganisations(cfg)
 	n.updateKeyUses()
 	_ = n.roles.in.Put(roleInput{config: cfg})
+	n.scale.setConfig(cfg)
 }
 
 func (f *objectFilter) publishTargets(list []tpmessage.RelayTarget) {
 	n := f.node
 	_ = n.placement.in.Put(tpplace.Input{Kind: tpplace.InputTargets, Targets: list})
 	_ = n.roles.in.Put(roleInput{targets: list})
+	n.scale.setTargets(list)
 	leaving := 0
 	for _, t := range list {
 		if t.Draining {
