Keep spot targets while plain ones wait for their roles

Spot targets with other roles than the plain ones kept those in place, and the surplus was then taken from the spot targets. Nothing is removed now until the roles match; 6 s after the last arrival the plain ones go in steps, between which the role controller changes the others.

An order that has no effect no longer hides the one before it for the same subject, whose targets may still come: they were requested in other zones too. A raise contains the spot targets that will replace plain ones, which saves orders.

--- a/internal/relay/tpscale/plan.go
+++ b/internal/relay/tpscale/plan.go
@@ -61,14 +61,16 @@
 }
 
 // decide makes the most urgent change. It returns an empty reason if nothing is
-// to be changed.
+// to be changed. Each order is charged for, so that a raise contains the spot
+// targets that will replace plain ones.
 func (pl *plan) decide() Reason {
-	switch {
-	case pl.applyLimits():
+	limited, raised := pl.applyLimits(), pl.raise()
+	switch replaced := pl.replace(); {
+	case limited:
 		return ReasonLimits
-	case pl.raise():
+	case raised:
 		return ReasonRaise
-	case pl.replace():
+	case replaced:
 		return ReasonReplace
 	case pl.lower():
 		return ReasonLower
@@ -126,7 +128,8 @@
 }
 
 // lower removes targets if there are too many, while no order is in progress.
-// Plain ones that spot ones can replace are removed first.
+// Plain ones that spot ones can replace are removed first. The number falls in
+// steps while there is demand, or while roles have to change.
 func (pl *plan) lower() bool {
 	for _, sub := range pl.pool.subjects {
 		if sub.inProgress() {
@@ -135,7 +138,13 @@
 	}
 	total := pl.total()
 	surplus := total - pl.needed
-	if pl.demand.Peak > idleDemand {
+	plain := pl.kindTotal(false) - pl.plain
+	tooManyPlain := plain >= pl.minChange()
+	rolesMatch, spotAge := pl.pool.spotRoles(pl.now)
+	if tooManyPlain && pl.hasSpot() && !rolesMatch && spotAge < roleTimeout {
+		return false
+	}
+	if pl.demand.Peak > idleDemand || !rolesMatch {
 		if pl.now.Sub(pl.pool.loweredAt) < pl.cfg.LowerInterval {
 			return false
 		}
@@ -143,8 +152,8 @@
 	}
 	tooMany := float64(total) > pl.cfg.LowerAbove*float64(pl.needed)
 	removed := 0
-	if plain := min(pl.kindTotal(false)-pl.plain, surplus); plain >= pl.minChange() && (tooMany || pl.hasSpot()) && pl.pool.spotsServe(pl.now) {
-		removed += pl.remove(plain, false)
+	if tooManyPlain && (tooMany || pl.hasSpot()) {
+		removed += pl.remove(min(plain, surplus), false)
 	}
 	if tooMany && surplus-removed >= pl.minChange() {
 		removed += pl.remove(surplus-removed, true)
--- a/internal/relay/tpscale/pool.go
+++ b/internal/relay/tpscale/pool.go
@@ -22,6 +22,16 @@
 	Expected int // those that there will be when the orders are carried out
 }
 
+// orderState is an order and how long it counts as being carried out, unless the
+// targets show before that it was.
+type orderState struct {
+	count int
+	from  int // number of ready targets when the order was given
+	until time.Time
+}
+
+func (o *orderState) inProgress() bool { return !o.until.IsZero() }
+
 // subject is the state of the targets and of the orders about a Subject.
 type subject struct {
 	ready, leaving int
@@ -29,59 +39,57 @@
 	newest         time.Time // when the newest ready one was first seen
 	reclaimed      int       // leaving ones that no order has removed
 	removing       int       // leaving ones, at most, that an order has removed
-	// ordered is the number of the last order, and orderedFrom that of the ready
-	// targets when it was given. The order counts as being carried out until
-	// expectedUntil, unless the targets show before that it was.
-	ordered, orderedFrom int
-	expectedUntil        time.Time
-	sending              bool
-	repeat               *Order // the last order, if its outcome is unknown
-	failures             int
-	retryAt              time.Time // no order is sent before
-	blockedUntil         time.Time // no order for more targets is sent before
+	order          orderState
+	previous       orderState // replaced by order if that has no effect
+	sending        bool
+	repeat         *Order // the last order, if its outcome is unknown
+	failures       int
+	retryAt        time.Time // no order is sent before
+	blockedUntil   time.Time // no order for more targets is sent before
 }
 
 func (s *subject) inProgress() bool {
-	return s.sending || s.repeat != nil || !s.expectedUntil.IsZero()
+	return s.sending || s.repeat != nil || s.order.inProgress()
 }
 
 func (s *subject) expected() int {
-	if s.expectedUntil.IsZero() {
+	if !s.order.inProgress() {
 		return s.ready
 	}
-	return s.ordered
+	return s.order.count
 }
 
 // settle ends the order in progress if the targets show that it was carried out,
 // or if it is overdue. Targets that did not come in time are not to be had.
 func (s *subject) settle(now time.Time) {
-	if s.expectedUntil.IsZero() && s.leaving == 0 {
+	if !s.order.inProgress() && s.leaving == 0 {
 		s.removing = 0
 	}
-	if s.expectedUntil.IsZero() || s.sending {
+	if !s.order.inProgress() || s.sending {
 		return
 	}
-	raised := s.ordered > s.orderedFrom
-	done := raised && s.ready >= s.ordered || !raised && s.ready <= s.ordered
-	overdue := !now.Before(s.expectedUntil)
+	raised := s.order.count > s.order.from
+	done := raised && s.ready >= s.order.count || !raised && s.ready <= s.order.count
+	overdue := !now.Before(s.order.until)
 	if overdue && raised && !done {
 		s.blockedUntil = now.Add(noCapacityDelay)
 	}
 	if overdue || done {
-		s.expectedUntil = time.Time{}
+		s.order = orderState{}
 	}
 }
 
 // begin records an order that is about to be sent.
 func (s *subject) begin(count int, until time.Time) {
-	s.ordered, s.orderedFrom, s.expectedUntil = count, s.ready, until
+	s.previous, s.order = s.order, orderState{count: count, from: s.ready, until: until}
 	s.removing += max(0, s.ready-count)
 }
 
-// cancel records that the last order had no effect.
+// cancel records that the last order had no effect. The one before may still be
+// carried out.
 func (s *subject) cancel() {
-	s.expectedUntil = time.Time{}
-	s.removing = max(0, s.removing-max(0, s.orderedFrom-s.ordered))
+	s.removing = max(0, s.removing-max(0, s.order.from-s.order.count))
+	s.order, s.previous, s.repeat = s.previous, orderState{}, nil
 }
 
 // noteLeaving finds out whether the platform reclaims targets: spot targets
@@ -90,8 +98,9 @@
 	reclaimed := max(0, withTime-s.removing)
 	if reclaimed > s.reclaimed {
 		s.blockedUntil = now.Add(noCapacityDelay)
+		s.previous = orderState{}
 		if !s.sending {
-			s.expectedUntil, s.repeat = time.Time{}, nil
+			s.order, s.repeat = orderState{}, nil
 		}
 	}
 	s.reclaimed = reclaimed
@@ -135,11 +144,10 @@
 	return counts
 }
 
-// spotsServe reports whether the spot targets have the roles that are needed to
+// spotRoles reports whether the spot targets have the roles that are needed to
 // replace plain ones: about the same part of them reads prompts as of all
-// targets. Targets whose roles stay different replace them all the same after
-// roleTimeout.
-func (p *pool) spotsServe(now time.Time) bool {
+// targets. It also returns the time since the newest was first seen.
+func (p *pool) spotRoles(now time.Time) (match bool, age time.Duration) {
 	var all, spots, allPrefill, spotPrefill int
 	var newest time.Time
 	for key, sub := range p.subjects {
@@ -153,9 +161,9 @@
 			}
 		}
 	}
-	if spots == 0 || now.Sub(newest) >= roleTimeout {
-		return true
+	if spots == 0 {
+		return true, 0
 	}
 	difference := float64(spotPrefill)/float64(spots) - float64(allPrefill)/float64(all)
-	return difference <= roleTolerance && difference >= -roleTolerance
+	return difference <= roleTolerance && difference >= -roleTolerance, now.Sub(newest)
 }
--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -174,8 +174,7 @@
 	switch OutcomeOf(err) {
 	case OutcomeAccepted:
 		sub.repeat, sub.failures, sub.retryAt = nil, 0, time.Time{}
-		sub.ordered = o.Count
-		sub.expectedUntil = now.Add(p.cfg.Autoscale.Startup + arrivalMargin)
+		sub.order.count, sub.order.until = o.Count, now.Add(p.cfg.Autoscale.Startup+arrivalMargin)
 		return
 	case OutcomeNotSent, OutcomeLimited:
 		if sub.repeat == nil {
@@ -183,10 +182,10 @@
 		}
 	case OutcomeNoCapacity:
 		sub.cancel()
-		sub.repeat, sub.blockedUntil = nil, now.Add(noCapacityDelay)
+		sub.blockedUntil = now.Add(noCapacityDelay)
 	case OutcomeRefused:
 		sub.cancel()
-		sub.repeat, sub.blockedUntil = nil, now.Add(refusedDelay)
+		sub.blockedUntil = now.Add(refusedDelay)
 	case OutcomeUnknown:
 		sub.repeat = &o
 	}
@@ -252,7 +251,7 @@
 		case sub.repeat != nil && !pl.allows(sub.repeat):
 			// The limits have changed since. What the order has changed shows in
 			// the registrations.
-			sub.repeat, sub.expectedUntil = nil, time.Time{}
+			sub.repeat, sub.order = nil, orderState{}
 			continue
 		case sub.repeat != nil:
 			order.Reason, order.Count = ReasonRepeat, sub.repeat.Count
--- a/internal/relay/tpscale/scaler_test.go
+++ b/internal/relay/tpscale/scaler_test.go
@@ -328,6 +328,24 @@
 	}
 }
 
+// Guards against an order that is forgotten, and given in other zones too, because
+// the platform takes no further one for the same zone.
+func TestOrderBeforeALimitedOne(t *testing.T) {
+	p, s := newPlatform(map[string]int{"a": 8, "b": 8, "c": 8}), newScaler()
+	p.run(s, time.Second, demand)
+	p.fault = func(o tpmessage.ScaleOrder) (error, bool) {
+		if o.Zone == "a" {
+			return errLimited, false
+		}
+		return nil, true
+	}
+	p.run(s, 9*time.Second, 1.6*demand)
+	// 76 of 80 required targets are spot ones, beside the first 24.
+	if got := p.nextID; got > 100 {
+		t.Errorf("targets that were started: got %d, want at most 100", got)
+	}
+}
+
 // Guards against removed targets that count as lost to the platform, after which
 // no more would be requested in their zones.
 func TestRemovalIsNoLoss(t *testing.T) {
@@ -424,8 +442,12 @@
 		setRoles(0)
 		p.run(s, tick, 0)
 	}
-	if got := p.plain(); got != 140 {
-		t.Errorf("plain targets while the spot ones have one role: got %d, want 140", got)
+	if got := p.plain(); got != 140 || len(p.ready()) < 270 {
+		t.Errorf("targets while the spot ones have one role: got %d and %d plain ones, want 270 and 140", len(p.ready()), got)
+	}
+	p.run(s, 4*time.Second, 0)
+	if got := p.plain(); got < 42 || got == 140 {
+		t.Errorf("plain targets after the first step: got %d, want 42 to 139", got)
 	}
 	setRoles(3)
 	p.run(s, 2*time.Second, 0)
--- a/internal/relay/tpscale/settings.go
+++ b/internal/relay/tpscale/settings.go
@@ -29,7 +29,7 @@
 	// once while there is demand.
 	DefaultMaxLowering = 0.35
 	// DefaultLowerInterval is the time between two removals while there is
-	// demand.
+	// demand. A change of role takes as long.
 	DefaultLowerInterval = 3 * time.Second
 )
 
@@ -64,9 +64,10 @@
 	minStepPart = 0.05
 	// roleTolerance is the difference between the parts of prefill engines among
 	// spot targets and all targets up to which the former can replace plain ones.
-	roleTolerance = 0.15
+	roleTolerance = 0.1
 	// roleTimeout is the time for which plain targets wait for spot ones whose
-	// roles differ.
+	// roles differ. They are removed in steps then, between which the role
+	// controller changes the roles of the others.
 	roleTimeout = 6 * time.Second
 )
 
