--- a/internal/relay/tpscale/model_test.go
+++ b/internal/relay/tpscale/model_test.go
@@ -88,7 +88,7 @@
 		at := elapsed.Seconds()
 		if !reclaimed && at >= reclaimAt {
 			reclaimed = true
-			p.reclaim(zone, 2500*time.Millisecond, 10*time.Second)
+			p.reclaim(zone)
 			for _, z := range "abc" {
 				if nowhere {
 					p.none[tpscale.Subject{Zone: string(z), Spot: true}] = p.now.Add(10 * time.Second)
--- a/internal/relay/tpscale/platform_test.go
+++ b/internal/relay/tpscale/platform_test.go
@@ -12,6 +12,8 @@
 const (
 	poolName = "reader"
 	tick     = 500 * time.Millisecond
+	// noticeTime is the time for which reclaimed servers stay.
+	noticeTime = 2500 * time.Millisecond
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -98,13 +100,13 @@
 	return err
 }
 
-// reclaim takes all spot servers of a zone.
-func (p *platform) reclaim(zone string, notice, none time.Duration) {
+// reclaim takes all spot servers of a zone, which has none for 10 s.
+func (p *platform) reclaim(zone string) {
 	key := tpscale.Subject{Zone: zone, Spot: true}
 	for _, s := range p.of(key) {
-		s.Draining, s.LeavesIn, s.goneAt = true, notice, p.now.Add(notice)
+		s.Draining, s.LeavesIn, s.goneAt = true, noticeTime, p.now.Add(noticeTime)
 	}
-	p.none[key] = p.now.Add(none)
+	p.none[key] = p.now.Add(10 * time.Second)
 }
 
 // advance removes the servers that have left.
--- a/internal/relay/tpscale/scaler_test.go
+++ b/internal/relay/tpscale/scaler_test.go
@@ -39,6 +39,27 @@
 	m.scaler.HandleResult(now, o, m.change(err))
 }
 
+// newForgetful returns a naive scaler that takes an order with an unknown outcome
+// as not sent.
+func newForgetful() scaler {
+	return misreported{newScaler(), func(err error) error {
+		if tpscale.OutcomeOf(err) == tpscale.OutcomeUnknown {
+			return tpscale.ErrNotSent
+		}
+		return err
+	}}
+}
+
+// newEager returns a naive scaler that soon asks again for what is not to be had.
+func newEager() scaler {
+	return misreported{newScaler(), func(err error) error {
+		if errors.Is(err, tpholder.ErrNoCapacity) {
+			return errLimited
+		}
+		return err
+	}}
+}
+
 // Guards against a pool that keeps targets which are not needed, one that loses
 // targets before others serve, and one that a loss of spot targets leaves with
 // too few for the demand.
@@ -73,7 +94,7 @@
 	if got := len(orders); got > 12 {
 		t.Errorf("orders at a steady demand: got %d, want at most 12", got)
 	}
-	p.reclaim("b", 2500*time.Millisecond, 10*time.Second)
+	p.reclaim("b")
 	if got := len(p.ready()); got < demand {
 		t.Errorf("targets after a loss: got %d, want at least %v", got, demand)
 	}
@@ -151,7 +172,7 @@
 }
 
 // Guards against another order for a subject while the outcome of one is
-// unknown. A naive scaler takes the order as not sent.
+// unknown.
 func TestUnknownOrderIsRepeated(t *testing.T) {
 	// changed returns the calls that follow one with an unknown outcome for the
 	// same subject and differ from it.
@@ -181,19 +202,13 @@
 	if got := changed(newScaler()); len(got) != 0 {
 		t.Errorf("orders that replace one with an unknown outcome: got %+v, want none", got)
 	}
-	naive := misreported{newScaler(), func(err error) error {
-		if tpscale.OutcomeOf(err) == tpscale.OutcomeUnknown {
-			return tpscale.ErrNotSent
-		}
-		return err
-	}}
-	if got := changed(naive); len(got) == 0 {
+	if got := changed(newForgetful()); len(got) == 0 {
 		t.Error("the naive variant passes")
 	}
 }
 
 // Guards against requests for what is not to be had, and against a number that
-// stays too low because of it. A naive scaler repeats a refused order at once.
+// stays too low because of it.
 func TestNoCapacity(t *testing.T) {
 	run := func(s scaler, zones ...string) (repeated, ready, plain int) {
 		p := newPlatform(map[string]int{"a": 8, "b": 8, "c": 8})
@@ -220,13 +235,7 @@
 	if repeated != 0 || ready < 42 || plain < 42 {
 		t.Errorf("no spot targets at all: got %d repeated calls, %d targets, %d plain, want 0, at least 42 of both", repeated, ready, plain)
 	}
-	naive := misreported{newScaler(), func(err error) error {
-		if errors.Is(err, tpholder.ErrNoCapacity) {
-			return errLimited
-		}
-		return err
-	}}
-	if repeated, _, _ := run(naive, "a", "b", "c"); repeated == 0 {
+	if repeated, _, _ := run(newEager(), "a", "b", "c"); repeated == 0 {
 		t.Error("the naive variant passes")
 	}
 }
@@ -377,7 +386,7 @@
 		p.add(tpscale.Subject{Zone: zone, Spot: true}, 10, start)
 	}
 	p.run(s, time.Second, demand)
-	p.reclaim("b", 2500*time.Millisecond, 10*time.Second)
+	p.reclaim("b")
 	p.run(s, 6*time.Second, demand)
 	if got := len(p.ready()); got < 42 {
 		t.Errorf("targets 6 s after the loss: got %d, want at least 42", got)
