Store quarantines again after a restoration, and log the era

Cause: quarantines that a restored store has lost were gone once all nodes had ended, and nothing told an operator of a restoration.

Change: the filter that follows objects logs storeEra once for each era, from the store or a peer, and counts it in the metric follow.era. The writers of the quarantines store them again with their first time, in one write; a call during which the era changes is repeated.

Result: TestNodesKeepWhatARestoredStoreLost (with an outage and without), TestQuarantineIsStoredAgain and TestLastChangesRestoreTheRecords pass (go test -race ./internal/node/tprelaynode -run 'Restored|StoredAgain'; go test ./internal/guard/tpcrash).

--- a/internal/guard/tpcrash/entry.go
+++ b/internal/guard/tpcrash/entry.go
@@ -19,6 +19,7 @@
 	quarantinedAt, triedAt time.Time
 	trialFailed            bool      // a crash followed the begin of the quarantine
 	heldUntil              time.Time // until then there is no trial, because one is unanswered
+	lastChange             Change    // the last begin or end of a quarantine
 }
 
 // addCrashes adds the crashes that are new, and returns them.
--- a/internal/guard/tpcrash/guard.go
+++ b/internal/guard/tpcrash/guard.go
@@ -64,6 +64,8 @@
 	Expired     bool     // the quarantine ended by time
 	Crashes     []string // at the begin of the quarantine
 	Answered    bool     // this node has lately seen answers to requests with the key
+	// At is the time of the change in a result of LastChanges, or zero.
+	At time.Time
 }
 
 // Guard holds the evidence of one node. It belongs to one filter and is not
@@ -306,6 +308,22 @@
 	return changes
 }
 
+// LastChanges returns, oldest first, the begins of the present quarantines and
+// the ends of those that did not end by time, as far as the evidence is kept. A
+// platform that has lost what was stored of them gets it again.
+func (g *Guard) LastChanges() []Change {
+	var changes []Change
+	for _, e := range g.entries {
+		if !e.lastChange.At.IsZero() && !e.lastChange.Expired {
+			changes = append(changes, e.lastChange)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Key, b.Key))
+	})
+	return changes
+}
+
 // update begins or ends the quarantine of an entry whose crashes have changed.
 // Cause holds the Own and Expired fields of the change.
 func (g *Guard) update(now time.Time, e *entry, cause Change) {
@@ -324,6 +342,8 @@
 		g.quarantinedCount--
 	}
 	g.changes = append(g.changes, cause)
+	e.lastChange = cause
+	e.lastChange.At = now
 }
 
 // entry returns the entry of a key. If the table is full, a new entry replaces
--- a/internal/guard/tpcrash/record.go
+++ b/internal/guard/tpcrash/record.go
@@ -29,7 +29,11 @@
 		return r.expired(now) || r.Key == name && (!c.Quarantined || !slices.Equal(r.Crashes, c.Crashes))
 	})
 	if c.Quarantined && !slices.ContainsFunc(kept, func(r Record) bool { return r.Key == name }) {
-		kept = append(kept, Record{Key: name, Crashes: c.Crashes, At: now.UnixMilli(), Answered: c.Answered})
+		at := now
+		if !c.At.IsZero() {
+			at = c.At
+		}
+		kept = append(kept, Record{Key: name, Crashes: c.Crashes, At: at.UnixMilli(), Answered: c.Answered})
 	}
 	kept = kept[max(0, len(kept)-MaxReported):]
 	return kept, !slices.EqualFunc(kept, records, func(a, b Record) bool { return a.Key == b.Key && a.At == b.At })
--- a/internal/guard/tpcrash/record_test.go
+++ b/internal/guard/tpcrash/record_test.go
@@ -73,3 +73,43 @@
 		t.Error("no request passes as a trial")
 	}
 }
+
+// Guards against stored quarantines that stay lost, or come back after their release, when the platform goes back to an
+// older copy, and against a copy that prolongs them.
+func TestLastChangesRestoreTheRecords(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	deadly := &tpmessage.RelayRequest{Method: "POST", Host: "one.example", URI: "/swap/x", Body: []byte("deadly")}
+	innocent := &tpmessage.RelayRequest{Method: "POST", Host: "one.example", URI: "/swap/x", Body: []byte("innocent")}
+	var guard Guard
+	for _, id := range []string{"a@1", "b@1", "c@1"} {
+		guard.RecordCrash(now, deadly, id)
+		guard.RecordCrash(now, innocent, id)
+	}
+	var copied, want []Record
+	for _, c := range guard.TakeChanges() {
+		copied, _ = Amend(copied, now, c)
+	}
+	guard.RecordAnswer(now.Add(time.Second), innocent)
+	want = copied
+	for _, c := range guard.TakeChanges() {
+		want, _ = Amend(want, now, c)
+	}
+	if len(copied) != 2 || len(want) != 1 {
+		t.Fatalf("records: got %+v, then %+v, want two, then one", copied, want)
+	}
+	later := now.Add(time.Minute)
+	for name, records := range map[string][]Record{"lost": nil, "released later": copied} {
+		for _, c := range guard.LastChanges() {
+			records, _ = Amend(records, later, c)
+		}
+		if len(records) != 1 || records[0].Key != want[0].Key || records[0].At != want[0].At {
+			t.Errorf("%s: got %+v, want %+v", name, records, want)
+		}
+	}
+	guard.Expire(now.Add(QuarantineTime))
+	for _, c := range guard.LastChanges() {
+		if c.Quarantined || Name(c.Key) == want[0].Key {
+			t.Errorf("a quarantine that has ended by time is stored again: %+v", c)
+		}
+	}
+}
--- a/internal/node/tprelaynode/guard.go
+++ b/internal/node/tprelaynode/guard.go
@@ -76,12 +76,16 @@
 }
 
 // tickGuard ends what is due and passes the evidence to the membership filter.
+// After a restoration of the store, the quarantines are stored again.
 func (n *Node) tickGuard(now time.Time) {
 	guard := &n.placement.guard
 	rank := n.members.membersAhead(quarantineTask, func(tpmessage.Member) bool { return true })
 	guard.TrialDelay = trialStep * time.Duration(min(rank, maxTrialRank))
 	guard.Expire(now)
 	n.publishQuarantines(now)
+	if _, err := n.placement.newEra.TryTake(); err == nil {
+		n.quarantines.record(guard.LastChanges()...)
+	}
 	n.publishEvidence(now)
 }
 
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -106,6 +106,7 @@
 	serving           atomic.Bool // the platform serves this node's watches
 	publishedVersions []tpmessage.ViewVersion
 	failures          atomic.Uint64
+	era               atomic.Uint64   // highest era of the store that this node has learnt of
 	decodeErrors      map[string]bool // texts of the decoding errors of the current view, all logged
 	callsFailing      map[string]bool
 	auditsFailing     map[string]bool
@@ -187,6 +188,7 @@
 func (f *objectFilter) handle(in followInput) {
 	// The age of a view goes on while the machine is suspended.
 	now := f.node.leaseClock.Now()
+	f.noteEra(&in)
 	running := f.node.clock.Now().Sub(f.node.started)
 	rank := tpfollow.Rank{Ahead: f.node.members.rank(watchTask, ""), WatchersAhead: f.node.members.watchersAhead()}
 	passive := f.node.joining(running) || f.callerLimit.Passive(now, rank)
@@ -217,6 +219,27 @@
 	}
 }
 
+// noteEra logs a new era of the store, and tells the placement filter to store
+// the quarantines again.
+func (f *objectFilter) noteEra(in *followInput) {
+	era, source := tpobject.EraOf(f.node.deps.Viewer), "store"
+	for _, m := range in.viewVersions {
+		if m.Era > era {
+			era, source = m.Era, in.peer
+		}
+	}
+	if in.view.Era > era {
+		era, source = in.view.Era, in.peer
+	}
+	before := f.era.Load()
+	if era <= before {
+		return
+	}
+	f.era.Store(era)
+	f.node.log.Warn().Str("event", "storeEra").Uint64("era", era).Uint64("before", before).Str("source", source).Send()
+	_ = f.node.placement.newEra.PutDropOldest(era)
+}
+
 // deliver passes an input to a follower if it concerns the follower's kind.
 func (f *objectFilter) deliver(now time.Time, follower *tpfollow.Follower, in *followInput) {
 	for _, m := range in.viewVersions {
@@ -514,7 +537,7 @@
 
 func (f *objectFilter) metricsVar() expvar.Var {
 	return expvar.Func(func() any {
-		out := map[string]uint64{"failures": f.failures.Load()}
+		out := map[string]uint64{"failures": f.failures.Load(), "era": f.era.Load()}
 		for kind, p := range f.views {
 			if v := p.Load(); v != nil {
 				out[kind] = v.Version
--- a/internal/node/tprelaynode/placement.go
+++ b/internal/node/tprelaynode/placement.go
@@ -67,6 +67,8 @@
 	// settled holds allowances that were used or have ended, for the membership.
 	settled  *tpring.Ring[[]tpmessage.Allowance]
 	reported bool
+	// newEra holds the eras of the store that the object filter has learnt of.
+	newEra tpring.Ring[uint64]
 	// notices holds the notices that the placer knows, for other filters.
 	notices atomic.Pointer[tpplace.Notices]
 }
--- a/internal/node/tprelaynode/quarantines.go
+++ b/internal/node/tprelaynode/quarantines.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"teaselpin.example/teaselpin/internal/guard/tpcrash"
@@ -27,12 +28,16 @@
 	quarantineTask = "quarantine"
 )
 
-// quarantineInput is a change to store or, without one, the request to read
+// quarantineInput holds changes to store or, without one, is the request to read
 // what is stored.
 type quarantineInput struct {
-	change *tpcrash.Change
+	changes []tpcrash.Change
 }
 
+// errEraChanged is the error of a call during which the store was restored. Its
+// write may have been lost, or have replaced a version that was assigned again.
+var errEraChanged = errors.New("the store was restored during the call")
+
 // quarantineFilter holds the ring of the filter that stores the quarantines, so
 // that they outlast all nodes of the region:
 //
@@ -66,12 +71,14 @@
 	return nil
 }
 
-// record passes a change to the filter if this node stores it: the node that
-// found the change does, and the first of the ranking, because a quarantine may
+// record passes the changes to the filter that this node stores: the node that
+// found a change does, and the first of the ranking, because a quarantine may
 // result from the evidence of several nodes.
-func (f *quarantineFilter) record(c tpcrash.Change) {
-	if !c.Expired && (c.Own || f.node.members.rank(quarantineTask, "") == 0) {
-		_ = f.in.PutDropOldest(quarantineInput{change: &c})
+func (f *quarantineFilter) record(changes ...tpcrash.Change) {
+	first := f.node.members.rank(quarantineTask, "") == 0
+	changes = slices.DeleteFunc(changes, func(c tpcrash.Change) bool { return c.Expired || !c.Own && !first })
+	if len(changes) > 0 {
+		_ = f.in.PutDropOldest(quarantineInput{changes: changes})
 	}
 }
 
@@ -83,8 +90,8 @@
 		if err == nil {
 			return
 		}
-		if !errors.Is(err, tpobject.ErrConflict) && f.ctx.Err() == nil {
-			f.node.log.Warn().Str("event", "quarantinesNotStored").Bool("read", in.change == nil).Err(err).Send()
+		if !errors.Is(err, tpobject.ErrConflict) && !errors.Is(err, errEraChanged) && f.ctx.Err() == nil {
+			f.node.log.Warn().Str("event", "quarantinesNotStored").Bool("read", len(in.changes) == 0).Err(err).Send()
 		}
 		select {
 		case <-f.node.clock.After(delay):
@@ -94,9 +101,11 @@
 	}
 }
 
-// call reads what is stored, and stores the change of the input if there is one.
+// call reads what is stored, and stores the changes of the input if there are
+// any.
 func (f *quarantineFilter) call(in quarantineInput) error {
 	n := f.node
+	era := tpobject.EraOf(n.deps.Store)
 	name := quarantineObjectPrefix + n.cfg.Region
 	o, err := n.deps.Store.Get(f.ctx, name)
 	if err != nil && !errors.Is(err, tpobject.ErrNotFound) {
@@ -110,20 +119,28 @@
 			records = nil
 		}
 	}
-	if in.change == nil {
+	if len(in.changes) == 0 {
 		if stored := tpcrash.Suspects(records, n.clock.Now()); len(stored) > 0 {
 			_ = n.placement.in.Put(tpplace.Input{Kind: tpplace.InputSuspects, Suspects: stored})
 		}
 		return nil
 	}
-	amended, changed := tpcrash.Amend(records, n.clock.Now(), *in.change)
-	if !changed {
-		return nil
+	amended, changed := records, false
+	for _, c := range in.changes {
+		next, differs := tpcrash.Amend(amended, n.clock.Now(), c)
+		amended, changed = next, changed || differs
+	}
+	if changed {
+		data, err := json.Marshal(amended)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if _, err := n.deps.Store.Put(f.ctx, name, data, o.Version); err != nil {
+			return err
+		}
 	}
-	data, err := json.Marshal(amended)
-	if err != nil {
-		return Error.Wrap(err)
+	if tpobject.EraOf(n.deps.Store) != era {
+		return errEraChanged
 	}
-	_, err = n.deps.Store.Put(f.ctx, name, data, o.Version)
-	return err
+	return nil
 }
