Use no restored entry of a target whose entry was missing

Cause: a target whose registration had disappeared, and that was still in its grace period, got new work for as long as the older copy showed its entry.

Change: in the first view of an era such an entry has no effect until it changes, like that of a removed target; the grace period begins anew.

Result: TestRestoredRegistrations covers it (go test -race ./internal/relay/tpfollow).

--- a/internal/relay/tpfollow/era_test.go
+++ b/internal/relay/tpfollow/era_test.go
@@ -173,9 +173,16 @@
 		if _, kept := look(tpfollow.LapseGrace)["new"]; kept {
 			t.Error("a target that is still missing after the grace period is in use")
 		}
+		// One was missing before, and the copy shows it.
+		r.Set(epoch, stale[1:2], true)
+		r.SetEra(2)
+		r.Set(epoch.Add(time.Second), stale[:2], false)
+		if _, back := look(time.Second + tpfollow.LapseGrace)["back"]; back {
+			t.Error("a target that was missing before the restoration is in use after the grace period")
+		}
 		// The next copy is older again.
 		r.Set(epoch, stale[1:2], false)
-		r.SetEra(2)
+		r.SetEra(3)
 		r.Set(epoch, []tpmessage.RelayTarget{stale[0], target("gone", 4, false)}, false)
 		if got := look(tpfollow.LapseGrace); len(got) != 0 {
 			t.Errorf("targets after a second restoration: got %+v, want none", got)
--- a/internal/relay/tpfollow/registry.go
+++ b/internal/relay/tpfollow/registry.go
@@ -45,9 +45,9 @@
 
 // SetEra sets the era of the registrations that the next call of Set has. The
 // platform's copy may be older than what the node knows. So in the first view of
-// an era, an entry of a target that was removed, or of an earlier process of a
-// known one, has no effect until the entry changes, and missing targets stay in
-// use for LapseGrace.
+// an era, an entry of a target that was removed or was missing, or of an earlier
+// process of a known one, has no effect until the entry changes. Missing targets
+// stay in use for LapseGrace.
 func (r *Registry) SetEra(era uint64) {
 	if era > r.era {
 		r.era, r.eraBegins = era, true
@@ -86,7 +86,7 @@
 		if present[name] {
 			continue
 		}
-		if _, lapsed := r.lapsedUntil[name]; lapsed {
+		if _, lapsed := r.lapsedUntil[name]; lapsed && !eraBegins {
 			continue
 		}
 		if eraBegins || mayHaveLapsed && !t.Draining {
@@ -98,9 +98,9 @@
 }
 
 // isRestored reports whether an entry is older than what the node knew before
-// the platform was restored: the target was removed, or had a later process, and
-// the entry is the one of the era's first view. A live target writes its entry
-// again.
+// the platform was restored: the target was removed, its registration had
+// disappeared, or it had a later process, and the entry is the one of the era's
+// first view. A live target writes its entry again.
 func (r *Registry) isRestored(t tpmessage.RelayTarget, restoredBefore map[string]tpmessage.RelayTarget, eraBegins bool) bool {
 	before, wasRestored := restoredBefore[t.Name]
 	if !eraBegins {
@@ -110,7 +110,8 @@
 		return true
 	}
 	if known, ok := r.targets[t.Name]; ok {
-		return t.StartedMs < known.StartedMs
+		_, lapsed := r.lapsedUntil[t.Name]
+		return t.StartedMs < known.StartedMs || lapsed && t.StartedMs == known.StartedMs
 	}
 	startedMs, ok := r.removals[t.Name]
 	if !ok {
