--- a/internal/node/tprelaynode/scale.go
+++ b/internal/node/tprelaynode/scale.go
@@ -33,6 +33,11 @@
 	scaleSenders = 3
 	// scaleTickInterval is the time between two decisions.
 	scaleTickInterval = 500 * time.Millisecond
+	// scalePeakHold and scaleKnownAfter replace the defaults of tpscale. A spot
+	// target costs a fraction of a plain one, so that a number that falls and
+	// rises with the demand saves less than the prompts cost that are read again
+	// after each change.
+	scalePeakHold, scaleKnownAfter = time.Minute, time.Minute
 )
 
 type scaleInput struct {
@@ -72,7 +77,7 @@
 		in:      tpring.New[scaleInput](tpring.Settings{Capacity: scaleRingCapacity}),
 		orders:  tpring.New[tpscale.Order](tpring.Settings{Capacity: scaleOrderRingCapacity}),
 		loads:   tpring.New[[]tpmessage.NodeLoad](tpring.Settings{Capacity: 1}),
-		scaler:  tpscale.New(tpscale.Settings{}, tpscale.Forecast{}),
+		scaler:  tpscale.New(tpscale.Settings{PeakHold: scalePeakHold, KnownAfter: scaleKnownAfter}, tpscale.Forecast{}),
 	}
 	n.deps.Rings.Add("scale", f.in)
 	n.deps.Rings.Add("scaleOrders", f.orders)
--- a/internal/relay/tpscale/pool.go
+++ b/internal/relay/tpscale/pool.go
@@ -114,6 +114,7 @@
 	// first order of this holder. Without a known demand it is not lowered.
 	initial    int
 	hasOrdered bool
+	grewAt     time.Time // when initial last rose
 	loweredAt  time.Time // time of the last removal
 	needed     int       // as last computed
 }
--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -134,8 +134,8 @@
 			sub.noteLeaving(now, withTime[sub])
 			total += sub.ready
 		}
-		if !p.hasOrdered {
-			p.initial = max(p.initial, total)
+		if !p.hasOrdered && total > p.initial {
+			p.initial, p.grewAt = total, now
 		}
 	}
 }
@@ -233,6 +233,9 @@
 	if !ok {
 		return nil
 	}
+	if !p.hasOrdered && o.Peak <= idleDemand && now.Sub(p.grewAt) < s.cfg.RegistrationPeriod {
+		return nil
+	}
 	for _, sub := range p.subjects {
 		sub.settle(now)
 	}
--- a/internal/relay/tpscale/settings.go
+++ b/internal/relay/tpscale/settings.go
@@ -71,6 +71,10 @@
 	roleTimeout = 6 * time.Second
 )
 
+// DefaultRegistrationPeriod is the time without new registrations after which the
+// targets of a region that starts count as complete.
+const DefaultRegistrationPeriod = 1500 * time.Millisecond
+
 // Settings configures a Scaler. A field that is zero takes its default.
 type Settings struct {
 	SpotShare     float64       // part of the targets, from 0 to 1, that are spot targets
@@ -80,6 +84,9 @@
 	LowerAbove    float64       // multiple of the required number above which it is lowered
 	MaxLowering   float64       // largest part of the targets that is removed at once
 	LowerInterval time.Duration // between two removals while there is demand
+	// RegistrationPeriod is the time without new registrations before the first
+	// order of a holder, while there is no demand.
+	RegistrationPeriod time.Duration
 }
 
 func (s *Settings) setDefaults() {
@@ -90,6 +97,7 @@
 	setDefault(&s.LowerAbove, DefaultLowerAbove)
 	setDefault(&s.MaxLowering, DefaultMaxLowering)
 	setDefault(&s.LowerInterval, DefaultLowerInterval)
+	setDefault(&s.RegistrationPeriod, DefaultRegistrationPeriod)
 }
 
 func setDefault[T comparable](field *T, value T) {
