--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -134,8 +134,8 @@
 			sub.noteLeaving(now, withTime[sub])
 			total += sub.ready
 		}
-		if !p.hasOrdered {
-			p.initial = max(p.initial, total)
+		if !p.hasOrdered && total > p.initial {
+			p.initial, p.grewAt = total, now
 		}
 	}
 }
@@ -174,8 +174,7 @@
 	switch OutcomeOf(err) {
 	case OutcomeAccepted:
 		sub.repeat, sub.failures, sub.retryAt = nil, 0, time.Time{}
-		sub.ordered = o.Count
-		sub.expectedUntil = now.Add(p.cfg.Autoscale.Startup + arrivalMargin)
+		sub.order.count, sub.order.until = o.Count, now.Add(p.cfg.Autoscale.Startup+arrivalMargin)
 		return
 	case OutcomeNotSent, OutcomeLimited:
 		if sub.repeat == nil {
@@ -183,10 +182,10 @@
 		}
 	case OutcomeNoCapacity:
 		sub.cancel()
-		sub.repeat, sub.blockedUntil = nil, now.Add(noCapacityDelay)
+		sub.blockedUntil = now.Add(noCapacityDelay)
 	case OutcomeRefused:
 		sub.cancel()
-		sub.repeat, sub.blockedUntil = nil, now.Add(refusedDelay)
+		sub.blockedUntil = now.Add(refusedDelay)
 	case OutcomeUnknown:
 		sub.repeat = &o
 	}
@@ -234,6 +233,9 @@
 	if !ok {
 		return nil
 	}
+	if !p.hasOrdered && o.Peak <= idleDemand && now.Sub(p.grewAt) < s.cfg.RegistrationPeriod {
+		return nil
+	}
 	for _, sub := range p.subjects {
 		sub.settle(now)
 	}
@@ -252,7 +254,7 @@
 		case sub.repeat != nil && !pl.allows(sub.repeat):
 			// The limits have changed since. What the order has changed shows in
 			// the registrations.
-			sub.repeat, sub.expectedUntil = nil, time.Time{}
+			sub.repeat, sub.order = nil, orderState{}
 			continue
 		case sub.repeat != nil:
 			order.Reason, order.Count = ReasonRepeat, sub.repeat.Count
--- a/internal/relay/tpscale/settings.go
+++ b/internal/relay/tpscale/settings.go
@@ -29,7 +29,7 @@
 	// once while there is demand.
 	DefaultMaxLowering = 0.35
 	// DefaultLowerInterval is the time between two removals while there is
-	// demand.
+	// demand. A change of role takes as long.
 	DefaultLowerInterval = 3 * time.Second
 )
 
@@ -64,12 +64,17 @@
 	minStepPart = 0.05
 	// roleTolerance is the difference between the parts of prefill engines among
 	// spot targets and all targets up to which the former can replace plain ones.
-	roleTolerance = 0.15
+	roleTolerance = 0.1
 	// roleTimeout is the time for which plain targets wait for spot ones whose
-	// roles differ.
+	// roles differ. They are removed in steps then, between which the role
+	// controller changes the roles of the others.
 	roleTimeout = 6 * time.Second
 )
 
+// DefaultRegistrationPeriod is the time without new registrations after which the
+// targets of a region that starts count as complete.
+const DefaultRegistrationPeriod = 1500 * time.Millisecond
+
 // Settings configures a Scaler. A field that is zero takes its default.
 type Settings struct {
 	SpotShare     float64       // part of the targets, from 0 to 1, that are spot targets
@@ -79,6 +84,9 @@
 	LowerAbove    float64       // multiple of the required number above which it is lowered
 	MaxLowering   float64       // largest part of the targets that is removed at once
 	LowerInterval time.Duration // between two removals while there is demand
+	// RegistrationPeriod is the time without new registrations before the first
+	// order of a holder, while there is no demand.
+	RegistrationPeriod time.Duration
 }
 
 func (s *Settings) setDefaults() {
@@ -89,6 +97,7 @@
 	setDefault(&s.LowerAbove, DefaultLowerAbove)
 	setDefault(&s.MaxLowering, DefaultMaxLowering)
 	setDefault(&s.LowerInterval, DefaultLowerInterval)
+	setDefault(&s.RegistrationPeriod, DefaultRegistrationPeriod)
 }
 
 func setDefault[T comparable](field *T, value T) {
