Learn the speed of each target

Cause: placement had one time factor for all engines. Where engines of a pool read at 0.6, 1.0 and 1.6 times the speed of the others, the same backlog was taken for the same wait, and prompts waited at slow engines.

Change: each target has a factor for reading and one for generating, relative to its pool. The speed of reading is the work that the steps of all nodes have finished at the target divided by the time for which it had work, so that it does not depend on waiting times; that of generating is the mean of the streams. The waits and reading times of Affinity, the cost of a run and the expected generation use them. A node tells its sums once a second, and only while its own observations show that targets differ. Collectors add them up.

--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -53,6 +53,7 @@
 	want.Loads[0].Limits = []tpmessage.TargetLimit{{
 		Target: "i-1", StartedMs: 1 << 41, Statement: tpmessage.LimitNamed, PerSecond: 2.2, Age: 300 * time.Millisecond, Demand: 0.7, Room: 2,
 	}}
+	want.Loads[0].Speeds = []tpmessage.TargetSpeed{{Process: 1 << 31, ReadMs: 1200, Streams: 2.25, StreamSpeeds: 1.5}, {Process: 7, ReadMs: 3}}
 	want.Allowances = []tpmessage.Allowance{{Target: "i-1", StartedMs: 1 << 41, Granted: 2, Left: 1400 * time.Millisecond, Returned: 1, Used: 3}}
 	want.Suspects = []tpmessage.SuspectRequest{{Fingerprint: 7, Targets: []string{"a"}}}
 	want.Leaving = []tpmessage.LeavingTarget{{Name: "a", Age: time.Second}}
@@ -76,6 +77,15 @@
 	}
 }
 
+// Guards against a panic for speeds that no node sends.
+func TestSpeedsThatDoNotFitSayNothing(t *testing.T) {
+	for _, m := range []*tpwire.SpeedSums{nil, {}, {Processes: []uint32{1}}, {Sums: []uint32{1, 2, 3}}, {Processes: []uint32{1, 2}, Sums: []uint32{1, 2, 3}}} {
+		if got := speedsFromWire(m); got != nil {
+			t.Errorf("%v: got %+v, want none", m, got)
+		}
+	}
+}
+
 // BenchmarkHeartbeat measures the encoded size of a heartbeat in bytes and the
 // time to encode it.
 func BenchmarkHeartbeat(b *testing.B) {
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -188,7 +188,7 @@
 	n := m.node
 	now := n.clock.Now()
 	if ownLoad, err := n.placement.load.TryTake(); err == nil {
-		m.ownLoad = ownLoad
+		m.ownLoad = m.collector.SetOwn(ownLoad)
 	}
 	if views, err := m.newViewVersions.TryTake(); err == nil {
 		m.views = views
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -63,8 +63,11 @@
 	// NoBacklog is true if no other prompt was known to be waiting or being
 	// read at the target.
 	NoBacklog bool
-	ReadTime  time.Duration // time to read the prompt at the reference speed
-	BatchSize int           // runs at the target, including this one
+	// ReadsPrefix is true if Prefill includes the shared prefix of the prompt,
+	// which the target may hold after all.
+	ReadsPrefix bool
+	ReadTime    time.Duration // time to read the prompt at the reference speed
+	BatchSize   int           // runs at the target, including this one
 }
 
 // Grant assigns a step to a target or refuses it.
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -124,12 +124,13 @@
 	pl.reservation = Reservation{
 		Target: t.Name, Priority: p.view.Priority, Prefill: p.view.unreadTokens[index],
 		NoBacklog: step == StepPrefill && t.totalPrefill() == 0, BatchSize: t.totalRuns() + 1,
+		ReadsPrefix: p.view.sharedTokens > 0 && p.view.unreadTokens[index] == r.Work.Request.PromptTokens,
 	}
 	if p.fetchSource != nil && p.fetchSource != t {
 		pl.fetchAddress = p.fetchSource.Address
 	}
 	pl.queueDelay = millis(slowdown * p.view.waitMs(t))
-	pl.read = millis(slowdown * p.view.timeFactor * readMs(pl.reservation.Prefill, r.Work.Request.PromptTokens))
+	pl.read = millis(slowdown * p.view.timeFactor * t.factors.read * readMs(pl.reservation.Prefill, r.Work.Request.PromptTokens))
 	// updateEstimates compares the observed time with the time at the reference
 	// speed, so the estimated time factor is left out here.
 	pl.reservation.ReadTime = millis(slowdown * readMs(pl.reservation.Prefill, r.Work.Request.PromptTokens))
@@ -247,7 +248,7 @@
 		}
 		need := req.PromptTokens + req.MaxOutputTokens
 		limit := int(maxKVUtilisation * float64(e.KVTokens))
-		return t.totalRuns() == 0 || t.totalRuns() < p.maxRuns(now, req) && t.totalTokens()+need <= limit
+		return t.totalRuns() == 0 || t.totalRuns() < p.maxRuns(now, t, req) && t.totalTokens()+need <= limit
 	}
 	return true
 }
@@ -257,12 +258,12 @@
 // limit, because a larger batch would be too slow for the request. Otherwise
 // further runs wait at the engine for a slot, as many as are expected to start
 // within maxSlotWaitFraction of the remaining time.
-func (p *Placer[P]) maxRuns(now time.Time, req *tpmessage.RelayRequest) int {
+func (p *Placer[P]) maxRuns(now time.Time, t *target, req *tpmessage.RelayRequest) int {
 	slots := req.Pool.Engine.Slots
-	if batch := p.maxBatchSize(now, req); batch < slots {
+	if batch := p.maxBatchSize(now, t, req); batch < slots {
 		return batch
 	}
-	runTime := p.fullBatchRunTime(req)
+	runTime := p.fullBatchRunTime(t, req)
 	if runTime <= 0 {
 		return slots
 	}
@@ -278,26 +279,26 @@
 	if slots <= 0 || t.totalRuns() < slots {
 		return 0
 	}
-	return p.fullBatchRunTime(req) * time.Duration(t.totalRuns()-slots+1) / time.Duration(slots)
+	return p.fullBatchRunTime(t, req) * time.Duration(t.totalRuns()-slots+1) / time.Duration(slots)
 }
 
 // fullBatchRunTime returns the expected time that a run of the request's route
-// takes in a full batch. It returns zero if no run of the route has finished.
-func (p *Placer[P]) fullBatchRunTime(req *tpmessage.RelayRequest) time.Duration {
+// takes in a full batch of a target. It returns zero if no run of the route has finished.
+func (p *Placer[P]) fullBatchRunTime(t *target, req *tpmessage.RelayRequest) time.Duration {
 	step := stepMs + stepMsPerRun*float64(req.Pool.Engine.Slots)
-	return millis(p.meanOutputs[req.Route.Name] * step * p.decodeTimeFactor.value())
+	return millis(p.meanOutputs[req.Route.Name] * step * p.decodeTimeFactor.value() * t.factors.stream)
 }
 
 // maxBatchSize returns the number of runs below which one more run is expected
 // to finish before its deadline. Each token takes longer in a larger batch. The
 // result is at least half of the slots, because the expected length of an
 // answer is uncertain.
-func (p *Placer[P]) maxBatchSize(now time.Time, req *tpmessage.RelayRequest) int {
+func (p *Placer[P]) maxBatchSize(now time.Time, t *target, req *tpmessage.RelayRequest) int {
 	output, known := p.meanOutputs[req.Route.Name]
 	if !known {
 		return req.Pool.Engine.Slots
 	}
 	remainingMs := req.Deadline.Sub(now).Seconds() * 1000
-	tokenMs := remainingMs / (longOutputFactor * output * p.decodeTimeFactor.value())
+	tokenMs := remainingMs / (longOutputFactor * output * p.decodeTimeFactor.value() * t.factors.stream)
 	return min(req.Pool.Engine.Slots, max(req.Pool.Engine.Slots/2, int((tokenMs-stepMs)/stepMsPerRun)))
 }
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -48,8 +48,12 @@
 	policy  P
 	targets map[string]*target
 	pools   map[string][]*target // by pool name, each sorted by target name
-	budgets map[string]*budget
-	nodes   int // live nodes of the region, including this one
+	// processes holds the targets by processHash. Their observed speeds are sums
+	// at the time speedsAt.
+	processes map[uint32]*target
+	speedsAt  time.Time
+	budgets   map[string]*budget
+	nodes     int // live nodes of the region, including this one
 	// peerNodes is the number of other nodes whose load counts, and oldestLoad
 	// the time of the oldest of these loads.
 	peerNodes  int
@@ -94,6 +98,7 @@
 		random:      rand.New(rand.NewPCG(xxh3.HashString(cfg.Node), 0)),
 		targets:     make(map[string]*target),
 		pools:       make(map[string][]*target),
+		processes:   make(map[uint32]*target),
 		budgets:     make(map[string]*budget),
 		meanOutputs: make(map[string]float64),
 	}
@@ -106,10 +111,11 @@
 	case InputTargetRequest:
 		return p.grant(now, &in.TargetRequest), true
 	case InputStepResult:
-		if t, ok := p.targets[in.StepResult.Reservation.Target]; ok {
+		t, ok := p.targets[in.StepResult.Reservation.Target]
+		if ok {
 			t.applyResult(now, &in.StepResult)
 		}
-		p.updateEstimates(&in.StepResult)
+		p.updateEstimates(now, t, &in.StepResult)
 	case InputTargets:
 		p.setTargets(in.Targets)
 		p.expireNotices(now)
@@ -117,6 +123,8 @@
 	case InputLoads:
 		p.nodes = max(1, in.Nodes)
 		p.setLoads(now, in.Loads)
+		p.setPeerSpeeds(now, in.Loads)
+		p.updateFactors()
 	case InputAllowances:
 		p.addAllowances(now, in.Allowances)
 	case InputRoleChanging:
@@ -132,8 +140,9 @@
 // Load returns the outstanding load and the demand of this node, and the
 // prefix uses to announce to the peers.
 func (p *Placer[P]) Load(now time.Time) tpmessage.NodeLoad {
+	p.advanceSpeeds(now)
 	n := tpmessage.NodeLoad{
-		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.expire(now),
+		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.expire(now), Speeds: p.speedLoads(), SpeedsAt: now,
 		Limits:        p.limitLoads(now),
 		PrefillDemand: p.prefillDemand.value(now) / 1000, DecodeDemand: p.decodeDemand.value(now) / 1000,
 	}
@@ -156,10 +165,11 @@
 	known := p.targets
 	p.targets = make(map[string]*target, len(list))
 	p.pools = make(map[string][]*target)
+	p.processes = make(map[uint32]*target, len(list))
 	for _, rt := range list {
 		t, ok := known[rt.Name]
 		if !ok || t.StartedMs != rt.StartedMs || t.Address != rt.Address {
-			t = &target{}
+			t = &target{factors: factors{read: 1, stream: 1}}
 			p.prefixes.dropTarget(rt.Name)
 		} else if t.Role != rt.Role {
 			t.avoidUntil = time.Time{}
@@ -167,6 +177,7 @@
 		t.RelayTarget = rt
 		t.notices = p.notices.states[processOf(&rt)]
 		p.targets[rt.Name] = t
+		p.processes[processHash(&rt)] = t
 		p.pools[rt.Pool] = append(p.pools[rt.Pool], t)
 	}
 	for _, pool := range p.pools {
@@ -255,7 +266,7 @@
 	}
 	t := best.target
 	g.Step, g.Reservation, g.FetchAddress, g.QueueDelay, g.ReadTime = best.step, best.reservation, best.fetchAddress, best.queueDelay, best.read
-	if ref := p.refuseIfLate(now, r, &g); ref != nil {
+	if ref := p.refuseIfLate(now, r, &g, t); ref != nil {
 		g.Refusal = ref
 		return g
 	}
@@ -285,12 +296,12 @@
 
 // refuseIfLate returns a refusal if a request is not expected to be served
 // within its timeouts, and nil otherwise.
-func (p *Placer[P]) refuseIfLate(now time.Time, r *TargetRequest, g *Grant) *tpmessage.RelayRefusal {
+func (p *Placer[P]) refuseIfLate(now time.Time, r *TargetRequest, g *Grant, t *target) *tpmessage.RelayRefusal {
 	req := r.Work.Request
 	if req.Pool.Engine == nil {
 		return nil
 	}
-	remaining := req.CompletionDeadline.Sub(now) - p.generationTime(req, g)
+	remaining := req.CompletionDeadline.Sub(now) - p.generationTime(req, g, t)
 	if !r.Begun {
 		remaining = min(remaining, req.Deadline.Sub(now))
 		if firstEventTimeout := req.Route.FirstEventTimeout(); firstEventTimeout > 0 {
@@ -303,12 +314,12 @@
 	return refuse(fmt.Sprintf("the prompt cannot be read within %v", remaining.Round(time.Millisecond)), g.QueueDelay)
 }
 
-// generationTime returns the expected time to generate an answer of the route,
-// based on usualOutputFactor.
-func (p *Placer[P]) generationTime(req *tpmessage.RelayRequest, g *Grant) time.Duration {
+// generationTime returns the expected time to generate an answer of the route at
+// a target, based on usualOutputFactor.
+func (p *Placer[P]) generationTime(req *tpmessage.RelayRequest, g *Grant, t *target) time.Duration {
 	output := p.meanOutputs[req.Route.Name]
 	step := stepMs + stepMsPerRun*float64(max(1, g.Reservation.BatchSize))
-	return millis(usualOutputFactor * output * step * p.decodeTimeFactor.value())
+	return millis(usualOutputFactor * output * step * p.decodeTimeFactor.value() * t.factors.stream)
 }
 
 func refuse(reason string, wait time.Duration) *tpmessage.RelayRefusal {
--- a/internal/relay/stage2/tpplace/policy.go
+++ b/internal/relay/stage2/tpplace/policy.go
@@ -114,8 +114,8 @@
 	// Priority is the priority of the request. Targets read more urgent prompts
 	// first.
 	Priority int
-	// timeFactor is the time that engines take to read prompts, relative to the
-	// reference speed.
+	// timeFactor is the time that an engine of mean speed takes to read prompts,
+	// relative to the reference speed.
 	timeFactor   float64
 	candidates   int // number of targets before sampling
 	targets      []*target
@@ -132,7 +132,7 @@
 func (Affinity) Prefill(v *View, req *tpmessage.RelayRequest) (int, float64) {
 	bestIndex, minCost := 0, 0.0
 	for i, t := range v.targets {
-		cost := handoverMs + v.waitMs(t) + v.timeFactor*readMs(v.unreadTokens[i], req.PromptTokens)
+		cost := handoverMs + v.waitMs(t) + v.readTimeMs(i, req.PromptTokens)
 		if i != v.home {
 			cost += min(maxAffinityMs, copyCostFactor*v.timeFactor*float64(v.sharedTokens)/PrefillTokensPerMs)
 		}
@@ -150,7 +150,7 @@
 func (Affinity) Direct(v *View, req *tpmessage.RelayRequest) (int, float64) {
 	bestIndex, minCost := 0, 0.0
 	for i, t := range v.targets {
-		cost := interferenceMs + decodeSlowdown*(v.waitMs(t)+v.timeFactor*readMs(v.unreadTokens[i], req.PromptTokens))
+		cost := interferenceMs + decodeSlowdown*(v.waitMs(t)+v.readTimeMs(i, req.PromptTokens))
 		if v.unreadTokens[i] > maxDirectTokens || v.sharedTokens > maxDirectTokens || t.totalPrefill()+v.unreadTokens[i] > directBacklogTokens {
 			cost += overLimitMs
 		}
@@ -160,7 +160,7 @@
 		if t.allowed {
 			cost -= allowanceBonusMs
 		}
-		cost += float64(t.totalRuns())
+		cost += runCost(t)
 		if i == 0 || cost < minCost {
 			bestIndex, minCost = i, cost
 		}
@@ -176,7 +176,7 @@
 	}
 	bestIndex, minCost := 0, 0.0
 	for i, t := range v.targets {
-		cost := float64(t.totalRuns())
+		cost := runCost(t)
 		if t.Zone != v.Zone {
 			cost += zonePenalty
 		}
@@ -190,6 +190,14 @@
 	return bestIndex
 }
 
+// runCost returns the number of runs at a target with the mean speed of its pool
+// whose steps take as long as those of this target.
+func runCost(t *target) float64 {
+	const emptyStep = stepMs / stepMsPerRun // in runs
+	runs := float64(t.totalRuns())
+	return runs + (t.factors.stream-1)*(emptyStep+runs)
+}
+
 // LeastLoaded chooses the target with the smallest load and ignores where
 // prefixes are held. It serves as a baseline.
 type LeastLoaded struct{}
@@ -236,7 +244,14 @@
 	if t.totalPrefill() > before {
 		ms += chunkWaitMs
 	}
-	return v.timeFactor * ms
+	return v.timeFactor * t.factors.read * ms
+}
+
+// readTimeMs returns the expected time, in milliseconds, that the target with
+// the given index takes to read its part of a prompt, if it reads at the speed of
+// the prefill role.
+func (v *View) readTimeMs(index, prompt int) float64 {
+	return v.timeFactor * v.targets[index].factors.read * readMs(v.unreadTokens[index], prompt)
 }
 
 // priority returns the priority of a request. A request that can no longer meet
--- a/internal/relay/stage2/tpplace/target.go
+++ b/internal/relay/stage2/tpplace/target.go
@@ -45,6 +45,8 @@
 	notices           noticeState                  // of the target's process
 	avoidUntil        time.Time                    // until then used only if no other target is left
 	failing           bool                         // avoidUntil was set by a loss or by repeated failures
+	speeds            speeds
+	factors           factors
 }
 
 func (t *target) applyResult(now time.Time, r *StepResult) {
--- a/internal/relay/stage2/tpplace/timefactor.go
+++ b/internal/relay/stage2/tpplace/timefactor.go
@@ -61,14 +61,26 @@
 	return f.estimate
 }
 
-// updateEstimates uses the result of a step to update the speed of the engines
-// and the mean output of the route.
-func (p *Placer[P]) updateEstimates(r *StepResult) {
+// updateEstimates uses the result of a step to update the speed of the engines,
+// that of the target, which is nil if it is no longer registered, and the mean
+// output of the route.
+func (p *Placer[P]) updateEstimates(now time.Time, t *target, r *StepResult) {
 	if r.Outcome != OutcomeServed {
 		return
 	}
+	if t == nil || r.StartedMs != 0 && r.StartedMs != t.StartedMs {
+		// The process has ended. Its speed says nothing about the next one.
+		t = &target{factors: factors{read: 1, stream: 1}}
+	}
+	if r.Elapsed > 0 {
+		t.speeds.ownReadMs += r.Reservation.ReadTime.Seconds() * 1000
+	}
 	if r.Reservation.NoBacklog && r.Reservation.ReadTime >= minObservedRead && r.Elapsed > 0 {
-		p.prefillTimeFactor.observe(r.Elapsed.Seconds() / (r.Reservation.ReadTime + millis(handoverMs)).Seconds())
+		ratio := r.Elapsed.Seconds() / (r.Reservation.ReadTime + millis(handoverMs)).Seconds()
+		p.prefillTimeFactor.observe(ratio / t.factors.read)
+		if !r.Reservation.ReadsPrefix && t.speeds.peersReadAt.Before(now.Add(-r.Elapsed)) {
+			t.speeds.undisturbed.observe(ratio)
+		}
 	}
 	if r.Events == 0 {
 		return
@@ -76,7 +88,9 @@
 	tokens := float64(r.Events * max(1, r.EventTokens))
 	if r.Events >= minObservedEvents && r.Streamed > 0 {
 		msPerToken := r.Streamed.Seconds() * 1000 / (tokens - tokens/float64(r.Events))
-		p.decodeTimeFactor.observe(msPerToken / (stepMs + stepMsPerRun*float64(r.Reservation.BatchSize)))
+		ratio := msPerToken / (stepMs + stepMsPerRun*float64(r.Reservation.BatchSize))
+		p.decodeTimeFactor.observe(ratio / t.factors.stream)
+		t.speeds.ownStreams.observe(ratio)
 	}
 	mean, known := p.meanOutputs[r.Route]
 	if !known {
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -57,6 +57,8 @@
 	nextReport time.Time                     // time of the next report or exchange
 	members    map[string]tpmessage.Member   // live nodes, by name
 	total      total                         // over all nodes
+	ownSpeeds  []tpmessage.TargetSpeed       // observed by this node
+	speedsSent map[string]sentSpeeds         // by receiver; empty for the receivers of reports
 }
 
 // total is the sum of the loads of all nodes, and the loads that it includes.
@@ -70,6 +72,7 @@
 func New(self tpmessage.Member) *Collector {
 	c := &Collector{
 		self: self, nodeLoads: make(map[string]tpmessage.NodeLoad), zoneSums: make(map[string]tpmessage.NodeLoad),
+		speedsSent: make(map[string]sentSpeeds),
 	}
 	c.SetMembers([]tpmessage.Member{self})
 	return c
@@ -95,6 +98,7 @@
 	}
 	isGone := func(name string, _ tpmessage.NodeLoad) bool { _, live := c.members[name]; return !live }
 	maps.DeleteFunc(c.nodeLoads, isGone)
+	maps.DeleteFunc(c.speedsSent, func(name string, _ sentSpeeds) bool { _, live := c.members[name]; return !live && name != "" })
 	maps.DeleteFunc(c.zoneSums, func(zone string, _ tpmessage.NodeLoad) bool { _, ok := c.collectors[zone]; return !ok })
 }
 
@@ -153,8 +157,9 @@
 // the zone if the node is its collector.
 func (c *Collector) Report(now time.Time, own tpmessage.NodeLoad) tpmessage.NodeLoad {
 	if c.IsCollector() {
-		return c.sumLoads(now, own, false)
+		own = c.sumLoads(now, own, false)
 	}
+	c.addSpeeds(now, &own, "", c.IsCollector(), false)
 	return own
 }
 
@@ -167,9 +172,13 @@
 	case !c.IsCollector() || !received.Report:
 		return own
 	case received.Nodes > 0:
-		return c.sumLoads(now, own, false)
+		sum := c.sumLoads(now, own, false)
+		c.addSpeeds(now, &sum, received.Node, true, false)
+		return sum
 	case sender.Zone == c.self.Zone:
-		return c.totalWithout(now, own, received.Node)
+		sum := c.totalWithout(now, own, received.Node)
+		c.addSpeeds(now, &sum, received.Node, true, true)
+		return sum
 	}
 	return own
 }
@@ -211,11 +220,14 @@
 	switch {
 	case l.Node == "" || l.Node == c.self.Name:
 	case l.Nodes == 0:
+		keepSpeeds(now, &l, c.nodeLoads[l.Node])
 		c.nodeLoads[l.Node] = l
 	case !known:
 	case m.Zone == c.self.Zone:
+		keepSpeeds(now, &l, c.othersSum)
 		c.othersSum = l
 	default:
+		keepSpeeds(now, &l, c.zoneSums[m.Zone])
 		c.zoneSums[m.Zone] = l
 	}
 }
--- a/internal/relay/tpcollect/collector_test.go
+++ b/internal/relay/tpcollect/collector_test.go
@@ -17,6 +17,7 @@
 	nodes    map[string]*tpcollect.Collector // by address
 	down     map[string]bool                 // addresses of nodes that send and receive nothing
 	messages int                             // reports and answers sent
+	speeds   int                             // of these, with speeds of targets
 }
 
 func newRegion(zones, size int) *region {
@@ -71,6 +72,9 @@
 				report := c.Report(now, ownLoad(m))
 				report.Report = true
 				r.messages++
+				if len(report.Speeds) > 0 {
+					r.speeds++
+				}
 				collector, ok := r.nodes[address]
 				if !ok || r.down[address] {
 					continue
@@ -85,6 +89,9 @@
 				collector.Record(now, report)
 				c.Record(now, answer)
 				r.messages++
+				if len(answer.Speeds) > 0 {
+					r.speeds++
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/relay/tpcollect/speeds.go
@@ -0,0 +1,103 @@
+package tpcollect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"teaselpin.example/teaselpin/pkg/tpmessage"
+)
+
+const (
+	// speedInterval is the shortest time between two messages with speeds to one
+	// receiver, and speedsPerSecond the mean number of targets that they tell of.
+	// A target takes 9 to 11 bytes.
+	speedInterval   = time.Second
+	speedsPerSecond = 128
+	// speedsMaxIntervals is the number of these intervals from which the speeds of
+	// a sender are ignored.
+	speedsMaxIntervals = 3
+)
+
+// speedsInterval returns the time between two messages that tell of n targets to
+// one receiver.
+func speedsInterval(n int) time.Duration {
+	return max(speedInterval, time.Duration(n)*time.Second/speedsPerSecond)
+}
+
+// SetOwn records the speeds in the node's own load. It returns the load without
+// them, as most messages carry it.
+func (c *Collector) SetOwn(own tpmessage.NodeLoad) tpmessage.NodeLoad {
+	c.ownSpeeds = own.Speeds
+	own.Speeds, own.SpeedsAt = nil, time.Time{}
+	return own
+}
+
+// keepSpeeds completes a received load with the speeds of an earlier one of the
+// same sender.
+func keepSpeeds(now time.Time, l *tpmessage.NodeLoad, earlier tpmessage.NodeLoad) {
+	switch {
+	case len(l.Speeds) > 0:
+		l.SpeedsAt = now
+	case now.Sub(earlier.SpeedsAt) < speedsMaxIntervals*speedsInterval(len(earlier.Speeds)):
+		l.Speeds, l.SpeedsAt = earlier.Speeds, earlier.SpeedsAt
+	}
+}
+
+// addSpeeds adds the speeds that are due for a receiver to a load. The name of
+// the receiver is empty for reports of the node. The speeds are this node's, and
+// with others, those of the nodes in its zone. With allZones, they include the
+// sums of the other zones.
+func (c *Collector) addSpeeds(now time.Time, l *tpmessage.NodeLoad, receiver string, others, allZones bool) {
+	l.Speeds, l.SpeedsAt = nil, time.Time{}
+	sent := c.speedsSent[receiver]
+	// The reports to several receivers are computed at the same time.
+	if !sent.at.IsZero() && !sent.at.Equal(now) && now.Sub(sent.at)+timerTolerance < speedsInterval(sent.count) {
+		return
+	}
+	l.Speeds = c.ownSpeeds
+	if others {
+		l.Speeds = c.sumSpeeds(now, receiver, allZones)
+	}
+	if len(l.Speeds) > 0 {
+		c.speedsSent[receiver] = sentSpeeds{at: now, count: len(l.Speeds)}
+	}
+}
+
+// sentSpeeds is the time of the last message with speeds to a receiver, and the
+// number of targets in it.
+type sentSpeeds struct {
+	at    time.Time
+	count int
+}
+
+// sumSpeeds adds up the speeds of the nodes of this zone without one of them, and
+// with allZones those of the other zones.
+func (c *Collector) sumSpeeds(now time.Time, except string, allZones bool) []tpmessage.TargetSpeed {
+	sums := make(map[uint32]tpmessage.TargetSpeed)
+	add := func(speeds []tpmessage.TargetSpeed) {
+		for _, s := range speeds {
+			sum := sums[s.Process]
+			sum.Process = s.Process
+			sum.ReadMs += s.ReadMs
+			sum.Streams += s.Streams
+			sum.StreamSpeeds += s.StreamSpeeds
+			sums[s.Process] = sum
+		}
+	}
+	add(c.ownSpeeds)
+	for name, l := range c.nodeLoads {
+		if name != except && c.counts(now, name, l) {
+			add(l.Speeds)
+		}
+	}
+	if allZones {
+		for zone := range c.zoneSums {
+			if l, ok := c.zoneSum(now, zone); ok {
+				add(l.Speeds)
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(sums), func(a, b tpmessage.TargetSpeed) int { return cmp.Compare(a.Process, b.Process) })
+}
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -282,6 +282,11 @@
 	PrefillDemand float64
 	DecodeDemand  float64
 	At            time.Time // when this node computed or received it
+	// Speeds holds the observed speeds of targets, sorted by process. A load
+	// without speeds leaves those of an earlier load of the sender in force.
+	// SpeedsAt is the time at which this node computed or received them.
+	Speeds   []TargetSpeed
+	SpeedsAt time.Time
 }
 
 // HTTP statuses of the system's own answers to relayed requests.
