--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -109,3 +109,42 @@
 		}
 	}
 }
+
+// BenchmarkSpeeds measures the size, in bytes, that the speeds of targets add to a
+// heartbeat, and the time to encode and decode them. The sums are those of a region
+// of 58 nodes.
+func BenchmarkSpeeds(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, targets := range []int{30, 90, 1333} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			hb := fullHeartbeat(1, 6)
+			before, err := proto.Marshal(heartbeatToWire(hb))
+			if err != nil {
+				b.Fatal(err)
+			}
+			for range targets {
+				s := tpmessage.TargetSpeed{Process: rng.Uint32()}
+				if rng.IntN(3) == 0 {
+					s.Streams, s.StreamSpeeds = 80*rng.Float64(), 80*rng.Float64()
+				} else {
+					s.ReadMs = 7000 * rng.Float64()
+				}
+				hb.Loads[0].Speeds = append(hb.Loads[0].Speeds, s)
+			}
+			size := 0
+			for b.Loop() {
+				data, err := proto.Marshal(heartbeatToWire(hb))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data) - len(before)
+				var m tpwire.HeartbeatMessage
+				if err := proto.Unmarshal(data, &m); err != nil {
+					b.Fatal(err)
+				}
+				heartbeatFromWire(&m)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/internal/relay/stage2/tpplace/export_test.go
+++ b/internal/relay/stage2/tpplace/export_test.go
@@ -14,3 +14,6 @@
 	t := p.targets[name]
 	return t.factors.read, t.factors.stream
 }
+
+// ProcessHash identifies a process in what nodes tell each other of speeds.
+var ProcessHash = processHash
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -91,6 +91,9 @@
 	Prefill    int           // prompt tokens to read at the target, of all nodes
 	Nodes      int           // other nodes whose load is known
 	OldestLoad time.Duration // age of the oldest of these loads
+	// ReadFactor and StreamFactor are the times that the target is expected to
+	// take for reading and generating, relative to the mean of its pool.
+	ReadFactor, StreamFactor float64
 }
 
 // StepResult is the result of a granted step.
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -142,7 +142,7 @@
 func (p *Placer[P]) Load(now time.Time) tpmessage.NodeLoad {
 	p.advanceSpeeds(now)
 	n := tpmessage.NodeLoad{
-		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.expire(now), Speeds: p.speedLoads(), SpeedsAt: now,
+		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.expire(now), Speeds: p.speedLoads(),
 		Limits:        p.limitLoads(now),
 		PrefillDemand: p.prefillDemand.value(now) / 1000, DecodeDemand: p.decodeDemand.value(now) / 1000,
 	}
@@ -278,7 +278,7 @@
 	g.Target = t.RelayTarget
 	g.Diagnostics = Diagnostics{
 		Candidates: best.candidates, Rank: t.rank(now), Runs: t.totalRuns(), Prefill: t.totalPrefill(),
-		Nodes: p.peerNodes,
+		Nodes: p.peerNodes, ReadFactor: t.factors.read, StreamFactor: t.factors.stream,
 	}
 	if p.peerNodes > 0 {
 		g.Diagnostics.OldestLoad = now.Sub(p.oldestLoad)
--- a/internal/relay/stage2/tpplace/speed.go
+++ b/internal/relay/stage2/tpplace/speed.go
@@ -42,9 +42,9 @@
 	// equal, nothing is told.
 	toldSpeeds, toldSpeedShare, toldSpeedDifference = 3, 0.1, 0.3
 	// minToldCount and minToldMs are the number of streams and the reading time
-	// from which the observations of a target are told. A stream and a prompt of
-	// mean length fall below them in three time constants.
-	minToldCount, minToldMs = 0.05, 10.0
+	// from which the observations of a target are told. A stream falls below it in
+	// 12 s, and a prompt of 200 ms in 16 s.
+	minToldCount, minToldMs = 0.3, 40.0
 )
 
 // speedSum is a moving sum of observed speeds, relative to the reference speed.
@@ -195,7 +195,7 @@
 		}
 	}
 	for i := range nodes {
-		if nodes[i].Node == p.cfg.Node {
+		if nodes[i].Node == p.cfg.Node || now.Sub(nodes[i].At) > loadMaxAge {
 			continue
 		}
 		for _, l := range nodes[i].Speeds {
--- a/internal/relay/stage2/tpplace/speed_test.go
+++ b/internal/relay/stage2/tpplace/speed_test.go
@@ -139,3 +139,28 @@
 		t.Errorf("factor after 40 s without an observation: got %.2f, want 1", read)
 	}
 }
+
+// BenchmarkLoads measures what a node does with the loads of the others and its
+// own, ten times a second, with and without speeds.
+func BenchmarkLoads(b *testing.B) {
+	for _, targets := range []int{90, 1333} {
+		for _, told := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/speeds=%v", targets, told), func(b *testing.B) {
+				list := fleet(targets-targets/3, targets/3)
+				p := newPlacer(tpplace.Affinity{}, list)
+				load := tpmessage.NodeLoad{Node: "node-1", Nodes: 40, At: epoch}
+				for i, t := range list {
+					load.Loads = append(load.Loads, tpmessage.TargetLoad{Target: t.Name, Runs: i % 30})
+					if told {
+						load.Speeds = append(load.Speeds, tpmessage.TargetSpeed{Process: tpplace.ProcessHash(&t), ReadMs: 3000, Streams: 50, StreamSpeeds: float64(30 + i%3*20)})
+					}
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Step(epoch, tpplace.Input{Kind: tpplace.InputLoads, Nodes: 41, Loads: []tpmessage.NodeLoad{load}})
+					p.Load(epoch)
+				}
+			})
+		}
+	}
+}
--- a/internal/relay/stage2/tpplace/timefactor.go
+++ b/internal/relay/stage2/tpplace/timefactor.go
@@ -90,7 +90,9 @@
 		msPerToken := r.Streamed.Seconds() * 1000 / (tokens - tokens/float64(r.Events))
 		ratio := msPerToken / (stepMs + stepMsPerRun*float64(r.Reservation.BatchSize))
 		p.decodeTimeFactor.observe(ratio / t.factors.stream)
-		t.speeds.ownStreams.observe(ratio)
+		if r.Reservation.BatchSize > 0 { // the target is an engine
+			t.speeds.ownStreams.observe(ratio)
+		}
 	}
 	mean, known := p.meanOutputs[r.Route]
 	if !known {
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -497,6 +497,12 @@
 	if g.FetchAddress != "" {
 		e = e.Str("fetch", g.FetchAddress)
 	}
+	if f := g.Diagnostics.ReadFactor; f != 1 {
+		e = e.Float64("readFactor", f)
+	}
+	if f := g.Diagnostics.StreamFactor; f != 1 {
+		e = e.Float64("streamFactor", f)
+	}
 	if res.Status != 0 {
 		e = e.Int("status", res.Status)
 	}
--- a/internal/relay/tpcollect/speeds.go
+++ b/internal/relay/tpcollect/speeds.go
@@ -10,27 +10,29 @@
 )
 
 const (
-	// speedInterval is the shortest time between two messages with speeds to one
-	// receiver, and speedsPerSecond the mean number of targets that they tell of.
-	// A target takes 9 to 11 bytes.
-	speedInterval   = time.Second
+	// exchangeSpeeds is the shortest time between two messages with speeds of a
+	// pair of collectors, and nodeSpeeds that between two of a node and its
+	// collector. A collector has many of these, and the sums change little in a
+	// second.
+	exchangeSpeeds, nodeSpeeds = time.Second, 2 * time.Second
+	// speedsPerSecond is the mean number of targets that such messages tell of in a
+	// second. A target takes 8 to 10 bytes.
 	speedsPerSecond = 128
-	// speedsMaxIntervals is the number of these intervals from which the speeds of
-	// a sender are ignored.
+	// speedsMaxIntervals is the number of intervals from which the speeds of a
+	// sender are ignored.
 	speedsMaxIntervals = 3
 )
 
-// speedsInterval returns the time between two messages that tell of n targets to
-// one receiver.
-func speedsInterval(n int) time.Duration {
-	return max(speedInterval, time.Duration(n)*time.Second/speedsPerSecond)
+// speedsInterval returns the time between two messages that tell of n targets.
+func speedsInterval(shortest time.Duration, n int) time.Duration {
+	return max(shortest, time.Duration(n)*time.Second/speedsPerSecond)
 }
 
 // SetOwn records the speeds in the node's own load. It returns the load without
 // them, as most messages carry it.
 func (c *Collector) SetOwn(own tpmessage.NodeLoad) tpmessage.NodeLoad {
 	c.ownSpeeds = own.Speeds
-	own.Speeds, own.SpeedsAt = nil, time.Time{}
+	own.Speeds = nil
 	return own
 }
 
@@ -40,20 +42,24 @@
 	switch {
 	case len(l.Speeds) > 0:
 		l.SpeedsAt = now
-	case now.Sub(earlier.SpeedsAt) < speedsMaxIntervals*speedsInterval(len(earlier.Speeds)):
+	case now.Sub(earlier.SpeedsAt) < speedsMaxIntervals*speedsInterval(nodeSpeeds, len(earlier.Speeds)):
 		l.Speeds, l.SpeedsAt = earlier.Speeds, earlier.SpeedsAt
 	}
 }
 
 // addSpeeds adds the speeds that are due for a receiver to a load. The name of
 // the receiver is empty for reports of the node. The speeds are this node's, and
-// with others, those of the nodes in its zone. With allZones, they include the
-// sums of the other zones.
+// with others, those of the nodes in its zone. With allZones, which is for a node
+// of the zone, they include the sums of the other zones.
 func (c *Collector) addSpeeds(now time.Time, l *tpmessage.NodeLoad, receiver string, others, allZones bool) {
 	l.Speeds, l.SpeedsAt = nil, time.Time{}
 	sent := c.speedsSent[receiver]
+	shortest := nodeSpeeds
+	if others && !allZones {
+		shortest = exchangeSpeeds
+	}
 	// The reports to several receivers are computed at the same time.
-	if !sent.at.IsZero() && !sent.at.Equal(now) && now.Sub(sent.at)+timerTolerance < speedsInterval(sent.count) {
+	if !sent.at.IsZero() && !sent.at.Equal(now) && now.Sub(sent.at)+timerTolerance < speedsInterval(shortest, sent.count) {
 		return
 	}
 	l.Speeds = c.ownSpeeds
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -284,7 +284,7 @@
 	At            time.Time // when this node computed or received it
 	// Speeds holds the observed speeds of targets, sorted by process. A load
 	// without speeds leaves those of an earlier load of the sender in force.
-	// SpeedsAt is the time at which this node computed or received them.
+	// SpeedsAt is the time at which this node received them.
 	Speeds   []TargetSpeed
 	SpeedsAt time.Time
 }
