--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -63,8 +63,11 @@
 	// NoBacklog is true if no other prompt was known to be waiting or being
 	// read at the target.
 	NoBacklog bool
-	ReadTime  time.Duration // time to read the prompt at the reference speed
-	BatchSize int           // runs at the target, including this one
+	// ReadsPrefix is true if Prefill includes the shared prefix of the prompt,
+	// which the target may hold after all.
+	ReadsPrefix bool
+	ReadTime    time.Duration // time to read the prompt at the reference speed
+	BatchSize   int           // runs at the target, including this one
 }
 
 // Grant assigns a step to a target or refuses it.
@@ -88,6 +91,9 @@
 	Prefill    int           // prompt tokens to read at the target, of all nodes
 	Nodes      int           // other nodes whose load is known
 	OldestLoad time.Duration // age of the oldest of these loads
+	// ReadFactor and StreamFactor are the times that the target is expected to
+	// take for reading and generating, relative to the mean of its pool.
+	ReadFactor, StreamFactor float64
 }
 
 // StepResult is the result of a granted step.
