Order targets only in the zones of the region

A configuration may price zones that the region does not have, and an order there would be refused, or paid for.

--- a/internal/relay/tpscale/plan.go
+++ b/internal/relay/tpscale/plan.go
@@ -30,9 +30,6 @@
 func newPlan(now time.Time, cfg *Settings, p *pool, o Observation, required float64, known bool) *plan {
 	pl := &plan{now: now, cfg: cfg, pool: p, demand: o, count: make(map[Subject]int), reserve: o.Peak}
 	names := make(map[string]bool)
-	for zone := range p.cfg.Autoscale.ZonePrices {
-		names[zone] = true
-	}
 	for key := range p.subjects {
 		names[key.Zone] = true
 	}
--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -108,8 +108,17 @@
 	}
 	withTime := make(map[*subject]int) // spot targets that say when they leave
 	for _, t := range s.targets {
+		if t.Zone == "" {
+			continue
+		}
+		for _, p := range s.pools {
+			// A zone with a price is used if the region has it.
+			if _, priced := p.cfg.Autoscale.ZonePrices[t.Zone]; priced {
+				p.subject(Subject{Zone: t.Zone})
+			}
+		}
 		p, ok := s.pools[t.Pool]
-		if !ok || t.Zone == "" {
+		if !ok {
 			continue
 		}
 		sub := p.subject(Subject{Zone: t.Zone, Spot: t.Spot})
