--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -217,11 +217,6 @@
 	return states
 }
 
-// Observation returns the demand at time now, for a startup time.
-func (s *Scaler[P]) Observation(now time.Time, startup time.Duration) Observation {
-	return s.demand.observation(now, startup)
-}
-
 // Step returns the orders to send now. Each counts as being sent until
 // HandleResult.
 func (s *Scaler[P]) Step(now time.Time) []Order {
