--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -54,6 +54,7 @@
 	want.Loads[0].Limits = []tpmessage.TargetLimit{{
 		Target: "i-1", StartedMs: 1 << 41, Statement: tpmessage.LimitNamed, PerSecond: 2.2, Age: 300 * time.Millisecond, Demand: 0.7, Room: 2,
 	}}
+	want.Loads[0].Speeds = []tpmessage.TargetSpeed{{Process: 1 << 31, ReadMs: 1200, Streams: 2.25, StreamSpeeds: 1.5}, {Process: 7, ReadMs: 3}}
 	want.Allowances = []tpmessage.Allowance{{Target: "i-1", StartedMs: 1 << 41, Granted: 2, Left: 1400 * time.Millisecond, Returned: 1, Used: 3}}
 	want.Suspects = []tpmessage.SuspectRequest{{Fingerprint: 7, Targets: []string{"a"}}}
 	want.Leaving = []tpmessage.LeavingTarget{{Name: "a", Age: time.Second}}
@@ -77,6 +78,15 @@
 	}
 }
 
+// Guards against a panic for speeds that no node sends.
+func TestSpeedsThatDoNotFitSayNothing(t *testing.T) {
+	for _, m := range []*tpwire.SpeedSums{nil, {}, {Processes: []uint32{1}}, {Sums: []uint32{1, 2, 3}}, {Processes: []uint32{1, 2}, Sums: []uint32{1, 2, 3}}} {
+		if got := speedsFromWire(m); got != nil {
+			t.Errorf("%v: got %+v, want none", m, got)
+		}
+	}
+}
+
 // BenchmarkHeartbeat measures the encoded size of a heartbeat in bytes and the
 // time to encode it.
 func BenchmarkHeartbeat(b *testing.B) {
@@ -100,3 +110,42 @@
 		}
 	}
 }
+
+// BenchmarkSpeeds measures the size, in bytes, that the speeds of targets add to a
+// heartbeat, and the time to encode and decode them. The sums are those of a region
+// of 58 nodes.
+func BenchmarkSpeeds(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, targets := range []int{30, 90, 1333} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			hb := fullHeartbeat(1, 6)
+			before, err := proto.Marshal(heartbeatToWire(hb))
+			if err != nil {
+				b.Fatal(err)
+			}
+			for range targets {
+				s := tpmessage.TargetSpeed{Process: rng.Uint32()}
+				if rng.IntN(3) == 0 {
+					s.Streams, s.StreamSpeeds = 80*rng.Float64(), 80*rng.Float64()
+				} else {
+					s.ReadMs = 7000 * rng.Float64()
+				}
+				hb.Loads[0].Speeds = append(hb.Loads[0].Speeds, s)
+			}
+			size := 0
+			for b.Loop() {
+				data, err := proto.Marshal(heartbeatToWire(hb))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data) - len(before)
+				var m tpwire.HeartbeatMessage
+				if err := proto.Unmarshal(data, &m); err != nil {
+					b.Fatal(err)
+				}
+				heartbeatFromWire(&m)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -108,8 +108,17 @@
 	}
 	withTime := make(map[*subject]int) // spot targets that say when they leave
 	for _, t := range s.targets {
+		if t.Zone == "" {
+			continue
+		}
+		for _, p := range s.pools {
+			// A zone with a price is used if the region has it.
+			if _, priced := p.cfg.Autoscale.ZonePrices[t.Zone]; priced {
+				p.subject(Subject{Zone: t.Zone})
+			}
+		}
 		p, ok := s.pools[t.Pool]
-		if !ok || t.Zone == "" {
+		if !ok {
 			continue
 		}
 		sub := p.subject(Subject{Zone: t.Zone, Spot: t.Spot})
@@ -208,11 +217,6 @@
 	return states
 }
 
-// Observation returns the demand at time now, for a startup time.
-func (s *Scaler[P]) Observation(now time.Time, startup time.Duration) Observation {
-	return s.demand.observation(now, startup)
-}
-
 // Step returns the orders to send now. Each counts as being sent until
 // HandleResult.
 func (s *Scaler[P]) Step(now time.Time) []Order {
