Let witnesses decide whether speeds are told

Cause: each node decided by itself whether its observations show different speeds. Where engines differ in reading only, 4 of 10 nodes told theirs, and the work of the others was missing. With equal engines 0.07 reports of a node and second carried speeds.

Change: a node whose own observations differ from the median of their pool is a witness. Nodes tell the number of witnesses, and all tell their sums while more than a tenth of the nodes are. Undisturbed prompts count for 20 s.

--- a/internal/edge/tppeer/members.go
+++ b/internal/edge/tppeer/members.go
@@ -192,7 +192,7 @@
 func loadToWire(n tpmessage.NodeLoad) *tpwire.NodeLoad {
 	out := &tpwire.NodeLoad{
 		Node: n.Node, PrefillDemand: n.PrefillDemand, DecodeDemand: n.DecodeDemand, Changing: n.Changing,
-		Nodes: uint32(n.Nodes), Report: n.Report, Speeds: speedsToWire(n.Speeds),
+		Nodes: uint32(n.Nodes), Report: n.Report, Speeds: speedsToWire(n.Speeds, n.SpeedWitnesses),
 	}
 	for _, p := range n.Prefixes {
 		out.Prefixes = append(out.Prefixes, &tpwire.HeldPrefix{Prefix: p.Prefix, Target: p.Target})
@@ -254,6 +254,7 @@
 	out := tpmessage.NodeLoad{
 		Node: n.GetNode(), PrefillDemand: n.GetPrefillDemand(), DecodeDemand: n.GetDecodeDemand(), Changing: n.GetChanging(),
 		Nodes: int(n.GetNodes()), Report: n.GetReport(), Speeds: speedsFromWire(n.GetSpeeds()),
+		SpeedWitnesses: int(n.GetSpeeds().GetWitnesses()),
 	}
 	for _, p := range n.GetPrefixes() {
 		out.Prefixes = append(out.Prefixes, tpmessage.CachedPrefix{Prefix: p.GetPrefix(), Target: p.GetTarget()})
--- a/internal/edge/tppeer/members_test.go
+++ b/internal/edge/tppeer/members_test.go
@@ -54,6 +54,7 @@
 		Target: "i-1", StartedMs: 1 << 41, Statement: tpmessage.LimitNamed, PerSecond: 2.2, Age: 300 * time.Millisecond, Demand: 0.7, Room: 2,
 	}}
 	want.Loads[0].Speeds = []tpmessage.TargetSpeed{{Process: 1 << 31, ReadMs: 1200, Streams: 2.25, StreamSpeeds: 1.5}, {Process: 7, ReadMs: 3}}
+	want.Loads[0].SpeedWitnesses = 2
 	want.Allowances = []tpmessage.Allowance{{Target: "i-1", StartedMs: 1 << 41, Granted: 2, Left: 1400 * time.Millisecond, Returned: 1, Used: 3}}
 	want.Suspects = []tpmessage.SuspectRequest{{Fingerprint: 7, Targets: []string{"a"}}}
 	want.Leaving = []tpmessage.LeavingTarget{{Name: "a", Age: time.Second}}
--- a/internal/edge/tppeer/speeds.go
+++ b/internal/edge/tppeer/speeds.go
@@ -15,12 +15,13 @@
 )
 
 // speedsToWire returns nil for an empty list, which is not encoded.
-func speedsToWire(speeds []tpmessage.TargetSpeed) *tpwire.SpeedSums {
+func speedsToWire(speeds []tpmessage.TargetSpeed, witnesses int) *tpwire.SpeedSums {
 	if len(speeds) == 0 {
 		return nil
 	}
 	out := &tpwire.SpeedSums{
 		Processes: make([]uint32, 0, len(speeds)), Sums: make([]uint32, 0, sumsPerProcess*len(speeds)),
+		Witnesses: uint32(witnesses),
 	}
 	for _, s := range speeds {
 		out.Processes = append(out.Processes, s.Process)
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -52,8 +52,12 @@
 	// at the time speedsAt.
 	processes map[uint32]*target
 	speedsAt  time.Time
-	budgets   map[string]*budget
-	nodes     int // live nodes of the region, including this one
+	// peerWitnesses is the number of other nodes that have observed that targets
+	// differ.
+	peerWitnesses int
+	means         []speedSum // scratch of one load
+	budgets       map[string]*budget
+	nodes         int // live nodes of the region, including this one
 	// peerNodes is the number of other nodes whose load counts, and oldestLoad
 	// the time of the oldest of these loads.
 	peerNodes  int
@@ -142,10 +146,11 @@
 func (p *Placer[P]) Load(now time.Time) tpmessage.NodeLoad {
 	p.advanceSpeeds(now)
 	n := tpmessage.NodeLoad{
-		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.expire(now), Speeds: p.speedLoads(),
+		Node: p.cfg.Node, At: now, Changing: p.changing, Prefixes: p.prefixes.expire(now),
 		Limits:        p.limitLoads(now),
 		PrefillDemand: p.prefillDemand.value(now) / 1000, DecodeDemand: p.decodeDemand.value(now) / 1000,
 	}
+	n.Speeds, n.SpeedWitnesses = p.speedLoads()
 	for _, pool := range p.pools {
 		for _, t := range pool {
 			if t.failing && !now.Before(t.avoidUntil) {
--- a/internal/relay/stage2/tpplace/speed.go
+++ b/internal/relay/stage2/tpplace/speed.go
@@ -36,11 +36,16 @@
 	// minSpeedCoverage is the part of the reading of all nodes that must be known.
 	// The known part differs between targets if only some nodes tell theirs.
 	minSpeedCoverage = 0.4
-	// A node tells the others what it has observed only if at least toldSpeeds of
-	// its own observations, and the share toldSpeedShare of them, are of targets
-	// that differ from their pool by toldSpeedDifference. Where all targets are
-	// equal, nothing is told.
-	toldSpeeds, toldSpeedShare, toldSpeedDifference = 3, 0.1, 0.3
+	// A node tells the others what it has observed if it is a witness that targets
+	// of a pool differ, or if more than one in nodesPerWitness of the nodes is.
+	// Where all targets are equal, nothing is told but by chance.
+	nodesPerWitness = 10
+	// A node is a witness if, of its own observations, at least toldSpeeds and the
+	// share toldShare are of targets faster than the median of their pool by
+	// toldSpeedDifference, or twice as many of slower ones. Of readings, the slow
+	// ones must have the share toldSlowReads, because a target often seems to read
+	// slowly because of unknown work.
+	toldSpeeds, toldShare, toldSlowReads, toldSpeedDifference = 3, 0.1, 0.4, 0.25
 	// minToldCount and minToldMs are the number of streams and the reading time
 	// from which the observations of a target are told. A stream falls below it in
 	// 12 s, and a prompt of 200 ms in 16 s.
@@ -78,7 +83,8 @@
 	busyMs                  float64 // time for which prompts were to be read
 	ownStreams, peerStreams speedSum
 	// undisturbed is the speeds of own prompts that had no others before them as
-	// far as is known. They show at one node whether targets differ.
+	// far as is known. They show at one node whether targets differ, and count for
+	// twice the time because they are few.
 	undisturbed speedSum
 	// peersReadAt is the last time at which other nodes had prompts to be read.
 	peersReadAt time.Time
@@ -93,7 +99,7 @@
 }
 
 // mean returns the number of observations and their mean.
-func (s *speedSum) mean() (count, mean float64) {
+func (s speedSum) mean() (count, mean float64) {
 	if s.count == 0 {
 		return 0, 0
 	}
@@ -133,7 +139,7 @@
 	for _, t := range p.targets {
 		s := &t.speeds
 		s.ownStreams.scale(decay)
-		s.undisturbed.scale(decay)
+		s.undisturbed.scale(math.Sqrt(decay))
 		s.ownReadMs *= decay
 		s.busyMs *= decay
 		if t.Role == tpmessage.RolePrefill && t.totalPrefill() > 0 {
@@ -142,47 +148,79 @@
 	}
 }
 
-// speedLoads returns what this node has observed of the speeds of targets,
-// sorted by process. It returns nil if the targets seem to be equal.
-func (p *Placer[P]) speedLoads() []tpmessage.TargetSpeed {
-	if !p.seesDifference() {
-		return nil
+// speedLoads returns what this node has observed of the speeds of targets, sorted
+// by process, and the number of witnesses that it is, 0 or 1. It returns nil if
+// nothing is to be told.
+func (p *Placer[P]) speedLoads() (list []tpmessage.TargetSpeed, witnesses int) {
+	if p.seesDifference() {
+		witnesses = 1
+	} else if p.peerWitnesses <= p.nodes/nodesPerWitness {
+		return nil, 0
 	}
-	var out []tpmessage.TargetSpeed
 	for process, t := range p.processes {
 		s := &t.speeds
 		if s.ownReadMs >= minToldMs || s.ownStreams.count >= minToldCount {
-			out = append(out, tpmessage.TargetSpeed{
+			list = append(list, tpmessage.TargetSpeed{
 				Process: process, ReadMs: s.ownReadMs,
 				Streams: s.ownStreams.count, StreamSpeeds: s.ownStreams.sum,
 			})
 		}
 	}
-	slices.SortFunc(out, func(a, b tpmessage.TargetSpeed) int { return cmp.Compare(a.Process, b.Process) })
-	return out
+	slices.SortFunc(list, func(a, b tpmessage.TargetSpeed) int { return cmp.Compare(a.Process, b.Process) })
+	return list, witnesses
 }
 
 // seesDifference reports whether this node's own observations show that the
 // targets of a pool differ.
 func (p *Placer[P]) seesDifference() bool {
-	differing, count := 0.0, 0.0
+	var reads, streams differences
 	for _, pool := range p.pools {
-		var read, stream poolSpeed
-		for _, t := range pool {
-			read.add(t.speeds.undisturbed.mean())
-			stream.add(t.speeds.ownStreams.mean())
+		p.means = reads.add(p.means[:0], pool, func(t *target) speedSum { return t.speeds.undisturbed })
+		p.means = streams.add(p.means[:0], pool, func(t *target) speedSum { return t.speeds.ownStreams })
+	}
+	return reads.enough(toldSlowReads) || streams.enough(toldShare)
+}
+
+// differences counts the observations of a kind, and of these those of targets
+// that differ from the median of their pool.
+type differences struct {
+	slow, fast, count float64
+}
+
+// add adds the observations of the targets of a pool. It returns scratch, in which
+// it sorts them.
+func (d *differences) add(scratch []speedSum, pool []*target, observed func(*target) speedSum) []speedSum {
+	total := 0.0
+	for _, t := range pool {
+		if n, mean := observed(t).mean(); n > 0 {
+			scratch = append(scratch, speedSum{count: n, sum: mean})
+			total += n
 		}
-		count += read.count + stream.count
-		for _, t := range pool {
-			if n, speed := t.speeds.undisturbed.mean(); math.Abs(read.difference(n, speed)) >= toldSpeedDifference {
-				differing += n
-			}
-			if n, speed := t.speeds.ownStreams.mean(); math.Abs(stream.difference(n, speed)) >= toldSpeedDifference {
-				differing += n
-			}
+	}
+	slices.SortFunc(scratch, func(a, b speedSum) int { return cmp.Compare(a.sum, b.sum) })
+	below, median := 0.0, 0.0
+	for _, m := range scratch {
+		if below += m.count; below >= total/2 {
+			median = m.sum
+			break
 		}
 	}
-	return differing >= toldSpeeds && differing >= toldSpeedShare*count
+	d.count += total
+	for _, m := range scratch {
+		switch {
+		case m.sum <= median*(1-toldSpeedDifference):
+			d.slow += m.count
+		case m.sum >= median*(1+toldSpeedDifference):
+			d.fast += m.count
+		}
+	}
+	return scratch
+}
+
+// enough reports whether the differences are more than chance, where slowShare is
+// the least share of slow observations.
+func (d *differences) enough(slowShare float64) bool {
+	return d.fast >= toldSpeeds && d.fast >= toldShare*d.count || d.slow >= 2*toldSpeeds && d.slow >= slowShare*d.count
 }
 
 // setPeerSpeeds replaces what the other nodes have observed of the speeds of
@@ -194,10 +232,12 @@
 			t.speeds.peersReadAt = now
 		}
 	}
+	p.peerWitnesses = 0
 	for i := range nodes {
 		if nodes[i].Node == p.cfg.Node || now.Sub(nodes[i].At) > loadMaxAge {
 			continue
 		}
+		p.peerWitnesses += nodes[i].SpeedWitnesses
 		for _, l := range nodes[i].Speeds {
 			if t, ok := p.processes[l.Process]; ok {
 				t.speeds.peerReadMs += l.ReadMs
--- a/internal/relay/tpcollect/collector.go
+++ b/internal/relay/tpcollect/collector.go
@@ -57,7 +57,7 @@
 	nextReport time.Time                     // time of the next report or exchange
 	members    map[string]tpmessage.Member   // live nodes, by name
 	total      total                         // over all nodes
-	ownSpeeds  []tpmessage.TargetSpeed       // observed by this node
+	ownSpeeds  tpmessage.NodeLoad            // the node's own load, only for its speeds
 	speedsSent map[string]sentSpeeds         // by receiver; empty for the receivers of reports
 }
 
--- a/internal/relay/tpcollect/speeds.go
+++ b/internal/relay/tpcollect/speeds.go
@@ -31,8 +31,8 @@
 // SetOwn records the speeds in the node's own load. It returns the load without
 // them, as most messages carry it.
 func (c *Collector) SetOwn(own tpmessage.NodeLoad) tpmessage.NodeLoad {
-	c.ownSpeeds = own.Speeds
-	own.Speeds = nil
+	c.ownSpeeds = own
+	own.Speeds, own.SpeedWitnesses = nil, 0
 	return own
 }
 
@@ -43,7 +43,7 @@
 	case len(l.Speeds) > 0:
 		l.SpeedsAt = now
 	case now.Sub(earlier.SpeedsAt) < speedsMaxIntervals*speedsInterval(nodeSpeeds, len(earlier.Speeds)):
-		l.Speeds, l.SpeedsAt = earlier.Speeds, earlier.SpeedsAt
+		l.Speeds, l.SpeedWitnesses, l.SpeedsAt = earlier.Speeds, earlier.SpeedWitnesses, earlier.SpeedsAt
 	}
 }
 
@@ -52,7 +52,7 @@
 // with others, those of the nodes in its zone. With allZones, which is for a node
 // of the zone, they include the sums of the other zones.
 func (c *Collector) addSpeeds(now time.Time, l *tpmessage.NodeLoad, receiver string, others, allZones bool) {
-	l.Speeds, l.SpeedsAt = nil, time.Time{}
+	l.Speeds, l.SpeedWitnesses, l.SpeedsAt = nil, 0, time.Time{}
 	sent := c.speedsSent[receiver]
 	shortest := nodeSpeeds
 	if others && !allZones {
@@ -62,9 +62,9 @@
 	if !sent.at.IsZero() && !sent.at.Equal(now) && now.Sub(sent.at)+timerTolerance < speedsInterval(shortest, sent.count) {
 		return
 	}
-	l.Speeds = c.ownSpeeds
+	l.Speeds, l.SpeedWitnesses = c.ownSpeeds.Speeds, c.ownSpeeds.SpeedWitnesses
 	if others {
-		l.Speeds = c.sumSpeeds(now, receiver, allZones)
+		l.Speeds, l.SpeedWitnesses = c.sumSpeeds(now, receiver, allZones)
 	}
 	if len(l.Speeds) > 0 {
 		c.speedsSent[receiver] = sentSpeeds{at: now, count: len(l.Speeds)}
@@ -80,10 +80,11 @@
 
 // sumSpeeds adds up the speeds of the nodes of this zone without one of them, and
 // with allZones those of the other zones.
-func (c *Collector) sumSpeeds(now time.Time, except string, allZones bool) []tpmessage.TargetSpeed {
+func (c *Collector) sumSpeeds(now time.Time, except string, allZones bool) (list []tpmessage.TargetSpeed, witnesses int) {
 	sums := make(map[uint32]tpmessage.TargetSpeed)
-	add := func(speeds []tpmessage.TargetSpeed) {
-		for _, s := range speeds {
+	add := func(l tpmessage.NodeLoad) {
+		witnesses += l.SpeedWitnesses
+		for _, s := range l.Speeds {
 			sum := sums[s.Process]
 			sum.Process = s.Process
 			sum.ReadMs += s.ReadMs
@@ -95,15 +96,16 @@
 	add(c.ownSpeeds)
 	for name, l := range c.nodeLoads {
 		if name != except && c.counts(now, name, l) {
-			add(l.Speeds)
+			add(l)
 		}
 	}
 	if allZones {
 		for zone := range c.zoneSums {
 			if l, ok := c.zoneSum(now, zone); ok {
-				add(l.Speeds)
+				add(l)
 			}
 		}
 	}
-	return slices.SortedFunc(maps.Values(sums), func(a, b tpmessage.TargetSpeed) int { return cmp.Compare(a.Process, b.Process) })
+	list = slices.SortedFunc(maps.Values(sums), func(a, b tpmessage.TargetSpeed) int { return cmp.Compare(a.Process, b.Process) })
+	return list, witnesses
 }
--- a/pkg/tpmessage/relay.go
+++ b/pkg/tpmessage/relay.go
@@ -284,9 +284,12 @@
 	At            time.Time // when this node computed or received it
 	// Speeds holds the observed speeds of targets, sorted by process. A load
 	// without speeds leaves those of an earlier load of the sender in force.
-	// SpeedsAt is the time at which this node received them.
-	Speeds   []TargetSpeed
-	SpeedsAt time.Time
+	// SpeedWitnesses is the number of nodes, of those in the load, whose own
+	// observations show that targets differ. SpeedsAt is the time at which this
+	// node received both.
+	Speeds         []TargetSpeed
+	SpeedWitnesses int
+	SpeedsAt       time.Time
 }
 
 // HTTP statuses of the system's own answers to relayed requests.
