Bound what an earlier holder may have ordered

A new holder does not know the orders of an earlier one whose targets have not registered. What it assumes is now fixed at its first decision and ends with the startup time and its margin, or with an order of its own for the subject. It fell before with each registration, also with those of other orders.

A refusal for lack of capacity says that the platform has fewer targets than were ordered, so that the assumption ends there; plain targets had waited 9 s for spot ones that nobody had ordered. A refusal that the assumption explains blocks the subject for the startup time instead of 60 s.

--- a/internal/relay/tpscale/plan.go
+++ b/internal/relay/tpscale/plan.go
@@ -29,9 +29,9 @@
 	needed  int             // required targets of both kinds
 	plain   int             // plain ones among them
 	reserve float64         // targets that must remain after a loss of the spot targets of a zone
-	// ignoreEarlier is set if the demand needs targets at once, also those for
-	// which an order of an earlier holder may have left no room.
-	ignoreEarlier bool
+	// ignoreAssumed is set while targets are added that the demand needs at once,
+	// although orders of an earlier holder may have left no room for them.
+	ignoreAssumed bool
 }
 
 // newPlan returns a plan that changes nothing. Until the demand has been known
@@ -126,11 +126,12 @@
 		extra := pl.add(short, true, zone)
 		added += extra + pl.add(short-extra, false, "")
 	}
-	if short := int(math.Ceil(pl.reserve)) - pl.total(); short > 0 {
-		pl.ignoreEarlier = true
+	required := min(max(pl.reserve, pl.demand.Peak/warmUpUtilisation), float64(lowest))
+	if short := int(math.Ceil(required)) - pl.total(); short > 0 {
+		pl.ignoreAssumed = true
 		extra := pl.add(short, true, "")
 		added += extra + pl.add(short-extra, false, "")
-		pl.ignoreEarlier = false
+		pl.ignoreAssumed = false
 	}
 	return added > 0
 }
@@ -283,26 +284,23 @@
 }
 
 // mostOf returns the largest number of targets of a subject that the platform may
-// count: as ordered, or as registered if an order to remove some has no effect, or
-// as an order said that is not known to be void, or as an earlier holder may have
-// ordered.
+// count: as ordered, as registered if an order to remove some has no effect, or as
+// an order that may still be carried out.
 func (pl *plan) mostOf(key Subject) int {
 	sub := pl.pool.subject(key)
 	most := max(pl.count[key], sub.ready)
-	if pl.now.Before(sub.possible.until) {
-		most = max(most, sub.possible.count)
-	}
-	if pl.now.Before(pl.pool.unsureUntil) && !sub.ordered && !pl.ignoreEarlier {
-		most = max(most, sub.ready+pl.earlierOrders(key.Spot))
+	if p := sub.possible; pl.now.Before(p.until) && (!p.assumed || !pl.ignoreAssumed) {
+		most = max(most, p.count)
 	}
 	return most
 }
 
-// earlierOrders returns the largest number of targets of one kind that an earlier
-// holder is assumed to have ordered, in any one zone, and that have not registered
-// yet. The number that it required was below the one at which this holder lowers.
-// Without demand it had no reason to add plain ones.
-func (pl *plan) earlierOrders(spot bool) int {
+// assumeEarlierOrders records, for the first decision of a holder, what an earlier
+// one may have ordered that has not registered yet. Nobody tells a holder, but the
+// earlier one saw about the same demand: the number that it required was below the
+// one at which this holder lowers. Any zone may have all of these targets.
+func (pl *plan) assumeEarlierOrders() {
+	until := pl.now.Add(pl.pool.cfg.Autoscale.Startup + arrivalMargin)
 	plain, spots, largest := 0, 0, 0
 	for key, sub := range pl.pool.subjects {
 		if key.Spot {
@@ -313,13 +311,21 @@
 		}
 	}
 	needed := pl.cfg.LowerAbove * float64(pl.needed)
-	switch {
-	case spot:
-		return max(0, int(math.Ceil(needed))-spots)
-	case pl.demand.Peak <= idleDemand:
-		return 0
+	// Plain targets take the place of lost spot ones, and without demand there is
+	// no reason to add any.
+	morePlain := 0
+	if pl.demand.Peak > idleDemand {
+		afterLoss := plain + spots - largest
+		morePlain = max(0, int(math.Ceil(pl.cfg.RaiseBelow*needed))-plain-spots, int(math.Ceil(pl.reserve))-afterLoss)
+	}
+	moreSpots := max(0, int(math.Ceil(needed))-spots)
+	for key, sub := range pl.pool.subjects {
+		more := morePlain
+		if key.Spot {
+			more = moreSpots
+		}
+		sub.possible = possibleCount{count: sub.ready + more, until: until, assumed: true}
 	}
-	return max(0, int(math.Ceil(pl.cfg.RaiseBelow*needed))-plain-spots, int(math.Ceil(pl.reserve))-(plain+spots-largest))
 }
 
 func (pl *plan) kindTotal(spot bool) int {
--- a/internal/relay/tpscale/pool.go
+++ b/internal/relay/tpscale/pool.go
@@ -35,8 +35,9 @@
 // possibleCount is a number of targets that the platform may have or start for a
 // subject, until a time at which targets that have not registered count as void.
 type possibleCount struct {
-	count int
-	until time.Time
+	count   int
+	until   time.Time
+	assumed bool // of an earlier holder
 }
 
 // subject is the state of the targets and of the orders about a Subject.
@@ -50,7 +51,6 @@
 	previous       orderState // replaced by order if that has no effect
 	possible       possibleCount
 	possibleBefore possibleCount // replaced by possible if the last order has no effect
-	ordered        bool          // the platform has accepted an order of this holder
 	sending        bool
 	repeat         *Order // the last order, if its outcome is unknown
 	failures       int
@@ -105,7 +105,7 @@
 func (s *subject) accept(count int, until, lateUntil time.Time) {
 	s.repeat, s.failures, s.retryAt = nil, 0, time.Time{}
 	s.order.count, s.order.until = count, until
-	s.possible, s.ordered = possibleCount{count: count, until: lateUntil}, true
+	s.possible = possibleCount{count: count, until: lateUntil}
 }
 
 // cancel records that the last order had no effect. The one before may still be
@@ -116,6 +116,14 @@
 	s.possible = s.possibleBefore
 }
 
+// noteNoCapacity records that there are none to be had for an order. The platform
+// has fewer targets than that, also if an earlier holder ordered some.
+func (s *subject) noteNoCapacity(count int, until time.Time) {
+	s.cancel()
+	s.possible.count = min(s.possible.count, count)
+	s.blockedUntil = until
+}
+
 // noteLeaving finds out whether the platform reclaims targets: spot targets
 // leave that no order has removed. More are not to be had there for a while. An
 // order also removes targets that registered after it was given.
@@ -149,9 +157,7 @@
 	grewAt     time.Time // when initial last rose
 	loweredAt  time.Time // time of the last removal
 	needed     int       // as last computed
-	// unsureUntil is the time until which targets may register that an earlier
-	// holder has ordered.
-	unsureUntil time.Time
+	hasDecided bool      // this holder has made a decision
 }
 
 func newPool(cfg tpmessage.RelayPool) *pool {
@@ -167,6 +173,13 @@
 	return sub
 }
 
+// mayExceed reports whether an order may be beyond the limit of its zone, because
+// an earlier holder may have ordered targets of the other kind there.
+func (p *pool) mayExceed(now time.Time, o Order) bool {
+	other := p.subject(Subject{Zone: o.Zone, Spot: !o.Spot}).possible
+	return other.assumed && now.Before(other.until) && o.Count+other.count > p.cfg.Autoscale.Max
+}
+
 func (p *pool) keys() []Subject {
 	return slices.SortedFunc(maps.Keys(p.subjects), compareSubjects)
 }
--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -167,7 +167,6 @@
 	s.fencing = fencing
 	for name, p := range s.pools {
 		s.pools[name] = newPool(p.cfg)
-		s.pools[name].unsureUntil = now.Add(p.cfg.Autoscale.Startup + arrivalMargin)
 	}
 	s.count(now)
 }
@@ -191,11 +190,14 @@
 			sub.cancel()
 		}
 	case OutcomeNoCapacity:
-		sub.cancel()
-		sub.blockedUntil = now.Add(noCapacityDelay)
+		sub.noteNoCapacity(o.Count, now.Add(noCapacityDelay))
 	case OutcomeRefused:
 		sub.cancel()
-		sub.blockedUntil = now.Add(refusedDelay)
+		delay := refusedDelay
+		if p.mayExceed(now, o) {
+			delay = p.cfg.Autoscale.Startup
+		}
+		sub.blockedUntil = now.Add(delay)
 	case OutcomeUnknown:
 		sub.repeat = &o
 	}
@@ -246,6 +248,10 @@
 	}
 	pl := newPlan(now, &s.cfg, p, o, required, s.demand.knownFor(now) >= s.cfg.KnownAfter)
 	p.needed = pl.needed
+	if !p.hasDecided {
+		pl.assumeEarlierOrders()
+		p.hasDecided = true
+	}
 	reason := pl.decide()
 	present := p.counts()
 	var orders []Order
--- a/internal/relay/tpscale/settings.go
+++ b/internal/relay/tpscale/settings.go
@@ -37,7 +37,9 @@
 	// noCapacityDelay is the time for which a kind is not requested again in a
 	// zone that had none, or where the platform has reclaimed its targets.
 	noCapacityDelay = 10 * time.Second
-	// refusedDelay replaces it after an order that the platform does not accept.
+	// refusedDelay replaces it after an order that the platform does not accept,
+	// unless targets that an earlier holder ordered explain it. Those register
+	// within the startup time.
 	refusedDelay = time.Minute
 	// minRetryDelay and maxRetryDelay limit the delay before a call is repeated.
 	// It doubles with each failure, because refused calls are charged for too.
@@ -48,7 +50,7 @@
 	arrivalMargin = 5 * time.Second
 	// lateDelay is added to that for the limit of a zone, because an order beyond
 	// it is refused when those targets come after all.
-	lateDelay = 20 * time.Second
+	lateDelay = 10 * time.Second
 	// idleDemand is the demand, in engines, up to which there counts as none.
 	idleDemand = 0.1
 	// warmUpPeriod is the time with demand in which the caches of the targets
