--- a/internal/relay/tpscale/pool.go
+++ b/internal/relay/tpscale/pool.go
@@ -32,6 +32,14 @@
 
 func (o *orderState) inProgress() bool { return !o.until.IsZero() }
 
+// possibleCount is a number of targets that the platform may have or start for a
+// subject, until a time at which targets that have not registered count as void.
+type possibleCount struct {
+	count   int
+	until   time.Time
+	assumed bool // of an earlier holder
+}
+
 // subject is the state of the targets and of the orders about a Subject.
 type subject struct {
 	ready, leaving int
@@ -41,6 +49,8 @@
 	removing       int       // leaving ones, at most, that an order has removed
 	order          orderState
 	previous       orderState // replaced by order if that has no effect
+	possible       possibleCount
+	possibleBefore possibleCount // replaced by possible if the last order has no effect
 	sending        bool
 	repeat         *Order // the last order, if its outcome is unknown
 	failures       int
@@ -83,6 +93,19 @@
 func (s *subject) begin(count int, until time.Time) {
 	s.previous, s.order = s.order, orderState{count: count, from: s.ready, until: until}
 	s.removing += max(0, s.ready-count)
+	s.possibleBefore = s.possible
+	if until.After(s.possible.until) {
+		s.possible.until = until
+	}
+	s.possible.count = max(s.possible.count, count, s.ready)
+}
+
+// accept records that the platform has accepted an order. Its targets may come
+// late, which is possible until the given time.
+func (s *subject) accept(count int, until, lateUntil time.Time) {
+	s.repeat, s.failures, s.retryAt = nil, 0, time.Time{}
+	s.order.count, s.order.until = count, until
+	s.possible = possibleCount{count: count, until: lateUntil}
 }
 
 // cancel records that the last order had no effect. The one before may still be
@@ -90,17 +113,34 @@
 func (s *subject) cancel() {
 	s.removing = max(0, s.removing-max(0, s.order.from-s.order.count))
 	s.order, s.previous, s.repeat = s.previous, orderState{}, nil
+	s.possible = s.possibleBefore
+}
+
+// noteNoCapacity records that there are none to be had for an order. The platform
+// has fewer targets than that, also if an earlier holder ordered some.
+func (s *subject) noteNoCapacity(count int, until time.Time) {
+	s.cancel()
+	s.possible.count = min(s.possible.count, count)
+	s.blockedUntil = until
 }
 
 // noteLeaving finds out whether the platform reclaims targets: spot targets
-// leave that no order has removed. More are not to be had there for a while.
+// leave that no order has removed. More are not to be had there for a while. An
+// order also removes targets that registered after it was given.
 func (s *subject) noteLeaving(now time.Time, withTime int) {
+	switch {
+	case s.repeat != nil:
+		s.removing = max(s.removing, s.ready+s.leaving-s.repeat.Count)
+	case s.order.inProgress():
+		s.removing = max(s.removing, s.ready+s.leaving-s.order.count)
+	}
 	reclaimed := max(0, withTime-s.removing)
 	if reclaimed > s.reclaimed {
 		s.blockedUntil = now.Add(noCapacityDelay)
 		s.previous = orderState{}
+		s.possibleBefore = possibleCount{}
 		if !s.sending {
-			s.order, s.repeat = orderState{}, nil
+			s.order, s.repeat, s.possible = orderState{}, nil, possibleCount{}
 		}
 	}
 	s.reclaimed = reclaimed
@@ -117,6 +157,7 @@
 	grewAt     time.Time // when initial last rose
 	loweredAt  time.Time // time of the last removal
 	needed     int       // as last computed
+	hasDecided bool      // this holder has made a decision
 }
 
 func newPool(cfg tpmessage.RelayPool) *pool {
@@ -132,6 +173,13 @@
 	return sub
 }
 
+// mayExceed reports whether an order may be beyond the limit of its zone, because
+// an earlier holder may have ordered targets of the other kind there.
+func (p *pool) mayExceed(now time.Time, o Order) bool {
+	other := p.subject(Subject{Zone: o.Zone, Spot: !o.Spot}).possible
+	return other.assumed && now.Before(other.until) && o.Count+other.count > p.cfg.Autoscale.Max
+}
+
 func (p *pool) keys() []Subject {
 	return slices.SortedFunc(maps.Keys(p.subjects), compareSubjects)
 }
--- a/internal/relay/tpscale/scaler.go
+++ b/internal/relay/tpscale/scaler.go
@@ -182,19 +182,22 @@
 	sub.sending = false
 	switch OutcomeOf(err) {
 	case OutcomeAccepted:
-		sub.repeat, sub.failures, sub.retryAt = nil, 0, time.Time{}
-		sub.order.count, sub.order.until = o.Count, now.Add(p.cfg.Autoscale.Startup+arrivalMargin)
+		until := now.Add(p.cfg.Autoscale.Startup + arrivalMargin)
+		sub.accept(o.Count, until, until.Add(lateDelay))
 		return
 	case OutcomeNotSent, OutcomeLimited:
 		if sub.repeat == nil {
 			sub.cancel()
 		}
 	case OutcomeNoCapacity:
-		sub.cancel()
-		sub.blockedUntil = now.Add(noCapacityDelay)
+		sub.noteNoCapacity(o.Count, now.Add(noCapacityDelay))
 	case OutcomeRefused:
 		sub.cancel()
-		sub.blockedUntil = now.Add(refusedDelay)
+		delay := refusedDelay
+		if p.mayExceed(now, o) {
+			delay = p.cfg.Autoscale.Startup
+		}
+		sub.blockedUntil = now.Add(delay)
 	case OutcomeUnknown:
 		sub.repeat = &o
 	}
@@ -245,6 +248,10 @@
 	}
 	pl := newPlan(now, &s.cfg, p, o, required, s.demand.knownFor(now) >= s.cfg.KnownAfter)
 	p.needed = pl.needed
+	if !p.hasDecided {
+		pl.assumeEarlierOrders()
+		p.hasDecided = true
+	}
 	reason := pl.decide()
 	present := p.counts()
 	var orders []Order
