Test a relay node under clients that stop short

Cause: nothing bounds the bodies of all clients together. The test starts a node with memoryMB 48, a body limit of 1 MiB and 40 connections whose requests stop short of their end.

The bounds stay as they are.

--- a/internal/node/tprelaynode/settings.go
+++ b/internal/node/tprelaynode/settings.go
@@ -54,6 +54,8 @@
 	Bootstrap bool `yaml:"bootstrap"`
 	// MemoryMB is the memory limit of the process in megabytes.
 	MemoryMB int `yaml:"memoryMB"`
+	// MaxFDs is the limit of open descriptors of the process.
+	MaxFDs int `yaml:"maxFDs"`
 	// Window is the largest number of requests in progress.
 	Window     int           `yaml:"window"`
 	StopDelay  time.Duration `yaml:"stopDelay"`
--- a/internal/proof/tpprocess/usage.go
+++ b/internal/proof/tpprocess/usage.go
@@ -18,6 +18,9 @@
 	WrittenBytes  int64         // by write calls, including those on sockets
 	CPUTime       time.Duration // user and system CPU time
 	ResidentBytes int64         // current resident memory in bytes
+	// PeakResidentBytes is the largest resident memory since the start, in bytes.
+	PeakResidentBytes int64
+	Descriptors       int // open descriptors
 }
 
 // Usage reads the resource usage of the process from /proc. It fails the test
@@ -28,6 +31,12 @@
 	u.ReadBytes = p.procCounter(t, "io", "rchar:")
 	u.WrittenBytes = p.procCounter(t, "io", "wchar:")
 	u.ResidentBytes = p.procCounter(t, "status", "VmRSS:") << 10
+	u.PeakResidentBytes = p.procCounter(t, "status", "VmHWM:") << 10
+	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.Descriptors = len(descriptors)
 	stat := p.readProcFile(t, "stat")
 	_, rest, _ := strings.Cut(stat, ") ")
 	fields := strings.Fields(rest)
