Bound the bodies and connections of all clients of a relay node

Cause: one body is bounded, all bodies together are not, so clients that stop short of their end take more memory than memoryMB.

Change: tpintake decides which body and which connection gives way; the front end takes memory for a body in pieces through it and refuses with 503 before the request is submitted; each server bounds its connections. The bounds follow from memoryMB and the new setting maxFDs. Without both nothing is bounded, as before.

--- a/internal/command/tpcommand/relay.go
+++ b/internal/command/tpcommand/relay.go
@@ -13,15 +13,13 @@
 	"teaselpin.example/teaselpin/internal/frame/tpduty"
 	"teaselpin.example/teaselpin/internal/frame/tplog"
 	"teaselpin.example/teaselpin/internal/node/tprelaynode"
+	"teaselpin.example/teaselpin/internal/relay/tpintake"
 	"teaselpin.example/teaselpin/pkg/tpconfig"
 	"teaselpin.example/teaselpin/pkg/tpring"
 	"teaselpin.example/teaselpin/platform/tpguest"
 )
 
 const (
-	// memoryLimitFraction is the fraction of the process's memory that the heap
-	// may reach before the runtime collects garbage more often.
-	memoryLimitFraction = 0.6
 	// bytesPerMB is the unit of the setting MemoryMB, in bytes.
 	bytesPerMB = 1 << 20
 )
@@ -41,7 +39,7 @@
 		return err
 	}
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB) * bytesPerMB))
+		debug.SetMemoryLimit(int64(tprelaynode.MemoryLimitFraction * float64(cfg.MemoryMB) * bytesPerMB))
 	}
 	var rings tpring.Group
 	duties, stopDuties := tpduty.NewRunner(tpduty.Settings{})
@@ -74,15 +72,25 @@
 	defer closeOrderClient()
 	dutyClient, closeDutyClient := tpguest.NewDutyClient(cfg.DutyAPI)
 	defer closeDutyClient()
+	var bodies *tpguest.BodyIntake
+	var bodyStats func() tpintake.Stats
+	if limits := cfg.BodyLimits(); limits.Bytes > 0 {
+		bodies = tpguest.NewBodyIntake(limits)
+		bodyStats = bodies.Stats
+	}
 	_, cleanup, err := tprelaynode.New(cfg, tprelaynode.Deps{
 		Log: log, Store: store, Viewer: store, Upstream: upstream, Engines: orderClient, DutyAPI: dutyClient,
 		Kinds:        tprelaynode.ObjectKinds{Config: tpguest.KindConfig, Targets: tpguest.KindServers},
 		DecodeConfig: tpguest.DecodeConfig, DecodeTargets: tpguest.DecodeTargets,
 		Front: func(n *tprelaynode.Node) http.Handler {
-			return &tpguest.Front{Submit: n.Submit, Limits: n.Limits, Closing: n.Closing, Aborted: n.RecordAbort}
+			return &tpguest.Front{
+				Submit: n.Submit, Limits: n.Limits, Closing: n.Closing, Aborted: n.RecordAbort,
+				Bodies: bodies, TurnedAway: n.RecordTurnedAway,
+			}
 		},
-		Ready: tpguest.Ready,
-		Rings: &rings, Duties: duties,
+		BodyStats: bodyStats,
+		Ready:     tpguest.Ready,
+		Rings:     &rings, Duties: duties,
 	})
 	if err != nil {
 		return err
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -19,6 +19,7 @@
 	"teaselpin.example/teaselpin/internal/relay/stage1/tproute"
 	"teaselpin.example/teaselpin/internal/relay/stage3/tprelay"
 	"teaselpin.example/teaselpin/internal/relay/tpholder"
+	"teaselpin.example/teaselpin/internal/relay/tpintake"
 	"teaselpin.example/teaselpin/internal/relay/tprolecontrol"
 	"teaselpin.example/teaselpin/pkg/tpclock"
 	"teaselpin.example/teaselpin/pkg/tpmessage"
@@ -71,6 +72,9 @@
 	DecodeTargets func([]tpobject.Object) ([]tpmessage.RelayTarget, []error)
 	// Front returns the handler of clients' requests.
 	Front func(*Node) http.Handler
+	// BodyStats returns the metrics of the bodies that the front holds. It may be
+	// nil.
+	BodyStats func() tpintake.Stats
 	// Ready returns the handler of the load balancer's readiness check.
 	Ready func(ready func() bool) http.Handler
 	// Rings and Duties are shared with the parts of the process that start
@@ -112,6 +116,7 @@
 	latency     latencyHistograms
 	access      accessState
 	keyUses     keyUses
+	connBounds  map[string]*connBound // by server; not changed after the start
 	cleanup     []func()
 }
 
@@ -129,6 +134,7 @@
 	}
 	n.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.started = n.clock.Now()
+	n.connBounds = make(map[string]*connBound)
 	if err := n.start(); err != nil {
 		n.stop()
 		return nil, nil, err
@@ -218,34 +224,48 @@
 		server.AnswerUsage = n.usage.receive
 	}
 	peers.Handle(tppeer.MembersPath, server.Handler())
-	if _, err := n.serve("peers", n.cfg.Peers, http.MaxBytesHandler(peers, tppeer.MaxMessageBytes)); err != nil {
+	limits := n.cfg.connLimits()
+	if _, err := n.serve("peers", n.cfg.Peers, limits.peers, http.MaxBytesHandler(peers, tppeer.MaxMessageBytes)); err != nil {
 		return err
 	}
 	if n.cfg.Metrics != "" {
-		if _, err := n.serve("metrics", n.cfg.Metrics, n.metrics()); err != nil {
+		if _, err := n.serve("metrics", n.cfg.Metrics, limits.metrics, n.metrics()); err != nil {
 			return err
 		}
 	}
-	if _, err := n.serve("ready", n.cfg.Ready, n.deps.Ready(n.Ready)); err != nil {
+	if _, err := n.serve("ready", n.cfg.Ready, limits.ready, n.deps.Ready(n.Ready)); err != nil {
 		return err
 	}
-	front, err := n.serve("front", n.cfg.Front, n.deps.Front(n))
+	front, err := n.serve("front", n.cfg.Front, limits.front, n.deps.Front(n))
 	n.front = front
 	return err
 }
 
-// serve starts one server. Its clean-up accepts no new connections, waits for
+// serve starts one server with a bound for its connections, or zero. Its clean-up accepts no new connections, waits for
 // the first requests on those that it has accepted, and for the requests in
 // progress until stopDeadline, and then closes their connections.
-func (n *Node) serve(name, address string, h http.Handler) (*http.Server, error) {
+func (n *Node) serve(name, address string, maxConns int, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, Error.New("listen for %s: %w", name, err)
 	}
 	var unused newConns
+	track := unused.track
+	if maxConns > 0 {
+		bound := newConnBound(n.clock, maxConns, func(address, reason string) {
+			n.log.Info().Str("event", "connectionTurnedAway").Str("server", name).Str("address", address).Str("reason", reason).Send()
+		})
+		n.connBounds[name] = bound
+		l = &boundedListener{Listener: l, bound: bound}
+		h = bound.handler(h)
+		track = func(c net.Conn, state http.ConnState) {
+			unused.track(c, state)
+			bound.track(c, state)
+		}
+	}
 	srv := &http.Server{
 		Handler: unused.handler(h), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-		ConnState: unused.track, ConnContext: unused.withConn,
+		ConnState: track, ConnContext: unused.withConn,
 	}
 	srv.RegisterOnShutdown(unused.close)
 	wait, err := n.deps.Duties.Go(name, func() {
@@ -304,6 +324,9 @@
 				return map[string]any{"held": held, "fencing": holder.Fencing}
 			}))
 		}
+		if n.cfg.isBounded() {
+			vars.Set("intake", n.intakeVar())
+		}
 		if n.usage != nil {
 			vars.Set("usage", n.usage.metricsVar())
 		}
--- a/internal/node/tprelaynode/settings.go
+++ b/internal/node/tprelaynode/settings.go
@@ -54,9 +54,11 @@
 	Bootstrap bool `yaml:"bootstrap"`
 	// MemoryMB is the memory limit of the process in megabytes.
 	MemoryMB int `yaml:"memoryMB"`
-	// MaxFDs is the limit of open descriptors of the process.
+	// MaxFDs is the limit of open descriptors of the process. Zero means that the
+	// number of connections does not follow from it.
 	MaxFDs int `yaml:"maxFDs"`
-	// Window is the largest number of requests in progress.
+	// Window is the largest number of requests in progress. Its default is lower if
+	// MemoryMB or MaxFDs allow fewer connections of clients.
 	Window     int           `yaml:"window"`
 	StopDelay  time.Duration `yaml:"stopDelay"`
 	StopGrace  time.Duration `yaml:"stopGrace"`
@@ -111,6 +113,7 @@
 	if s.InitialPrefillFraction < 0 || s.InitialPrefillFraction > 1 {
 		faults = append(faults, fmt.Errorf("prefillPart: want 0 to 1, found %v", s.InitialPrefillFraction))
 	}
+	faults = append(faults, s.checkIntake())
 	return errors.Join(faults...)
 }
 
@@ -129,6 +132,9 @@
 func (s *Settings) setDefaults() {
 	if s.Window <= 0 {
 		s.Window = DefaultWindow
+		if n := s.connLimits().front; n > 0 {
+			s.Window = min(s.Window, n)
+		}
 	}
 	if s.StopDelay <= 0 {
 		s.StopDelay = DefaultStopDelay
