--- a/internal/node/tprelaynode/intake.go
+++ b/internal/node/tprelaynode/intake.go
@@ -50,6 +50,15 @@
 	front, peers, ready, metrics int
 }
 
+// warnBodyLimit logs a body limit of the configuration for which the bounds leave
+// no room. A body takes one and a half times its size when it grows for the last
+// time.
+func (n *Node) warnBodyLimit(limit int64) {
+	if bound := n.cfg.BodyLimits().AddressBytes; bound > 0 && limit+limit/2 > bound {
+		n.log.Warn().Str("event", "bodyLimitAboveMemory").Int64("limit", limit).Int64("bound", bound).Int("memoryMB", n.cfg.MemoryMB).Send()
+	}
+}
+
 // isBounded reports whether the settings ask for bounds.
 func (s *Settings) isBounded() bool { return s.MemoryMB > 0 || s.MaxFDs > 0 }
 
@@ -64,9 +73,10 @@
 	return tpintake.Limits{Bytes: int64(bodies), AddressBytes: int64(addressFraction * bodies)}
 }
 
-// connLimits returns the bounds for connections. Half of the descriptors are for
-// clients, an eighth for peers, a 32nd each for the readiness and the metrics
-// address, and the rest for connections to targets and to the store.
+// connLimits returns the bounds for connections. Three eighths of the descriptors
+// are for clients, an eighth for peers, a 32nd each for the readiness and the
+// metrics address. The rest, seven sixteenths, is for connections to targets, of
+// which a request in progress has one at a time, and to the store.
 func (s *Settings) connLimits() connLimits {
 	if !s.isBounded() {
 		return connLimits{}
@@ -78,8 +88,8 @@
 	}
 	if s.MaxFDs > 0 {
 		n := s.MaxFDs - reservedFDs
-		if l.front == 0 || n/2 < l.front {
-			l.front = n / 2
+		if l.front == 0 || n*3/8 < l.front {
+			l.front = n * 3 / 8
 		}
 		l.peers, l.ready, l.metrics = min(l.peers, n/8), min(l.ready, n/32), min(l.metrics, n/32)
 	}
--- a/internal/node/tprelaynode/objects.go
+++ b/internal/node/tprelaynode/objects.go
@@ -439,6 +439,7 @@
 	n.table.Store(tproute.NewTable(cfg))
 	n.log.Info().Str("event", "configurationInForce").Uint64("generation", cfg.Generation).Uint64("before", before).
 		Uint64("version", v.Version).Str("source", source).Int("routes", len(cfg.Routes)).Send()
+	n.warnBodyLimit(cfg.Limits.MaxBodyBytes)
 	n.logOrganisations(cfg)
 	n.updateKeyUses()
 	_ = n.roles.in.Put(roleInput{config: cfg})
--- a/internal/proof/relay_crowd_test.go
+++ b/internal/proof/relay_crowd_test.go
@@ -137,3 +137,40 @@
 	n.process.Kill()
 	n.restart(t)
 }
+
+// Guards against a bound that refuses a body at the limit, whole or in pieces, or a
+// slow client, while nobody else is there.
+func TestRelayServesABodyAtTheLimitInCalm(t *testing.T) {
+	f := newRelayPlatform(t, func(address string) string { return address })
+	n := f.startNode(t, 0, []string{tpprocess.FreeAddress(t)}, f.address)
+	appendSettings(t, n, fmt.Sprintf("memoryMB: %d\nmaxFDs: %d\n", crowdMemoryMB, crowdMaxFDs))
+	tpprocess.Eventually(t, "the node is ready", n.isReady)
+	for _, kind := range []crowdKind{
+		{"whole", writeAnnounced(crowdBody, crowdBody, 1, 0)},
+		{"pieces", writeAnnounced(crowdBody, crowdBody/16, 16, 20*time.Millisecond)},
+		{"chunks", func(c net.Conn) error {
+			if err := writeChunked(1<<10, crowdBody-1)(c); err != nil {
+				return err
+			}
+			_, err := io.WriteString(c, "0\r\n\r\n")
+			return err
+		}},
+		{"slow", writeAnnounced(40, 1, 40, 50*time.Millisecond)},
+	} {
+		c, err := net.Dial("tcp", n.frontAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		_, _ = fmt.Fprintf(c, "POST /swap/x HTTP/1.1\r\nHost: one.example\r\nConnection: close\r\nX-Teaselpin-Request-Id: %s\r\n", kind.name)
+		if err := kind.write(c); err != nil {
+			t.Errorf("%s: %v", kind.name, err)
+		}
+		answer, err := io.ReadAll(c)
+		if got, want := string(answer), "HTTP/1.1 200 "; err != nil || !strings.HasPrefix(got, want) {
+			t.Errorf("%s: got %q (%v), want %q", kind.name, got, err, want)
+		}
+		t.Logf("%s: %v", kind.name, time.Since(start))
+		c.Close()
+	}
+}
