List a fault of scaling after several changes of the holder

Cause: a holder of the lease does not know the orders of earlier ones whose targets have not registered; it assumes one earlier holder.

--- a/internal/relay/tpscale/faults_test.go
+++ b/internal/relay/tpscale/faults_test.go
@@ -111,3 +111,13 @@
 		}
 	}
 }
+
+// Guards against orders beyond the limit of a zone after several changes of the
+// holder within seconds.
+func TestHoldersInARowKeepTheLimits(t *testing.T) {
+	for _, seed := range []uint64{1489, 2871} {
+		for _, fault := range randomDay(seed, newScaler) {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+	}
+}
