Read the era of usage reports as the other parts do

Cause: the filter of usage reports looked for its own interface of the store, and the comment of serve was not wrapped. Change: tpobject.EraOf; the comment. Result: go test -run Usage ./internal/node/tprelaynode passes.

--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -241,9 +241,10 @@
 	return err
 }
 
-// serve starts one server with a bound for its connections, or zero. Its clean-up accepts no new connections, waits for
-// the first requests on those that it has accepted, and for the requests in
-// progress until stopDeadline, and then closes their connections.
+// serve starts one server. MaxConns bounds its connections; zero means no bound.
+// Its clean-up accepts no new connections, waits for the first requests on those
+// that it has accepted, and for the requests in progress until stopDeadline, and
+// then closes their connections.
 func (n *Node) serve(name, address string, maxConns int, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/node/tprelaynode/usage.go
+++ b/internal/node/tprelaynode/usage.go
@@ -77,8 +77,7 @@
 	client   *tppeer.Client
 	// holder is the name of the node that last asked for counts.
 	holder atomic.Pointer[string]
-	era    func() uint64 // of the store
-	offset atomic.Int64  // of the counter's clock, for the reporter
+	offset atomic.Int64 // of the counter's clock, for the reporter
 	// Counters of windows and of requests that were not counted.
 	sent, repeated, missed, uncounted atomic.Uint64
 }
@@ -94,10 +93,6 @@
 		in:     tpring.New[usageInput](tpring.Settings{Capacity: usageRingCapacity}),
 		asks:   tpring.New[tpusage.Action](tpring.Settings{Capacity: tpusage.MaxAsks}),
 		calls:  tpring.New[tpusage.Action](tpring.Settings{Capacity: usageCallers}),
-		era:    func() uint64 { return 0 },
-	}
-	if store, ok := n.deps.Store.(interface{ Era() uint64 }); ok {
-		f.era = store.Era
 	}
 	clock := tpusage.Clock{Length: n.cfg.UsageWindow, Wall: n.clock.Now().Round(0), Start: n.leaseClock.Now()}
 	source := tpusage.Source(n.cfg.Name, n.members.incarnation)
@@ -196,7 +191,7 @@
 		in.result(now)
 	default:
 		f.reporter.SetOffset(time.Duration(f.offset.Load()))
-		f.reporter.SetEra(now, f.era())
+		f.reporter.SetEra(now, tpobject.EraOf(f.node.deps.Store))
 		held, fencing := false, uint64(0)
 		if term := n.dutyTerm.Load(); term != nil {
 			held, fencing = term.Authority.Held && now.Before(term.Authority.Until), term.Authority.Fencing
@@ -262,7 +257,7 @@
 		result = func(now time.Time) { f.reporter.HandleSent(now, a.Report.Window, err) }
 	case tpusage.ActionStore:
 		version, err := f.store(ctx, a)
-		era := f.era()
+		era := tpobject.EraOf(f.node.deps.Store)
 		result = func(now time.Time) { f.reporter.HandleStored(now, era, version, err) }
 	default:
 		result = f.read(ctx)
@@ -303,7 +298,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxUsageStoreTime)
 	defer cancel()
 	o, err := f.node.deps.Store.Get(ctx, f.objectName())
-	era := f.era()
+	era := tpobject.EraOf(f.node.deps.Store)
 	if errors.Is(err, tpobject.ErrNotFound) {
 		o, err = tpobject.Object{}, nil
 	}
