Review case 7: a late refusal ends a stream of a silent server

Cause: a replacement that says nothing for 250 ms counts as accepted, and the channel to the silent server is closed for good; the replacement then refuses.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 # review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/teaselpin ] && [ -x target/review2 ] || exit 2
-exec target/review2 poison review/7
+exec target/review2 refusal review/7
--- a/review/standins2/play.go
+++ b/review/standins2/play.go
@@ -34,6 +34,7 @@
 	mu     sync.Mutex
 	record *os.File
 	broken int
+	ended  bool // nothing is recorded any more
 	nodes  []*node
 
 	store     *tpguestfake.Store
@@ -76,6 +77,7 @@
 
 func (p *play) close() {
 	p.mu.Lock()
+	p.ended = true
 	nodes, closers := p.nodes, p.closers
 	p.mu.Unlock()
 	for _, n := range nodes {
@@ -94,6 +96,9 @@
 func (p *play) logf(format string, args ...any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.ended {
+		return
+	}
 	fmt.Fprintf(p.record, "%8.3f ", time.Since(p.begun).Seconds())
 	fmt.Fprintf(p.record, format+"\n", args...)
 }
--- a/review/standins2/seeds.go
+++ b/review/standins2/seeds.go
@@ -90,7 +90,7 @@
 	for i := range 25 {
 		all.Go(func() {
 			q := request{
-				id: fmt.Sprintf("poison-view-%02d", i), method: http.MethodGet, host: host, path: pathView + "poison", deadline: time.Second,
+				id: fmt.Sprintf("poison-swap-%02d", i), method: http.MethodPost, host: host, path: pathSwap + "poison", body: "the same swap", deadline: time.Second,
 			}
 			n := nodes[i%len(nodes)]
 			r := send(n, &q)
