Review scripts: name and write the record whatever happens, a shorter silence

Cause: run.sh passed its folder alone, so that the name of the record stood only in the program, and wrote none when it could not run; the silence of case 7, 1.5 s, was more than "a second or so". Case 7 has a silence of 1.2 s after events 0.35 s apart.

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -29,21 +28,29 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review2 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(run(os.Args[2], cases[os.Args[1]]))
 }
 
-func run(folder string, f func(*play) error) int {
-	p, err := newPlay(filepath.Join(folder, "record.txt"))
+// run plays a case and writes to the file record what was sent, answered and run.
+func run(record string, f func(*play) error) int {
+	p, err := newPlay(record)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		return exitNotRun
 	}
 	defer p.close()
 	ended := make(chan error, 1)
-	go func() { ended <- f(p) }()
+	go func() {
+		defer func() {
+			if value := recover(); value != nil {
+				ended <- fmt.Errorf("panic: %v", value)
+			}
+		}()
+		ended <- f(p)
+	}()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	select {
--- a/review/standins2/refusal.go
+++ b/review/standins2/refusal.go
@@ -15,10 +15,10 @@
 func init() { cases["refusal"] = playRefusal }
 
 const (
-	streamEvents   = 14
-	eventPause     = 100 * time.Millisecond
+	streamEvents   = 8
+	eventPause     = 350 * time.Millisecond
 	silentAfter    = 4 // events
-	silence        = 1500 * time.Millisecond
+	silence        = 1200 * time.Millisecond
 	refusalDelay   = 300 * time.Millisecond
 	streamsAtOnce  = 10
 	streamDeadline = 5 * time.Second
@@ -157,7 +157,7 @@
 				id: fmt.Sprintf("ask-%02d", i), method: http.MethodPost, host: host, path: pathAsk + "x", deadline: streamDeadline,
 				body: fmt.Sprintf("ask %d", i),
 				header: map[string]string{
-					"X-Teaselpin-Model": "m", "X-Teaselpin-Token-Counts": "400,182",
+					"X-Teaselpin-Model": "m", "X-Teaselpin-Token-Counts": "400,104",
 					"X-Teaselpin-Prefix-Hash": fmt.Sprintf("5c1e07a2:200,91bd3f06:100,%08x:100", i+1),
 				},
 			}
