Compare at other targets what has crashed one without a reset

Cause: silent ends of one target count twice at most, because a sound request may only meet a target that ends by itself. But the request stays at that target, and a pool with one target has no other, so a third crash never counted. Ruled out: missing evidence; each step reports the silence and each end is known. A run that ended its process more than 1 s after it was sent, beside others that were answered, left no evidence either.

Change: placement avoids the targets that have crashed at a request, and those that have started since, while others of the same rank can take it. An answer there clears the request; a crash there counts. The ends of the only target of a pool all count, less those without the request in between.

--- a/internal/guard/tpcrash/crashid.go
+++ b/internal/guard/tpcrash/crashid.go
@@ -11,9 +11,6 @@
 	// outageSpan is the time within which the ends of several processes count
 	// as one outage.
 	outageSpan = 300 * time.Millisecond
-	// maxSilentEnds is the number of ends of one target that count for a key if
-	// the target was silent: one faulty target alone quarantines nothing.
-	maxSilentEnds = 2
 	// silentMark separates the times in the ID of a crash without a reset.
 	silentMark = "~"
 )
@@ -88,29 +85,3 @@
 		return strings.HasPrefix(other, process) && processOf(other) == process
 	})
 }
-
-// countCrashes returns the number of unrelated crashes. Each reset counts, but
-// only one silent crash of each outage.
-func countCrashes(ids []string) int {
-	count := 0
-	var silent, counted []parsedID
-	for _, id := range ids {
-		if parsed := parseCrashID(id); parsed.silent {
-			silent = append(silent, parsed)
-		} else {
-			count++
-		}
-	}
-	slices.SortStableFunc(silent, func(a, b parsedID) int { return a.ended.Compare(b.ended) })
-	ofTarget := make(map[string]int)
-	for i := range silent {
-		id := &silent[i]
-		related := slices.ContainsFunc(counted, func(other parsedID) bool { return id.sameOutage(&other) })
-		if related || ofTarget[id.target()] >= maxSilentEnds {
-			continue
-		}
-		ofTarget[id.target()]++
-		counted = append(counted, *id)
-	}
-	return count + len(counted)
-}
--- a/internal/guard/tpcrash/entry.go
+++ b/internal/guard/tpcrash/entry.go
@@ -13,6 +13,7 @@
 	changedAt   time.Time
 	announcedAt time.Time // from when the entry is reported to peers for announcePeriod
 	crashedAt   time.Time // when this node learned of the latest crash
+	suspectedAt time.Time // no crash is older; not set without crashes
 	quarantined bool
 	// quarantinedAt is the begin of the quarantine, and triedAt the time of the
 	// last trial or of the begin.
@@ -25,9 +26,18 @@
 // addCrashes adds the crashes that are new, and returns them.
 func (e *entry) addCrashes(now time.Time, ids []string) []string {
 	var added []string
+	isFirst := len(e.crashes) == 0
 	for _, id := range ids {
-		if e.addCrash(id) {
-			added = append(added, id)
+		if !e.addCrash(id) {
+			continue
+		}
+		added = append(added, id)
+		at := now.Add(-peerGrace)
+		if parsed := parseCrashID(id); parsed.silent {
+			at = parsed.sentAt
+		}
+		if isFirst || at.Before(e.suspectedAt) {
+			e.suspectedAt, isFirst = at, false
 		}
 	}
 	if len(added) > 0 {
--- a/internal/guard/tpcrash/guard.go
+++ b/internal/guard/tpcrash/guard.go
@@ -95,6 +95,9 @@
 	processes    map[string]*process
 	ended        []*process
 	silenceCount int
+	// soleEnds holds the unplanned ends of processes without another one in
+	// their pool, oldest first.
+	soleEnds []soleEnd
 }
 
 // RecordCrash records that a target ended an exchange before any part of the
@@ -327,7 +330,7 @@
 // update begins or ends the quarantine of an entry whose crashes have changed.
 // Cause holds the Own and Expired fields of the change.
 func (g *Guard) update(now time.Time, e *entry, cause Change) {
-	quarantined := countCrashes(e.crashes) >= MaxCrashes
+	quarantined := g.countCrashes(e) >= MaxCrashes
 	if quarantined == e.quarantined {
 		return
 	}
--- a/internal/guard/tpcrash/silence.go
+++ b/internal/guard/tpcrash/silence.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// runBeginSpan is the time around the moment at which a process falls silent
+	// runBeginSpan is the time after the moment at which a process falls silent
 	// in which a request must have been sent to be a suspect. It covers the
 	// queue in front of a run.
 	runBeginSpan = time.Second
@@ -33,6 +33,8 @@
 type process struct {
 	target    string
 	startedMs int64
+	pool      string
+	sole      bool // no other target of the pool takes new work
 	leaving   bool // its end is planned
 	// answeredAt is the time of its last answer to this node, and silentFrom
 	// the time when the first request since then was sent that got none.
@@ -67,7 +69,7 @@
 	if !sentAt.Before(p.answeredAt) && (p.silentFrom.IsZero() || sentAt.Before(p.silentFrom)) {
 		p.silentFrom = sentAt
 	}
-	if !p.mayEndAt(sentAt) {
+	if !p.mayEndAt(&s) {
 		return
 	}
 	s.keys = Keys(req)
@@ -110,6 +112,12 @@
 func (g *Guard) RecordTargets(now time.Time, list []tpmessage.RelayTarget) {
 	known := g.processes
 	g.processes = make(map[string]*process, len(list))
+	takingWork := make(map[string]int) // number of targets, by pool
+	for i := range list {
+		if !list[i].Draining {
+			takingWork[list[i].Pool]++
+		}
+	}
 	for i := range list {
 		rt := &list[i]
 		p := known[rt.Name]
@@ -118,6 +126,7 @@
 			p = &process{target: rt.Name, startedMs: rt.StartedMs}
 		}
 		p.leaving = p.leaving || rt.Draining
+		p.pool, p.sole = rt.Pool, !rt.Draining && takingWork[rt.Pool] == 1
 		g.processes[rt.Name] = p
 	}
 	for name, p := range known {
@@ -125,6 +134,7 @@
 			g.end(now, p, successor)
 		}
 	}
+	g.recount(now)
 }
 
 // end makes the silences of a process that has ended count as crashes. Successor
@@ -135,6 +145,7 @@
 	if successor != nil && now.Sub(time.UnixMilli(successor.startedMs)).Abs() < silenceTTL {
 		p.endedMs = successor.startedMs
 	}
+	g.recordSoleEnd(p)
 	silences := p.silences
 	g.dropSilences(p)
 	for i := range silences {
@@ -147,7 +158,7 @@
 // blameEnd holds the end of a process against a request that it left
 // unanswered, except for the keys that were answered elsewhere meanwhile.
 func (g *Guard) blameEnd(now time.Time, p *process, s *silence) {
-	if p.leaving || p.endedAt.Sub(s.noticedAt) > silenceTTL || s.sentAt.After(p.endedAt) || !p.mayEndAt(s.sentAt) {
+	if p.leaving || p.endedAt.Sub(s.noticedAt) > silenceTTL || s.sentAt.After(p.endedAt) || !p.mayEndAt(s) {
 		return
 	}
 	id := silentCrashID(p, s.sentAt)
@@ -163,10 +174,11 @@
 	}
 }
 
-// mayEndAt reports whether the run of a request that was sent at sentAt may
-// have begun when the process fell silent.
-func (p *process) mayEndAt(sentAt time.Time) bool {
-	return !sentAt.Before(p.answeredAt.Add(-runBeginSpan)) && (p.silentFrom.IsZero() || !sentAt.After(p.silentFrom.Add(runBeginSpan)))
+// mayEndAt reports whether the run of a request may have ended the process: the
+// process answered nothing after the exchange, and the request was not sent
+// long after it had fallen silent.
+func (p *process) mayEndAt(s *silence) bool {
+	return !s.noticedAt.Before(p.answeredAt) && (p.silentFrom.IsZero() || !s.sentAt.After(p.silentFrom.Add(runBeginSpan)))
 }
 
 // retractEnd clears the evidence that rests on the end of a process that is
@@ -178,6 +190,7 @@
 	}
 	g.ended = slices.DeleteFunc(g.ended, func(other *process) bool { return other == p })
 	id := CrashID(target, startedMs)
+	g.soleEnds = slices.DeleteFunc(g.soleEnds, func(end soleEnd) bool { return end.process == id })
 	for _, e := range g.entries {
 		if i := indexProcess(e.crashes, id); i >= 0 && isSilent(e.crashes[i]) && e.clear(now, []string{e.crashes[i]}) {
 			g.update(now, e, Change{Own: true})
@@ -202,6 +215,7 @@
 // expireSilences removes what can no longer become evidence.
 func (g *Guard) expireSilences(now time.Time) {
 	g.ended = slices.DeleteFunc(g.ended, func(p *process) bool { return now.Sub(p.endedAt) >= endedRetention })
+	g.soleEnds = slices.DeleteFunc(g.soleEnds, func(end soleEnd) bool { return now.Sub(end.recordedAt) >= suspectRetention })
 	if g.silenceCount == 0 {
 		return
 	}
--- a/internal/node/tprelaynode/guard.go
+++ b/internal/node/tprelaynode/guard.go
@@ -59,7 +59,8 @@
 }
 
 // checkGuard returns a grant with a refusal, and true, if the request of a
-// target request carries what crashes targets.
+// target request carries what crashes targets. Otherwise it names the targets
+// to avoid.
 func (n *Node) checkGuard(now time.Time, in *tpplace.Input) (tpplace.Grant, bool) {
 	if in.Kind != tpplace.InputTargetRequest {
 		return tpplace.Grant{}, false
@@ -67,6 +68,7 @@
 	r := &in.TargetRequest
 	key, refused := n.placement.guard.Check(now, r.Work.Request)
 	if !refused {
+		r.Avoid = n.placement.guard.Avoid(r.Work.Request)
 		return tpplace.Grant{}, false
 	}
 	n.relay.Counters.Quarantined.Add(1)
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -47,6 +47,9 @@
 	SoundOnly bool
 	// Exclude names the targets that must not be chosen.
 	Exclude []string
+	// Avoid names the targets that are chosen only if no other one of the same
+	// rank can do the step.
+	Avoid []string
 	// Reply receives the grant for a further step of a running task. It is nil
 	// for a new relayed request, whose grant goes to the next stage of the
 	// pipeline.
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -228,9 +228,19 @@
 	if hasUnpaused {
 		p.shortestPause = 0
 	}
+	p.view.targets = withoutAvoided(p.view.targets, r.Avoid)
 	return p.view.targets
 }
 
+// withoutAvoided removes the named targets unless no other would be left.
+func withoutAvoided(targets []*target, avoid []string) []*target {
+	isAvoided := func(t *target) bool { return slices.Contains(avoid, t.Name) }
+	if len(avoid) == 0 || !slices.ContainsFunc(targets, func(t *target) bool { return !isAvoided(t) }) {
+		return targets
+	}
+	return slices.DeleteFunc(targets, isAvoided)
+}
+
 // fits reports whether a target's role, free KV memory and batch size allow a
 // step. A target without runs is never too small for a run.
 func (p *Placer[P]) fits(now time.Time, t *target, r *TargetRequest, step Step) bool {
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -54,6 +54,7 @@
 	HoldAnswersUntil <-chan struct{} // if not nil, answers wait until it is closed
 	RefuseOrders     bool            // answers each order with 409, so that Stage does not change
 	CrashPart        string          // if not empty, an answer to a prompt with this part crashes the server; see ListenRestarting
+	CrashPath        string          // if not empty, a request whose URI begins with it crashes the server; see ListenRestarting
 	CrashDark        bool            // a crash closes no connection, as a loss of power does
 
 	mu             sync.Mutex
@@ -104,6 +105,9 @@
 	s.retryAfter = text
 }
 
+// Crash crashes a server of ListenRestarting for a reason of its own.
+func (s *Server) Crash() { s.crash() }
+
 // Arrivals returns the requests that have reached the server, oldest first.
 func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
@@ -234,7 +238,7 @@
 		s.prefill(w, id)
 		return
 	}
-	if s.CrashPart != "" && strings.Contains(r.Header.Get("X-Teaselpin-Prefix-Hash"), s.CrashPart+":") {
+	if s.crashesAt(r) {
 		time.Sleep(crashDelay) // injected fault: works on the request before it crashes
 		s.crash()
 		if s.CrashDark {
@@ -256,6 +260,11 @@
 	s.writeEvents(w, r, fault, silence)
 }
 
+func (s *Server) crashesAt(r *http.Request) bool {
+	return s.CrashPart != "" && strings.Contains(r.Header.Get("X-Teaselpin-Prefix-Hash"), s.CrashPart+":") ||
+		s.CrashPath != "" && strings.HasPrefix(r.RequestURI, s.CrashPath)
+}
+
 func (s *Server) recordEnd(r *http.Request, index int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
