Ask a silent target for the rest if its replacement refuses late

Cause: a replacement that has not refused within 250 ms counts as accepted, since a stream must not be in progress at two targets for 400 ms, and the silent target was given up for good. A replacement that refused from its queue, could not be reached, or answered an error later left the answer to further attempts, which were refused as well.

Change: the relieved target gets the next step if the replacement refuses before its answer has begun. While the replacement is silent, the relieved target is tried twice, and only an answer counts as accepting. The grant of a replacement of a begun stream takes two retries of the budget, so that the way back is not refused. Handles of prompts that nobody proceeds with are released.

--- a/internal/relay/stage2/tpplace/budget.go
+++ b/internal/relay/stage2/tpplace/budget.go
@@ -46,9 +46,9 @@
 
 func (b *budget) countRequest(now time.Time) { b.requests[b.advance(now)]++ }
 
-// allowRetry reports whether one more retry is within this node's share of the
-// budget, and counts the retry if it is.
-func (b *budget) allowRetry(now time.Time, nodes int) bool {
+// allowRetries reports whether count more retries are within this node's share
+// of the budget, and counts them if they are.
+func (b *budget) allowRetries(now time.Time, nodes int, count float64) bool {
 	at := b.advance(now)
 	var requests, retries float64
 	for i := range windowBuckets {
@@ -56,9 +56,9 @@
 		retries += b.retries[i]
 	}
 	allowed := nodeBudgetFraction * (b.cfg.Ratio*requests + b.cfg.Slack/float64(max(1, nodes)))
-	if retries+1 > allowed {
+	if retries+count > allowed {
 		return false
 	}
-	b.retries[at]++
+	b.retries[at] += count
 	return true
 }
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -47,6 +47,9 @@
 	SoundOnly bool
 	// Exclude names the targets that must not be chosen.
 	Exclude []string
+	// Only names the only target that may be chosen, whatever is known of it. If
+	// it is empty, all may be.
+	Only string
 	// Avoid names the targets that are chosen only if no other one of the same
 	// rank can do the step.
 	Avoid []string
--- a/internal/relay/stage2/tpplace/placement.go
+++ b/internal/relay/stage2/tpplace/placement.go
@@ -201,7 +201,7 @@
 	bestRank, hasUnpaused := -1, false
 	p.view.targets, p.shortestPause = p.view.targets[:0], 0
 	for _, t := range p.pools[r.Work.Request.Pool.Name] {
-		if t.isLeaving() || p.isWithheld(now, t) || !p.fits(now, t, r, step) {
+		if r.Only != "" && t.Name != r.Only || t.isLeaving() || p.isWithheld(now, t) || !p.fits(now, t, r, step) {
 			continue
 		}
 		if left := t.pauseLeft(now); left > 0 {
--- a/internal/relay/stage2/tpplace/placer.go
+++ b/internal/relay/stage2/tpplace/placer.go
@@ -275,7 +275,7 @@
 		g.Refusal = ref
 		return g
 	}
-	if r.IsRetry && !p.budget(req.Pool.Name).allowRetry(now, p.nodes) {
+	if r.IsRetry && !p.budget(req.Pool.Name).allowRetries(now, p.nodes, r.retries()) {
 		g.Refusal = refuse("the retry budget of pool "+req.Pool.Name+" is used up", maxRetryAfter)
 		return g
 	}
@@ -299,6 +299,16 @@
 	return g
 }
 
+// retries returns the number of retries that a grant counts. The replacement of
+// a silent target reserves a second one for the case that it refuses: the silent
+// target is then asked for the rest of the answer.
+func (r *TargetRequest) retries() float64 {
+	if r.SoundOnly && r.Begun {
+		return 2
+	}
+	return 1
+}
+
 // refuseIfLate returns a refusal if a request is not expected to be served
 // within its timeouts, and nil otherwise.
 func (p *Placer[P]) refuseIfLate(now time.Time, r *TargetRequest, g *Grant, t *target) *tpmessage.RelayRefusal {
--- a/internal/relay/stage2/tpplace/placer_test.go
+++ b/internal/relay/stage2/tpplace/placer_test.go
@@ -282,3 +282,46 @@
 		})
 	}
 }
+
+// Guards against the rest of an answer that nobody may be asked for, because the replacement that has refused it took the last retry of the budget.
+func TestReplacementReservesARetry(t *testing.T) {
+	list := fleet(0, 3)
+	for name, test := range map[string]struct {
+		begun bool
+		want  int // replacements that a budget of four retries allows
+	}{"begun": {true, 2}, "not begun": {false, 4}} {
+		p := tpplace.New(tpplace.Settings{Budget: tpplace.BudgetSettings{Slack: 4 / 0.75, Window: 10 * time.Second}}, tpplace.Affinity{})
+		p.Step(epoch, tpplace.Input{Kind: tpplace.InputTargets, Targets: list})
+		got := 0
+		for range 8 {
+			in := targetRequest(request(1, 100, 100), tpplace.StepRun)
+			in.TargetRequest.IsRetry, in.TargetRequest.SoundOnly, in.TargetRequest.Begun = true, true, test.begun
+			if g, ok := p.Step(epoch, in); ok && g.Refusal == nil {
+				got++
+			}
+		}
+		if got != test.want {
+			t.Errorf("%s: got %d replacements, want %d", name, got, test.want)
+		}
+		in := targetRequest(request(1, 100, 100), tpplace.StepRun)
+		in.TargetRequest.Begun, in.TargetRequest.Only, in.TargetRequest.Exclude = true, list[1].Name, []string{list[0].Name}
+		if g, _ := p.Step(epoch, in); g.Refusal != nil || g.Target.Name != list[1].Name {
+			t.Errorf("%s: the relieved target: got %q, refusal %+v, want %q", name, g.Target.Name, g.Refusal, list[1].Name)
+		}
+	}
+}
+
+// Guards against a request that stays at a target that has crashed at it, or that no target takes because all have.
+func TestAvoidedTargetsComeLast(t *testing.T) {
+	list := fleet(0, 3)
+	p := newPlacer(tpplace.Affinity{}, list)
+	in := targetRequest(request(1, 100, 100), tpplace.StepRun)
+	in.TargetRequest.Avoid = []string{list[0].Name, list[1].Name}
+	for range 4 {
+		if got, want := mustGrant(t, p, epoch, in).Target.Name, list[2].Name; got != want {
+			t.Errorf("two targets avoided: got %s, want %s", got, want)
+		}
+	}
+	in.TargetRequest.Avoid = append(in.TargetRequest.Avoid, list[2].Name)
+	mustGrant(t, p, epoch, in)
+}
--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -113,6 +113,13 @@
 	return next, next.AfterRun(now, target, Result{End: EndTimeout}, false)
 }
 
+// MayAskAgain reports whether the target that a refused replacement should have
+// relieved may be asked for the rest of the answer. It is none of the further
+// targets that the route bounds.
+func (p *Plan) MayAskAgain(now time.Time) bool {
+	return p.Request.Route.Retryable() && p.Request.Deadline.Sub(now) >= minAttemptTime
+}
+
 // AfterTrial records an attempt that has ended without an answer while another
 // target kept the request.
 func (p *Plan) AfterTrial(target string, step tpplace.Step, end End) {
--- a/internal/relay/stage3/tprelay/replacement_test.go
+++ b/internal/relay/stage3/tprelay/replacement_test.go
@@ -47,6 +47,15 @@
 ) (clientAnswer, []tpplace.StepResult) {
 	t.Helper()
 	defer goleak.VerifyNone(t)
+	return runBesideOthers(t, u, route, step, grants, beforeGrant)
+}
+
+// runBesideOthers is runFuncBeforeGrants for tests that run in parallel, whose
+// goroutines cannot be told apart.
+func runBesideOthers(
+	t *testing.T, u tprelay.Upstream, route tpmessage.RelayRoute, step tpplace.Step, grants int, beforeGrant func(),
+) (clientAnswer, []tpplace.StepResult) {
+	t.Helper()
 	log := zerolog.Nop()
 	var mu sync.Mutex
 	var results []tpplace.StepResult
@@ -69,9 +78,12 @@
 			return
 		}
 		g := tpplace.Grant{Work: in.TargetRequest.Work, Step: in.TargetRequest.Step}
-		if granted >= grants {
+		switch {
+		case in.TargetRequest.Only != "":
+			g.Target.Name, g.Reservation.Target = in.TargetRequest.Only, in.TargetRequest.Only
+		case granted >= grants:
 			g.Refusal = &tpmessage.RelayRefusal{Status: tpmessage.StatusUnavailable, Reason: "budget"}
-		} else {
+		default:
 			granted++
 			g.Target.Name = fmt.Sprint("t", granted)
 			g.Reservation.Target = g.Target.Name
--- a/internal/relay/stage3/tprelay/silence.go
+++ b/internal/relay/stage3/tprelay/silence.go
@@ -95,6 +95,12 @@
 	if replaced || !begun && left <= 0 {
 		return 0
 	}
+	if t.mayAskRelieved(parts) && t.askRelieved(parts) {
+		return 0
+	}
+	if wait := t.untilReplacement(parts); wait > 0 {
+		return wait
+	}
 	if t.replace(begun, parts) {
 		return 0
 	}
@@ -139,7 +145,7 @@
 		return true
 	}
 	t.countRetry(&next)
-	if t.try(g) {
+	if t.try(g, acceptBySilence) {
 		return true
 	}
 	t.reportSilence()
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -39,6 +39,9 @@
 	// open whether a trial is accepted. It guards parts.
 	delivery sync.Mutex
 	parts    int // delivered parts that show progress of the target
+	// partsBefore is parts at the begin of the step in progress.
+	partsBefore int
+	relieved    relievedTarget
 	// silenceReported is true if the placer knows of a silence in the step in
 	// progress.
 	silenceReported bool
@@ -180,6 +183,9 @@
 		t.abandonTrial() // the prompt was read while the trial was accepted
 	}
 	res := t.resolveEnd(now, end)
+	if res.End != EndComplete {
+		t.freeUnused(end.handle, &t.grant.Target) // a run without the prompt has replaced it
+	}
 	t.reportResult(res, now.Sub(started))
 	action := t.afterTrial(t.plan.AfterPrefill(now, t.grant.Target.Name, res.End))
 	t.logStep(&t.grant, res, now.Sub(started))
@@ -204,6 +210,9 @@
 		t.failedAnswer = end.failure
 	}
 	action := t.afterTrial(t.plan.AfterRun(now, t.grant.Target.Name, res, t.delivered))
+	if t.trial == nil && t.isRefusedReplacement(now, res, end.failure) {
+		t.relieved.askNext, action = true, ActionRun
+	}
 	t.logStep(&t.grant, res, now.Sub(started))
 	return action
 }
@@ -211,7 +220,7 @@
 // execute carries out the granted step, or the rest of it if it began as a
 // trial.
 func (t *task) execute() (end stepEnd, started time.Time) {
-	t.silenceReported = false
+	t.silenceReported, t.partsBefore = false, t.parts
 	if tr := t.trial; tr != nil {
 		t.trial, t.sentAt = nil, tr.started
 		return tr.proceed(), tr.started
@@ -360,9 +369,15 @@
 // was silent, or requests a new one. It returns false if the placer refuses.
 func (t *task) requestNext(action Action) bool {
 	if t.trial != nil {
+		if t.grant.Step != tpplace.StepPrefill {
+			t.relieved.replace(t.grant.Target.Name, t.answerBegun)
+		}
 		t.grant, t.granted = t.trial.grant, true
 		return true
 	}
+	if t.relieved.askNext {
+		return t.askRelievedNext()
+	}
 	g := t.requestStep(&t.plan, action, t.handle.ID != "", t.delivered, false)
 	t.grant, t.granted = g, g.Refusal == nil
 	if t.granted {
@@ -462,7 +477,7 @@
 // broken. If nothing was delivered, it sends the target's error or a refusal.
 func (t *task) finish(action Action) {
 	if t.handle.ID != "" {
-		defer t.freeHandle()
+		defer t.free(t.handle, &t.holder)
 	}
 	switch {
 	case action == ActionDisconnected:
@@ -512,15 +527,23 @@
 // refused. Nodes avoid a target with a full batch for about that time.
 const retryAfter = 300 * time.Millisecond
 
-// freeHandle releases the handle, unless its target takes no more requests or has
+// freeUnused releases the handle of a prompt that the task does not proceed
+// with, if there is one, without waiting for it.
+func (t *task) freeUnused(h Handle, holder *tpmessage.RelayTarget) {
+	if h.ID != "" {
+		t.r.trials.Submit(func() { t.free(h, holder) })
+	}
+}
+
+// free releases a handle, unless its target takes no more requests or has
 // a limit, which is for the requests of clients. The handle then expires there.
-func (t *task) freeHandle() {
-	if t.isBlocked(&t.holder) || t.isLimited(&t.holder) {
+func (t *task) free(h Handle, holder *tpmessage.RelayTarget) {
+	if t.isBlocked(holder) || t.isLimited(holder) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), freeTimeout)
 	defer cancel()
-	t.r.Upstream.Free(ctx, t.handle)
+	t.r.Upstream.Free(ctx, h)
 }
 
 func (t *task) logStep(g *tpplace.Grant, res Result, took time.Duration) {
--- a/internal/relay/stage3/tprelay/trial.go
+++ b/internal/relay/stage3/tprelay/trial.go
@@ -39,11 +39,20 @@
 	end       stepEnd
 }
 
+// trialRule tells when a target that has neither refused a trial nor begun an
+// answer counts as having accepted it.
+type trialRule uint8
+
+const (
+	acceptBySilence trialRule = iota // after trialTimeout
+	acceptByAnswer                   // never; the trial ends after trialTimeout
+)
+
 // try starts the granted step as a trial and reports whether its target has
 // accepted it. The caller holds t.delivery, so that the silent target delivers
 // nothing meanwhile. Once a target has accepted, the step of the silent one has
 // to end, even if that goes on: the stream would be in progress at both.
-func (t *task) try(g tpplace.Grant) bool {
+func (t *task) try(g tpplace.Grant, rule trialRule) bool {
 	tr := &trial{
 		task: t, grant: g, started: t.r.Clock.Now(),
 		answering: make(chan struct{}), proceeds: make(chan struct{}), ended: make(chan struct{}),
@@ -52,6 +61,9 @@
 	t.countStep(&tr.grant)
 	s := t.newUpstreamRequest(&tr.grant)
 	begun := t.delivered
+	if begun {
+		s.FirstByteTimeout = min(s.FirstByteTimeout, minGapTimeout)
+	}
 	s.OnSilence = func(b bool) time.Duration {
 		select {
 		case <-tr.proceeds:
@@ -61,14 +73,15 @@
 		}
 	}
 	t.r.trials.Submit(func() { tr.run(s) })
-	if tr.accepted() {
+	if tr.accepted(rule) {
 		t.trial = tr
 		return true
 	}
-	tr.cancel()
 	took := t.r.Clock.Now().Sub(tr.started)
+	isWithdrawn := tr.withdraw()
 	result := t.stepResult(&tr.grant, tr.end.result)
 	result.Elapsed, result.SentAt = took, tr.started
+	result.Silent = result.Silent && !isWithdrawn
 	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: result})
 	t.plan.AfterTrial(tr.grant.Target.Name, tr.grant.Step, tr.end.result.End)
 	t.recordBeginAfter(&tr.grant, tr.end.result, tr.started)
@@ -112,15 +125,29 @@
 }
 
 // accepted waits for the decision of the target.
-func (tr *trial) accepted() bool {
+func (tr *trial) accepted(rule trialRule) bool {
 	select {
 	case <-tr.answering:
 		return true
 	case <-tr.ended:
 		return tr.grant.Step == tpplace.StepPrefill && tr.end.result.End == EndComplete
 	case <-tr.task.r.Clock.After(trialTimeout):
-		return true
+		return rule == acceptBySilence
+	}
+}
+
+// withdraw ends the exchange of a trial that was not accepted and waits for its
+// end. It reports whether the target had left it open.
+func (tr *trial) withdraw() bool {
+	defer tr.cancel()
+	select {
+	case <-tr.ended:
+		return false
+	default:
 	}
+	tr.cancel()
+	<-tr.ended
+	return true
 }
 
 // proceed has the task go on with the trial's answer, and returns its end.
@@ -137,6 +164,9 @@
 	if t.trial == nil || action == ActionRun || action == ActionPrefill {
 		return action
 	}
+	if t.trial.grant.Target.Name == t.relieved.name && action != ActionFinish && t.ctx.Err() == nil {
+		return ActionRun // the relieved target is none of the runs that the route bounds
+	}
 	t.abandonTrial()
 	if action == ActionRefuse {
 		return t.plan.GiveUp(t.r.Clock.Now())
@@ -159,6 +189,8 @@
 	}
 	t.recordBeginAfter(g, res, t.trial.started)
 	t.trial.cancel()
+	<-t.trial.ended
+	t.freeUnused(t.trial.end.handle, &g.Target)
 	t.returnReservation(g)
 	t.plan.AfterTrial(g.Target.Name, g.Step, EndCancelled)
 	t.trial = nil
