Let nodes find each other through the store and follow changed seeds

Retry budgets and limits are divided by the same members.

Cause: a node learnt of others from its settings at the start and from nodes that it knew, and nothing else led back to them. A reload only checked the file, and a change without a signal was not seen.

Change: one object of the store for each region names up to four of its nodes. A node without a live peer reads it and introduces itself; the first watching node of each part reads it every 3 s, introduces itself to contacts that are no members, and stores those of its own part. The seeds of the settings may change while a node runs, with and without SIGHUP.

--- a/internal/command/tpcommand/relay.go
+++ b/internal/command/tpcommand/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -78,7 +79,7 @@
 		bodies = tpguest.NewBodyIntake(limits)
 		bodyStats = bodies.Stats
 	}
-	_, cleanup, err := tprelaynode.New(cfg, tprelaynode.Deps{
+	node, cleanup, err := tprelaynode.New(cfg, tprelaynode.Deps{
 		Log: log, Store: store, Viewer: store, Upstream: upstream, Engines: orderClient, DutyAPI: dutyClient,
 		Kinds:        tprelaynode.ObjectKinds{Config: tpguest.KindConfig, Targets: tpguest.KindServers},
 		DecodeConfig: tpguest.DecodeConfig, DecodeTargets: tpguest.DecodeTargets,
@@ -96,7 +97,7 @@
 		return err
 	}
 	fmt.Fprintf(logWriter, "listening %s %s\n", cfg.Front, cfg.Peers)
-	err = c.waitForStop(&log, dutyEnded)
+	err = c.waitForStop(&log, dutyEnded, &settingsFile{path: c.Settings, seeds: cfg.Seeds, setSeeds: node.SetSeeds})
 	cleanup()
 	return err
 }
@@ -106,10 +107,11 @@
 var errDutyEnded = errors.New("a duty of the node ended with a panic")
 
 // waitForStop returns when the process receives a stop signal or, with an error,
-// when a duty has ended. A reload signal
-// checks the settings file and logs the result. It does not change the running
-// node, because settings are applied only at the start.
-func (c *Relay) waitForStop(log *zerolog.Logger, dutyEnded <-chan struct{}) error {
+// when a duty has ended. It reads the settings again after a reload signal, and
+// now and then without one.
+func (c *Relay) waitForStop(log *zerolog.Logger, dutyEnded <-chan struct{}, f *settingsFile) error {
+	poll := time.NewTicker(settingsPollInterval)
+	defer poll.Stop()
 	for {
 		select {
 		case <-c.env.Stop:
@@ -117,9 +119,12 @@
 		case <-dutyEnded:
 			return Error.Wrap(errDutyEnded)
 		case <-c.env.Reload:
-			var cfg tprelaynode.Settings
-			err := readSettings(c.Settings, &cfg)
+			err := f.reload()
 			log.Info().Str("event", "reload").Err(err).Send()
+		case <-poll.C:
+			if err, changed := f.reloadIfChanged(); changed {
+				log.Info().Str("event", "settingsChanged").Err(err).Send()
+			}
 		}
 	}
 }
--- a/internal/membership/tpmember/table.go
+++ b/internal/membership/tpmember/table.go
@@ -133,6 +133,18 @@
 	t.cfg.SuspectAfter, t.cfg.DropAfter = suspectAfter, dropAfter
 }
 
+// SetSeeds replaces the Seeds of the settings.
+func (t *Table) SetSeeds(seeds []string) { t.cfg.Seeds = seeds }
+
+// Strangers returns those of the addresses that are not of a live member.
+func (t *Table) Strangers(addresses []string) []string {
+	known := map[string]bool{"": true, t.self.Address: true}
+	for _, name := range t.live() {
+		known[t.records[name].member.Address] = true
+	}
+	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return known[address] })
+}
+
 // SetSelf updates this node's entry. The generation never decreases and
 // leaving is never reset.
 func (t *Table) SetSelf(generation uint64, leaving, watching bool) {
@@ -174,6 +186,13 @@
 	}
 }
 
+// Introduce returns a heartbeat for a node that may know none of the members.
+func (t *Table) Introduce(now time.Time) tpmessage.Heartbeat {
+	t.Check(now)
+	t.heartbeatCounter++
+	return t.heartbeat(now, nil, true)
+}
+
 // Leave marks this node as leaving and returns a heartbeat for every live
 // member.
 func (t *Table) Leave(now time.Time) OutgoingHeartbeat {
--- a/internal/node/tprelaynode/members.go
+++ b/internal/node/tprelaynode/members.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/xxh3"
 
 	"teaselpin.example/teaselpin/internal/edge/tppeer"
+	"teaselpin.example/teaselpin/internal/membership/tpcontact"
 	"teaselpin.example/teaselpin/internal/membership/tpmember"
 	"teaselpin.example/teaselpin/internal/relay/stage2/tpplace"
 	"teaselpin.example/teaselpin/internal/relay/tpallot"
@@ -80,6 +81,8 @@
 	memberViewChanged // the new view versions are sent to all members at once
 	memberQuarantined // the new evidence is sent to all members at once
 	memberConfirmed   // the ages of the views are sent to all collectors at once
+	memberSeeds       // the settings name other seeds
+	memberContacts    // the contacts that the platform stores
 )
 
 type memberInput struct {
@@ -87,6 +90,8 @@
 	address   string
 	heartbeat tpmessage.Heartbeat
 	reply     *tpring.Ring[tpmessage.Heartbeat] // of a received heartbeat
+	seeds     []string
+	contacts  storedContacts
 }
 
 // outgoingHeartbeat is a heartbeat that waits for a sender, which adds the view
@@ -116,6 +121,7 @@
 	// node waits for the answer to a report.
 	collector      *tpcollect.Collector
 	allowances     tpallot.Exchange // of the collector
+	finder         tpcontact.Finder
 	reportsSent    int
 	pendingReports map[string]time.Time
 	loadsChanged   bool      // since the last call of publishLoads
@@ -211,6 +217,7 @@
 		}
 		m.loadsChanged = true // old loads may have expired
 		m.publishLoads(now)
+		m.readContacts(now)
 	case memberReport:
 		// No report may be due for a second while the collector does not answer.
 		m.table.Check(now)
@@ -226,6 +233,10 @@
 		for _, address := range m.collector.OtherCollectors() {
 			m.send(address, hb)
 		}
+	case memberSeeds:
+		m.setSeeds(now, in.seeds)
+	case memberContacts:
+		m.receiveContacts(now, in.contacts)
 	case memberHeartbeat:
 		m.answerHeartbeat(now, in)
 	case memberHeartbeatAnswer:
--- a/internal/node/tprelaynode/node.go
+++ b/internal/node/tprelaynode/node.go
@@ -110,6 +110,7 @@
 	scale     *scaleFilter
 	// quarantines stores the quarantines of the placement filter's guard.
 	quarantines *quarantineFilter
+	contacts    *contactFilter
 	usage       *usageFilter // nil without the duty
 	relay       *tprelay.Relay
 	front       *http.Server
@@ -152,8 +153,9 @@
 	n.roles = newRoleFilter(n)
 	n.scale = newScaleFilter(n)
 	n.quarantines = newQuarantineFilter(n)
+	n.contacts = newContactFilter(n)
 	n.usage = newUsageFilter(n)
-	steps := []func() error{n.startUsage, n.startPlacement, n.startQuarantines, n.startMembers, n.startScale, n.startObjects, n.startRoles, n.startServers}
+	steps := []func() error{n.startUsage, n.startPlacement, n.startQuarantines, n.startContacts, n.startMembers, n.startScale, n.startObjects, n.startRoles, n.startServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
--- a/internal/proof/relay_limit_test.go
+++ b/internal/proof/relay_limit_test.go
@@ -366,11 +366,33 @@
 func TestServersThatNameALimitGetNoMore(t *testing.T) {
 	for i := range *limitSeeds {
 		seed := *limitSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLimit(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runLimit(t, seed, newLimitFleet) })
 	}
 }
 
-func runLimit(t *testing.T, seed uint64) {
+// Guards against a limit that each part of a region distributes as a whole, also after the parts have found each other.
+func TestLimitsAreThoseOfTheJoinedRegion(t *testing.T) {
+	runLimit(t, *limitSeed, newJoinedFleet)
+}
+
+// newJoinedFleet is newLimitFleet with nodes in two halves that have no seed in
+// common. It waits until they have found each other.
+func newJoinedFleet(t *testing.T, nodes int, servers []limitServer) *limitFleet {
+	t.Helper()
+	f := newLimitPlatform(t, nodes, servers)
+	for i := range nodes {
+		f.addNode(i, f.address, f.peers[i%2])
+	}
+	f.waitReady(t)
+	for i, n := range f.nodes {
+		tpprocess.Eventually(t, fmt.Sprintf("node %d knows all others", i), func() bool {
+			return strings.Count(n.process.Output(), `"memberJoined"`) >= nodes-1
+		})
+	}
+	return f
+}
+
+func runLimit(t *testing.T, seed uint64, newFleet func(t *testing.T, nodes int, servers []limitServer) *limitFleet) {
 	kinds := []limitServer{
 		{"p0", "llm", "prefill", "2.2"},
 		{"p1", "llm", "prefill", ""},
@@ -382,7 +404,7 @@
 		{"a2", "app", "", ""},
 	}
 	const malformed = "a1" // names only limits that say nothing
-	f := newLimitFleet(t, *limitNodes, kinds)
+	f := newFleet(t, *limitNodes, kinds)
 	load := f.startLoad(seed, *limitRate, "draft", "swap", "view")
 	time.Sleep(3 * time.Second) // load without any limit
 	before := f.cost()
