Excuse ends of an only target that came before a key's first crash

The ends that the server had had before were not held against it.

Now up to three of them count as well. A request that crashes servers is then refused after three to six crashes, so at most three arrivals are late.

TestEarlierEndsOfASoleTargetExcuseThree.

--- a/internal/guard/tpcrash/count.go
+++ b/internal/guard/tpcrash/count.go
@@ -10,6 +10,10 @@
 // crashed a target is tried at another one.
 const maxSilentEnds = 2
 
+// maxEarlierEnds bounds the ends of the only target of a pool that excuse a key
+// although they came before its first crash. Each of them allows one more crash.
+const maxEarlierEnds = 3
+
 // soleEnd is the unplanned end of a process that was the only one of its pool.
 type soleEnd struct {
 	process    string // as CrashID returns it
@@ -55,8 +59,8 @@
 
 // endLimits returns how many of the silent crashes of a key count, by group. The
 // only target of a pool cannot be avoided, so all its ends count, except as
-// many as it has had without the key in the meantime: such a target ends by
-// itself. Silent is sorted by time.
+// many as it has had without the key: such a target ends by itself. Silent is
+// sorted by time.
 func (g *Guard) endLimits(e *entry, silent []parsedID) map[endGroup]int {
 	limits := make(map[endGroup]int)
 	first, last := make(map[endGroup]time.Time), make(map[endGroup]time.Time)
@@ -73,14 +77,17 @@
 			limits[group] = min(ends, maxSilentEnds)
 			continue
 		}
-		without := 0
+		earlier, since := 0, 0
 		for _, end := range g.soleEnds {
-			if end.pool == group.name && end.endedAt.After(first[group]) && end.endedAt.Before(last[group]) &&
-				indexProcess(e.crashes, end.process) < 0 {
-				without++
+			switch {
+			case end.pool != group.name || indexProcess(e.crashes, end.process) >= 0 || !end.endedAt.Before(last[group]):
+			case end.endedAt.Before(first[group]):
+				earlier++
+			default:
+				since++
 			}
 		}
-		limits[group] = min(ends, max(maxSilentEnds, ends-without))
+		limits[group] = min(ends, max(maxSilentEnds, ends-since-min(earlier, maxEarlierEnds)))
 	}
 	return limits
 }
--- a/internal/guard/tpcrash/sole_test.go
+++ b/internal/guard/tpcrash/sole_test.go
@@ -63,6 +63,29 @@
 	}
 }
 
+// Guards against ends before the first crash that excuse a request without end, or not at all.
+func TestEarlierEndsOfASoleTargetExcuseThree(t *testing.T) {
+	for _, test := range []struct{ earlier, want int }{{0, 3}, {1, 4}, {3, 6}, {8, 6}} {
+		var g tpcrash.Guard
+		r := newRegistry(1)
+		r.publish(start, &g)
+		now := start
+		for range test.earlier {
+			now = now.Add(5 * time.Second)
+			r.restart(now, 0, &g)
+		}
+		crashes := 0
+		for ; crashes < 10 && !refused(&g, now, call("/swap/x")); crashes++ {
+			r.silence(&g, now, 0, call("/swap/x"))
+			now = now.Add(2500 * time.Millisecond)
+			r.restart(now, 0, &g)
+		}
+		if crashes != test.want {
+			t.Errorf("after %d earlier ends: refused after %d crashes, want %d", test.earlier, crashes, test.want)
+		}
+	}
+}
+
 // Guards against a request that goes on to the target that it has darkened, or to its successor, although others could show whether it is the cause.
 func TestSuspectsAvoidTheirTargets(t *testing.T) {
 	var g tpcrash.Guard
