Count calls that darken a target of serve as crashes

Callers saw: a call at which a plain service goes dark is never refused by serve and darkens one service after the other (8 crashes of one service and 13 of three in 24 s).

An attempt that ends with the time of its request counts as cancelled, whatever its target does, and a target that accepts connections without answering counts as paused.

Change: after such an attempt without any chunk, the sender asks the target for an answer, for 1 s and after the caller has its own. Without one the target counts as lost. To the quarantine the attempt lasts until then. A target that a suspect has crashed gets it again only if it answers first, so that one outage does not count twice.

Failing before: TestCallThatDarkensServicesIsQuarantined. The other side, TestCallAtAServiceThatGoesDarkByItselfIsServed, passes before and after.

--- a/internal/edge/tptarget/transport.go
+++ b/internal/edge/tptarget/transport.go
@@ -25,6 +25,9 @@
 	// DialTimeout is the time limit for connecting to a target, and for the
 	// whole of Transport.Reachable.
 	DialTimeout = 2 * time.Second
+	// respondTimeout is the time limit for the whole of Transport.Responds. With
+	// the time of the request before, it exceeds the silences of sound targets.
+	respondTimeout = time.Second
 	// DefaultFirstChunkTimeout is the time limit for an engine's first chunk,
 	// after which another engine is tried. It is long because the request may
 	// wait in the engine's queue.
@@ -109,22 +112,37 @@
 // closes the connection is not, since a terminating process can still accept
 // connections for a moment.
 func (t *Transport) Reachable(ctx context.Context, target tpmessage.Target) bool {
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	connected, answered, err := t.probe(ctx, target, DialTimeout)
+	return answered || connected && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled))
+}
+
+// Responds implements tpsender.Transport. Any answer within respondTimeout counts.
+func (t *Transport) Responds(ctx context.Context, target tpmessage.Target) bool {
+	_, answered, _ := t.probe(ctx, target, respondTimeout)
+	return answered
+}
+
+// probe queries the load of a target.
+func (t *Transport) probe(ctx context.Context, target tpmessage.Target, timeout time.Duration) (connected, answered bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var connected atomic.Bool
+	var isConnected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) },
 	})
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+PathLoad, nil)
 	if err != nil {
-		return false
+		return false, false, Error.Wrap(err)
 	}
 	resp, err := t.unpooledClient.Do(r)
 	if err == nil {
 		_ = resp.Body.Close()
-		return true
+		return true, true, nil
+	}
+	if ctx.Err() != nil {
+		err = ctx.Err()
 	}
-	return connected.Load() && ctx.Err() != nil
+	return isConnected.Load(), false, err
 }
 
 // Run implements tpsender.Transport. It sends the request to the target once
--- a/internal/edge/tptarget/transport_test.go
+++ b/internal/edge/tptarget/transport_test.go
@@ -146,6 +146,9 @@
 	if !tr.Reachable(t.Context(), tpmessage.Target{Address: silent.Listener.Addr().String()}) {
 		t.Error("silent target: got not reachable")
 	}
+	if tr.Responds(t.Context(), tpmessage.Target{Address: silent.Listener.Addr().String()}) {
+		t.Error("a target that accepts a connection and does not answer: got a response, want none")
+	}
 }
 
 // Guards against a second copy of an answer, late, on a connection that is used
--- a/internal/guard/tpquarantine/place.go
+++ b/internal/guard/tpquarantine/place.go
@@ -57,6 +57,12 @@
 	return RunAtTarget, target
 }
 
+// HasCrashed reports whether a target crashed at a suspect.
+func (q *Quarantine) HasCrashed(fingerprint uint64, target string) bool {
+	e, ok := q.entries[fingerprint]
+	return ok && slices.Contains(e.crashes, target)
+}
+
 // occupied returns the targets that run another suspect of a crash of e, or a
 // copy of a quarantined request that started earlier.
 func (q *Quarantine) occupied(e *entry) map[string]bool {
--- a/internal/node/tpnode/journal_test.go
+++ b/internal/node/tpnode/journal_test.go
@@ -28,15 +28,21 @@
 
 func startBookings(t *testing.T, nodes int, queryable bool) *bookings {
 	t.Helper()
-	b := &bookings{
-		service:  &tpservicefake.Service{Name: "service-0"},
-		platform: &tpplatformfake.Platform{WatchTimeout: time.Second},
-	}
-	service := httptest.NewServer(b.service.Handler())
-	t.Cleanup(service.Close)
+	service := &tpservicefake.Service{Name: "service-0"}
+	server := httptest.NewServer(service.Handler())
+	t.Cleanup(server.Close)
+	targets := []tpmessage.Target{{Name: "service-0", Address: server.Listener.Addr().String()}}
+	b := startBookingNodes(t, nodes, queryable, targets)
+	b.service = service
+	return b
+}
+
+// startBookingNodes starts nodes before services that the caller has started.
+func startBookingNodes(t *testing.T, nodes int, queryable bool, targets []tpmessage.Target) *bookings {
+	t.Helper()
+	b := &bookings{platform: &tpplatformfake.Platform{WatchTimeout: time.Second}}
 	platform := httptest.NewServer(b.platform.Handler())
 	t.Cleanup(platform.Close)
-	targets := []tpmessage.Target{{Name: "service-0", Address: service.Listener.Addr().String()}}
 	var seeds []string
 	for i := range nodes {
 		n, stop, err := tpnode.New(tpnode.Settings{
--- a/internal/node/tpnode/quarantine.go
+++ b/internal/node/tpnode/quarantine.go
@@ -160,6 +160,7 @@
 		target.Name = p.target
 	case tpquarantine.RunAtTarget:
 		attemptDecision.Target = &target
+		attemptDecision.HasCrashed = n.quarantine.decision.HasCrashed(p.fingerprint, target.Name)
 	case tpquarantine.Refuse:
 		attemptDecision.Refusal = newQuarantineRefusal()
 	}
@@ -224,9 +225,9 @@
 }
 
 // reportCompletion passes the end of an attempt at a target to the quarantine
-// filter.
+// filter. To that, an attempt lasts until it is known whether the target is lost.
 func (n *Node) reportCompletion(c tpmessage.Completion) {
-	if c.Target != "" {
+	if c.Target != "" && !c.LossUnchecked {
 		_ = n.quarantine.in.Put(quarantineInput{completion: &c})
 	}
 }
--- a/internal/node/tpnode/request.go
+++ b/internal/node/tpnode/request.go
@@ -68,7 +68,7 @@
 		Budgets:   &tpsender.Budgets{},
 		Counters:  &tpsender.Counters{},
 		Callbacks: tpsender.Callbacks{
-			Completion: n.handleCompletion, Report: n.handleReport, Settled: n.settle,
+			Completion: n.handleCompletion, Checked: n.reportCompletion, Report: n.handleReport, Settled: n.settle,
 			Usable: n.acceptsNewWork, Alternative: n.alternativeTarget, Admit: n.admitAttempt,
 		},
 	}
--- a/internal/request/stage5/tpsender/sender.go
+++ b/internal/request/stage5/tpsender/sender.go
@@ -17,6 +17,8 @@
 // of a complete answer. The transport then ends with OutcomeDone.
 var ErrComplete = errors.New("the answer is complete")
 
+var errNoResponse = errors.New("the target, which was lost before, does not respond")
+
 // Result is the result of one attempt at a target.
 type Result struct {
 	Outcome tpmessage.Outcome
@@ -24,7 +26,7 @@
 	// nothing for too long.
 	Stalled bool
 	// Lost is true if the target accepts no connections after the stream was
-	// interrupted.
+	// interrupted, or answers nothing after it left the request unanswered.
 	Lost bool
 	// PrefillPieces and DecodePieces are the amounts of work that the target
 	// reports.
@@ -43,6 +45,9 @@
 		deliver func(tpmessage.Chunk) error) Result
 	// Reachable reports whether the target accepts connections.
 	Reachable(ctx context.Context, t tpmessage.Target) bool
+	// Responds reports whether the target answers a query. It waits for the
+	// answer for longer than a sound target may be silent.
+	Responds(ctx context.Context, t tpmessage.Target) bool
 }
 
 // Attempt describes the attempt on which Callbacks.Admit decides.
@@ -56,16 +61,22 @@
 // AttemptDecision is the decision on an attempt of a request that may be
 // suspected of crashing targets. The zero value admits the attempt.
 type AttemptDecision struct {
-	Target  *tpmessage.Target // the only target at which a suspected request may run; nil allows any
-	Refusal *tpmessage.Refusal
-	Ended   bool // the context ended before the decision
+	Target *tpmessage.Target // the only target at which a suspected request may run; nil allows any
+	// HasCrashed is true if that target was lost at the request before. It gets
+	// the request only if it responds: a second loss in one outage is none.
+	HasCrashed bool
+	Refusal    *tpmessage.Refusal
+	Ended      bool // the context ended before the decision
 }
 
 // Callbacks are the functions that the stage calls. The calls come from stream
 // tasks, also concurrently.
 type Callbacks struct {
 	Completion func(tpmessage.Completion)
-	Report     func(tpmessage.LoadReport)
+	// Checked is called after a Completion with LossUnchecked. The Lost field of
+	// its argument says whether the target is lost.
+	Checked func(tpmessage.Completion)
+	Report  func(tpmessage.LoadReport)
 	// Settled is called at the end of each non-idempotent request. sent reports
 	// whether a byte of the request was handed to a target. last is the last
 	// chunk of a complete answer, or nil.
--- a/internal/request/stage5/tpsender/task.go
+++ b/internal/request/stage5/tpsender/task.go
@@ -25,6 +25,10 @@
 	ready        []tpmessage.Chunk // scratch buffer of deliver
 	unreachable  []string          // names of the targets that accepted no connection
 	targetLost   bool              // a target was lost while it ran the request
+	// unanswered is true if the target of the last attempt may have run the
+	// request and has sent no chunk.
+	unanswered bool
+	begun      bool // the target of the attempt has sent a chunk
 }
 
 func newTask(sender *Sender, a tpmessage.Assignment) *task {
@@ -70,13 +74,17 @@
 			step.SameTarget = step.SameTarget && decision.Target.Name == step.Target.Name
 			step.Target = *decision.Target
 		}
-		res = t.attempt(step)
+		res = t.attempt(step, decision.HasCrashed)
 		end := AttemptEnd{Outcome: res.Outcome, Lost: res.Lost, Stalled: res.Stalled}
 		next, retry := t.plan.Next(t.sender.Clock.Now(), end, t.usable)
 		wait, retry := t.takeRetry(next, retry)
 		t.reportCompletion(step.Target, &res, !retry)
 		if !retry {
 			t.finish(res, refusalOf(t.plan, t.assembler, t.work.Request.ResumeFrom, &res))
+			if t.isLossUnchecked(&res) {
+				t.work.Chunks.Close() // the caller does not wait for the check
+				t.checkLoss(step.Target)
+			}
 			return
 		}
 		t.sleep(wait)
@@ -116,18 +124,25 @@
 	}
 }
 
-// attempt runs the request at one target and delivers its chunks.
-func (t *task) attempt(step Step) Result {
+// attempt runs the request at one target and delivers its chunks. A target that
+// has crashed at the request must respond first.
+func (t *task) attempt(step Step, hasCrashed bool) Result {
 	t.recordEvent("send", step.Target.Name, "")
 	overlap := tpanswer.OtherTargetOverlap
 	if step.SameTarget {
 		overlap = 1
 	}
 	firstChunk := t.assembler.Begin(overlap)
+	t.begun = false
 	if t.assembler.Next() > t.work.Request.ResumeFrom {
 		t.sender.Counters.Resumes.Add(1)
 	}
-	res := t.sender.Transport.Run(t.ctx, &t.work.Request, step.Target, firstChunk, t.deliver)
+	var res Result
+	if hasCrashed && !t.sender.Transport.Responds(t.ctx, step.Target) {
+		res = Result{Outcome: tpmessage.OutcomeNotSent, Err: errNoResponse}
+	} else {
+		res = t.sender.Transport.Run(t.ctx, &t.work.Request, step.Target, firstChunk, t.deliver)
+	}
 	t.classify(step.Target, &res)
 	if res.Report != nil {
 		t.sender.Callbacks.Report(*res.Report)
@@ -139,6 +154,7 @@
 // delivered to the caller. It blocks on a slow caller until the deadline at the
 // latest.
 func (t *task) deliver(c tpmessage.Chunk) error {
+	t.begun = true
 	ready, err := t.assembler.Accept(&c, t.ready[:0])
 	t.ready = ready
 	for i := range ready {
@@ -162,6 +178,7 @@
 // chunks. It replaces a target that accepted no connection, and checks after an
 // interrupted stream whether the target is lost.
 func (t *task) classify(target tpmessage.Target, res *Result) {
+	t.unanswered = res.Outcome == tpmessage.OutcomeInterrupted && !t.begun
 	switch {
 	case t.assembler.Ended():
 		res.Outcome = tpmessage.OutcomeDone
@@ -180,7 +197,11 @@
 		if res.Stalled {
 			t.sender.Counters.Stalls.Add(1)
 		}
-		res.Lost = !t.sender.Transport.Reachable(t.ctx, target) && t.ctx.Err() == nil
+		isAlive := t.sender.Transport.Reachable
+		if res.Stalled && t.unanswered {
+			isAlive = t.sender.Transport.Responds
+		}
+		res.Lost = !isAlive(t.ctx, target) && t.ctx.Err() == nil
 		if res.Lost {
 			t.targetLost = true
 			t.sender.Counters.Lost.Add(1)
@@ -188,6 +209,27 @@
 	}
 }
 
+// isLossUnchecked reports whether the last attempt ended with the time of the
+// request, or because its caller left, while the target sent nothing at all.
+func (t *task) isLossUnchecked(res *Result) bool {
+	return t.sender.Callbacks.Checked != nil && res.Outcome == tpmessage.OutcomeCancelled && t.unanswered
+}
+
+// checkLoss finds out whether a target that left the request unanswered is lost.
+// A crash need not close a connection.
+func (t *task) checkLoss(target tpmessage.Target) {
+	c := tpmessage.Completion{
+		RequestID: t.work.Request.ID, Target: target.Name, Outcome: tpmessage.OutcomeCancelled, Fingerprint: t.work.Request.Fingerprint,
+	}
+	if !t.sender.Transport.Responds(context.WithoutCancel(t.ctx), target) {
+		c.Outcome, c.Lost = tpmessage.OutcomeInterrupted, true
+		t.sender.Counters.Lost.Add(1)
+		t.recordEvent("lost", target.Name, "left the request unanswered")
+	}
+	c.At = t.sender.Clock.Now()
+	t.sender.Callbacks.Checked(c)
+}
+
 // takeRetry takes a retry from the budget if the step requires one.
 func (t *task) takeRetry(step Step, retry bool) (wait time.Duration, ok bool) {
 	if !retry || !step.UsesBudget {
@@ -216,6 +258,7 @@
 		Final:         final,
 		Outcome:       res.Outcome,
 		Lost:          res.Lost,
+		LossUnchecked: target.Name != "" && t.isLossUnchecked(res),
 		PrefillPieces: res.PrefillPieces,
 		DecodePieces:  res.DecodePieces,
 		Fingerprint:   t.work.Request.Fingerprint,
--- a/pkg/tpmessage/request.go
+++ b/pkg/tpmessage/request.go
@@ -88,13 +88,17 @@
 // Completion reports the end of an attempt at a target, or of a whole request,
 // to the filters that account for its work.
 type Completion struct {
-	RequestID     string
-	Organisation  string
-	Target        string // empty if there was no attempt
-	NextTarget    string // target of the next attempt, if it is known
-	Final         bool   // there is no next attempt
-	Outcome       Outcome
-	Lost          bool    // after an interrupted answer, the target accepts no connection
+	RequestID    string
+	Organisation string
+	Target       string // empty if there was no attempt
+	NextTarget   string // target of the next attempt, if it is known
+	Final        bool   // there is no next attempt
+	Outcome      Outcome
+	Lost         bool // the target has ended: it accepts no connection, or answers nothing
+	// LossUnchecked is true if the target left the request unanswered until the
+	// end of its time, and it is not known yet whether the target is lost. A
+	// report of the loss, or of a target that has gone on, follows.
+	LossUnchecked bool
 	PrefillPieces float64 // work actually done
 	DecodePieces  float64
 	Fingerprint   uint64
