--- a/internal/node/tprelaynode/continuation_test.go
+++ b/internal/node/tprelaynode/continuation_test.go
@@ -91,7 +91,7 @@
 	engines := &brokenFirst{runs: make(map[string]int), answers: answers}
 	for _, name := range []string{"d0", "d1", "d2"} {
 		s.store.Set("servers", name, map[string]any{
-			"service": "llm", "address": tpguestfake.Listen(t, engines), "zone": "z", "slots": 64, "state": "ready", "stage": "decode", "born": 1,
+			"service": "llm", "address": tpguestfake.Listen(t, engines), "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1, "stage": "decode", "born": 1,
 		})
 	}
 	n := s.start(t, "node-0", tpprocess.FreeAddress(t))
--- a/internal/node/tprelaynode/dark_test.go
+++ b/internal/node/tprelaynode/dark_test.go
@@ -59,7 +59,7 @@
 		address := tpprocess.FreeAddress(t)
 		register := func(born int64) {
 			s.store.Set("servers", server.ID, map[string]any{
-				"service": "app", "address": address, "zone": zone, "slots": 64, "state": "ready", "stage": "", "born": born,
+				"service": "app", "address": address, "zone": zone, "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1, "stage": "", "born": born,
 			})
 		}
 		tpguestfake.ListenRestarting(t, server, address, darkTime, register)
--- a/internal/node/tprelaynode/entries_test.go
+++ b/internal/node/tprelaynode/entries_test.go
@@ -36,8 +36,8 @@
 // verbs for the name and the revision.
 var oddObjects = map[string]string{
 	"nested":               `{"metadata":{"name":%q,"revision":%d},"spec":` + strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000) + `}`,
-	"number out of range":  `{"metadata":{"name":%q,"revision":%d},"spec":{"service":"app","address":"127.0.0.1:1","state":"ready","slots":1e999}}`,
-	"port out of range":    `{"metadata":{"name":%q,"revision":%d},"spec":{"service":"app","address":"127.0.0.1:99999","state":"ready"}}`,
+	"number out of range":  `{"metadata":{"name":%q,"revision":%d},"spec":{"service":"app","address":"127.0.0.1:1","state":"ready","zone":"z","slots":8,"version":"v1","cold_left_ms":0,"sequence":1,"slots":1e999}}`,
+	"port out of range":    `{"metadata":{"name":%q,"revision":%d},"spec":{"service":"app","address":"127.0.0.1:99999","state":"ready","zone":"z","slots":8,"version":"v1","cold_left_ms":0,"sequence":1}}`,
 	"not JSON":             `{"metadata":{"name":%q,"revision":%d},"spec":oops}`,
 	"metadata not decoded": `{"metadata":{"name":%q,"revision":-%d},"spec":{}}`,
 }
--- a/internal/node/tprelaynode/era_test.go
+++ b/internal/node/tprelaynode/era_test.go
@@ -27,7 +27,7 @@
 			s.log = log
 			left := &tpguestfake.Server{ID: "u1"}
 			address := tpguestfake.Listen(t, left)
-			entry := map[string]any{"service": "app", "address": address, "zone": "z", "slots": 64, "state": "ready", "born": 1}
+			entry := map[string]any{"service": "app", "address": address, "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1, "born": 1}
 			s.store.Set("servers", "u1", entry)
 			first := tpprocess.FreeAddress(t)
 			nodes := []*node{s.start(t, "node-a", first), s.start(t, "node-b", tpprocess.FreeAddress(t), first)}
--- a/internal/node/tprelaynode/exchange_test.go
+++ b/internal/node/tprelaynode/exchange_test.go
@@ -106,7 +106,7 @@
 	})
 	for i := range names {
 		s.store.Set("servers", fmt.Sprint("r", i), map[string]any{
-			"service": "raw", "address": l.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "stage": "", "born": 1,
+			"service": "raw", "address": l.Addr().String(), "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1, "stage": "", "born": 1,
 		})
 	}
 }
--- a/internal/node/tprelaynode/node_test.go
+++ b/internal/node/tprelaynode/node_test.go
@@ -60,7 +60,7 @@
 	t.Helper()
 	s.servers = append(s.servers, server)
 	s.store.Set("servers", server.ID, map[string]any{
-		"service": service, "address": tpguestfake.Listen(t, server), "zone": "z", "slots": 64, "state": "ready",
+		"service": service, "address": tpguestfake.Listen(t, server), "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1,
 		"stage": server.Stage, "born": 1,
 	})
 }
@@ -327,7 +327,7 @@
 		}
 		return ""
 	})
-	s.store.Set("servers", "u0", map[string]any{"service": "app", "address": "127.0.0.1:1", "state": "draining", "born": 1})
+	s.store.Set("servers", "u0", map[string]any{"service": "app", "address": "127.0.0.1:1", "zone": "z", "slots": 64, "state": "draining", "version": "v1", "cold_left_ms": 0, "sequence": 1, "born": 1})
 	eventually(t, func() string {
 		if got := n.post(t.Context(), "after", "/swap/x", nil); got.status != 503 {
 			return fmt.Sprintf("call after the only target began to drain: got %+v, want 503", got)
--- a/internal/node/tprelaynode/notice_test.go
+++ b/internal/node/tprelaynode/notice_test.go
@@ -41,7 +41,7 @@
 			w.WriteHeader(http.StatusInternalServerError)
 		}))
 		s.store.Set("servers", name, map[string]any{
-			"service": "llm", "address": address, "zone": "z", "slots": 64, "state": "ready", "stage": "decode", "born": 1,
+			"service": "llm", "address": address, "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1, "stage": "decode", "born": 1,
 		})
 	}
 	s.start(t, "node-0", "127.0.0.1:0").untilReady(t)
--- a/internal/proof/relay_crash_test.go
+++ b/internal/proof/relay_crash_test.go
@@ -40,7 +40,7 @@
 		address := tpprocess.FreeAddress(t)
 		register := func(born int64) {
 			f.store.Set("servers", server.ID, map[string]any{
-				"service": "llm", "address": address, "zone": "z", "slots": 64, "state": "ready", "stage": stage, "born": born,
+				"service": "llm", "address": address, "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1, "stage": stage, "born": born,
 			})
 		}
 		tpguestfake.ListenRestarting(t, server, address, 1500*time.Millisecond, register)
--- a/internal/proof/relay_limit_test.go
+++ b/internal/proof/relay_limit_test.go
@@ -103,7 +103,7 @@
 	address := tpguestfake.Listen(f.t, server)
 	f.servers, f.byAddress[address] = append(f.servers, server), kind.id
 	f.store.Set("servers", kind.id, map[string]any{
-		"service": kind.service, "address": address, "zone": zone, "slots": 64, "state": "ready",
+		"service": kind.service, "address": address, "zone": zone, "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1,
 		"stage": kind.stage, "born": startedMs,
 	})
 	return server
--- a/internal/proof/relay_once_test.go
+++ b/internal/proof/relay_once_test.go
@@ -172,7 +172,7 @@
 func (s *onceSoak) register(server int, name string) {
 	s.store.Set("servers", name, map[string]any{
 		"service": s.servers[server].service, "address": s.proxies[server].Address, "zone": "z", "slots": 64,
-		"state": "ready", "stage": s.servers[server].Stage, "born": 1,
+		"state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1, "stage": s.servers[server].Stage, "born": 1,
 	})
 }
 
--- a/internal/proof/relay_silence_test.go
+++ b/internal/proof/relay_silence_test.go
@@ -170,7 +170,7 @@
 		s.servers = append(s.servers, server)
 		s.services[service] = append(s.services[service], server)
 		s.store.Set("servers", server.ID, map[string]any{
-			"service": service, "address": tpguestfake.Listen(t, server), "zone": "z", "slots": 64, "state": "ready",
+			"service": service, "address": tpguestfake.Listen(t, server), "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1,
 			"stage": stage, "born": 1,
 		})
 	}
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -50,7 +50,7 @@
 		}
 		s.servers = append(s.servers, server)
 		s.store.Set("servers", server.ID, map[string]any{
-			"service": service, "address": register(tpguestfake.Listen(t, server)), "zone": "z", "slots": 64, "state": "ready",
+			"service": service, "address": register(tpguestfake.Listen(t, server)), "zone": "z", "slots": 64, "state": "ready", "version": "v1", "cold_left_ms": 0, "sequence": 1,
 			"stage": stage, "born": 1,
 		})
 	}
