Hold crashes in the middle of an answer against the request

Cause: a cut counted as a crash only if no part of the answer had arrived, and the first event of a stream cleared all evidence of its request.

Change: an answer that its target broke off is kept like a silence and becomes a crash when the process ends without another answer. The begin of a stream clears only crashes before the answer; those in its middle are cleared by whole answers, and only these allow a trial.

Failing before: five cases of TestRequestThatDarkensServersIsRefused, TestDeadlyPartStopsCrashesInAnswers.

--- a/internal/guard/tpcrash/crashid.go
+++ b/internal/guard/tpcrash/crashid.go
@@ -11,8 +11,11 @@
 	// outageSpan is the time within which the ends of several processes count
 	// as one outage.
 	outageSpan = 300 * time.Millisecond
-	// silentMark separates the times in the ID of a crash without a reset.
+	// silentMark separates the times in the ID of a crash that is known from the
+	// end of its process alone. An ID that ends with begunMark is that of a crash
+	// in the middle of an answer.
 	silentMark = "~"
+	begunMark  = "b"
 )
 
 // CrashID identifies a crash by the target and the start of its process in Unix
@@ -22,19 +25,24 @@
 	return target + "@" + strconv.FormatInt(startedMs, 10)
 }
 
-// silentCrashID returns the ID of a crash without a reset. It adds the time at
-// which the unanswered request was sent and the end of the process to the
-// CrashID, both in Unix milliseconds.
-func silentCrashID(p *process, sentAt time.Time) string {
-	return strings.Join([]string{
-		CrashID(p.target, p.startedMs), strconv.FormatInt(sentAt.UnixMilli(), 10), strconv.FormatInt(p.endedMs, 10),
+// silentCrashID returns the ID of a crash that is known from the end of its
+// process. It adds the time at which the request was sent and the end of the
+// process to the CrashID, both in Unix milliseconds.
+func silentCrashID(p *process, s *silence) string {
+	id := strings.Join([]string{
+		CrashID(p.target, p.startedMs), strconv.FormatInt(s.sentAt.UnixMilli(), 10), strconv.FormatInt(p.endedMs, 10),
 	}, silentMark)
+	if s.begun {
+		id += begunMark
+	}
+	return id
 }
 
 // parsedID holds the fields of a crash ID.
 type parsedID struct {
 	process       string // as CrashID returns it
 	silent        bool
+	begun         bool      // in the middle of an answer; only if silent
 	sentAt, ended time.Time // if silent
 }
 
@@ -42,12 +50,13 @@
 // the ID of a reset.
 func parseCrashID(id string) parsedID {
 	process, sentMs, endedMs := splitCrashID(id)
+	endedMs, begun := strings.CutSuffix(endedMs, begunMark)
 	sent, sentErr := strconv.ParseInt(sentMs, 10, 64)
 	ended, endErr := strconv.ParseInt(endedMs, 10, 64)
 	if sentErr != nil || endErr != nil {
 		return parsedID{process: process}
 	}
-	return parsedID{process: process, silent: true, sentAt: time.UnixMilli(sent), ended: time.UnixMilli(ended)}
+	return parsedID{process: process, silent: true, begun: begun, sentAt: time.UnixMilli(sent), ended: time.UnixMilli(ended)}
 }
 
 func splitCrashID(id string) (process, sentMs, endedMs string) {
@@ -69,6 +78,8 @@
 
 func isSilent(id string) bool { return parseCrashID(id).silent }
 
+func isBegun(id string) bool { return parseCrashID(id).begun }
+
 func (id *parsedID) target() string {
 	return id.process[:max(0, strings.LastIndexByte(id.process, '@'))]
 }
--- a/internal/guard/tpcrash/guard.go
+++ b/internal/guard/tpcrash/guard.go
@@ -36,10 +36,6 @@
 	MaxReported = 128
 	// maxIDBytes bounds a crash ID that a peer reports.
 	maxIDBytes = 256
-	// answeredGeneration and maxAnswered are the time and the number of keys
-	// after which the older half of the answered keys is forgotten.
-	answeredGeneration = time.Minute
-	maxAnswered        = 8192
 	// maxSharedBodyBytes is the size up to which the body of an answered request
 	// is hashed although there is no evidence. Many clients may send the same
 	// small body, or none, to one path.
@@ -84,11 +80,10 @@
 
 	entries          map[uint64]*entry
 	quarantinedCount int
-	// answered and answeredBefore hold the keys that were recently answered at
-	// this node, and when.
-	answered, answeredBefore map[uint64]time.Time
-	answeredSince            time.Time
-	changes                  []Change
+	// begun holds the keys of which an answer has lately begun at this node, and
+	// completed those of which one was completed.
+	begun, completed answers
+	changes          []Change
 	// processes holds the registered processes by target, and ended those that
 	// have lately ended, oldest first. silenceCount counts the silences of the
 	// former.
@@ -112,42 +107,63 @@
 	}
 }
 
-// RecordAnswer records that a target has begun a stream or completed an answer
-// with success. It clears the keys of the request of all crashes known so far.
+// RecordBegin records that a target has begun to stream an answer. It clears the
+// keys of the request of all crashes known so far, except for those in the
+// middle of an answer.
+func (g *Guard) RecordBegin(now time.Time, req *tpmessage.RelayRequest) {
+	keys := g.answeredKeys(req)
+	g.begun.record(now, now, keys)
+	g.clearKeys(now, keys, func(id string) bool { return !isBegun(id) })
+}
+
+// RecordAnswer records that a target has completed an answer with success. It
+// clears the keys of the request of all crashes known so far.
 func (g *Guard) RecordAnswer(now time.Time, req *tpmessage.RelayRequest) {
-	keys := PartKeys(req)
+	keys := g.answeredKeys(req)
+	g.begun.record(now, now, keys)
+	g.completed.record(now, now, keys)
+	g.clearKeys(now, keys, func(string) bool { return true })
+}
+
+// answeredKeys returns the keys of an answered request that are kept.
+func (g *Guard) answeredKeys(req *tpmessage.RelayRequest) []uint64 {
 	if len(g.entries) > 0 || g.silenceCount > 0 || len(req.Body) <= maxSharedBodyBytes {
-		keys = Keys(req)
-	}
-	g.recordAnswered(now, now, keys)
-	for _, key := range keys {
-		if e, known := g.entries[key]; known && e.clear(now, slices.Clone(e.crashes)) {
-			g.update(now, e, Change{Own: true})
-		}
+		return Keys(req)
 	}
+	return PartKeys(req)
 }
 
-// recordAnswered adds keys to the answered keys. At is the time of the answer,
-// or zero if it is not known.
-func (g *Guard) recordAnswered(now, at time.Time, keys []uint64) {
-	if g.answered == nil || now.Sub(g.answeredSince) >= answeredGeneration || len(g.answered) >= maxAnswered {
-		g.answeredBefore, g.answered, g.answeredSince = g.answered, make(map[uint64]time.Time), now
-	}
+// clearKeys clears the keys of the crashes for which isCleared returns true.
+func (g *Guard) clearKeys(now time.Time, keys []uint64, isCleared func(id string) bool) {
 	for _, key := range keys {
-		if known, ok := g.answered[key]; !ok || at.After(known) {
-			g.answered[key] = at
+		e, known := g.entries[key]
+		if !known {
+			continue
+		}
+		ids := slices.DeleteFunc(slices.Clone(e.crashes), func(id string) bool { return !isCleared(id) })
+		if e.clear(now, ids) {
+			g.update(now, e, Change{Own: true})
 		}
 	}
 }
 
-func (g *Guard) recentlyAnswered(key uint64) bool {
-	_, answered := g.answered[key]
-	_, before := g.answeredBefore[key]
-	return answered || before
+// recentlyAnswered reports whether requests with the key of e were lately
+// answered. With a crash in the middle of an answer, only whole answers count.
+func (g *Guard) recentlyAnswered(e *entry) bool {
+	if slices.ContainsFunc(e.crashes, isBegun) {
+		return g.completed.has(e.key)
+	}
+	return g.begun.has(e.key)
 }
 
-func (g *Guard) answeredAfter(key uint64, t time.Time) bool {
-	return g.answered[key].After(t) || g.answeredBefore[key].After(t)
+// isExcused reports whether a request with the key was answered since the
+// request of a crash was sent: with a whole answer, if the crash came in the
+// middle of one.
+func (g *Guard) isExcused(key uint64, id *parsedID) bool {
+	if id.begun {
+		return g.completed.after(key, id.sentAt)
+	}
+	return g.begun.after(key, id.sentAt)
 }
 
 // Check reports whether a request must not be sent to a target, and the
@@ -183,7 +199,7 @@
 		}
 		// At an outage, the ends of silent processes alone don't tell a popular key
 		// from the cause.
-		if !other.restsOnSilence() || !g.recentlyAnswered(other.key) {
+		if !other.restsOnSilence() || !g.recentlyAnswered(other) {
 			return true
 		}
 	}
@@ -193,7 +209,7 @@
 // allowsTrial reports whether a request may pass although it carries the
 // quarantined key of e.
 func (g *Guard) allowsTrial(now time.Time, e *entry) bool {
-	if !g.recentlyAnswered(e.key) || now.Before(e.heldUntil) {
+	if !g.recentlyAnswered(e) || now.Before(e.heldUntil) {
 		return false
 	}
 	if e.restsOnSilence() && now.Sub(e.quarantinedAt) < g.TrialDelay {
@@ -222,7 +238,8 @@
 			continue
 		}
 		if r.Answered {
-			g.recordAnswered(now, time.Time{}, []uint64{r.Fingerprint})
+			g.begun.record(now, time.Time{}, []uint64{r.Fingerprint})
+			g.completed.record(now, time.Time{}, []uint64{r.Fingerprint})
 		}
 		if answered := g.answeredSilences(r.Fingerprint, ids); len(answered) > 0 && e.clear(now, answered) {
 			g.update(now, e, Change{Own: true})
@@ -250,12 +267,12 @@
 // answeredSilences returns the silent crashes among ids since whose request was
 // sent this node has seen an answer to the key.
 func (g *Guard) answeredSilences(key uint64, ids []string) []string {
-	if !g.recentlyAnswered(key) {
+	if !g.begun.has(key) {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool {
 		parsed := parseCrashID(id)
-		return !parsed.silent || !g.answeredAfter(key, parsed.sentAt)
+		return !parsed.silent || !g.isExcused(key, &parsed)
 	})
 }
 
@@ -340,7 +357,7 @@
 	if quarantined {
 		g.quarantinedCount++
 		cause.Crashes = slices.Clone(e.crashes)
-		cause.Answered = g.recentlyAnswered(e.key)
+		cause.Answered = g.recentlyAnswered(e)
 	} else {
 		g.quarantinedCount--
 	}
--- a/internal/guard/tpcrash/silence.go
+++ b/internal/guard/tpcrash/silence.go
@@ -45,17 +45,28 @@
 }
 
 // silence is an exchange that ended without any part of an answer although the
-// target did not close the connection.
+// target did not close the connection, or in the middle of an answer.
 type silence struct {
 	keys              []uint64
 	sentAt, noticedAt time.Time
+	begun             bool // the answer had begun
 }
 
 // RecordSilence records that a target has left a request unanswered that was
 // sent at sentAt. It is no evidence unless the process ends without another
 // answer, because a sound target may be silent for a while.
 func (g *Guard) RecordSilence(now time.Time, req *tpmessage.RelayRequest, target string, startedMs int64, sentAt time.Time) {
-	s := silence{sentAt: sentAt, noticedAt: now}
+	g.recordSilence(now, req, target, startedMs, silence{sentAt: sentAt, noticedAt: now})
+}
+
+// RecordBreak is RecordSilence for an answer that broke off in its middle. A
+// faulty target may truncate an answer and go on.
+func (g *Guard) RecordBreak(now time.Time, req *tpmessage.RelayRequest, target string, startedMs int64, sentAt time.Time) {
+	g.recordSilence(now, req, target, startedMs, silence{sentAt: sentAt, noticedAt: now, begun: true})
+}
+
+func (g *Guard) recordSilence(now time.Time, req *tpmessage.RelayRequest, target string, startedMs int64, s silence) {
+	sentAt := s.sentAt
 	g.holdTrials(now, req, sentAt)
 	if p := g.findEnded(target, startedMs); p != nil {
 		s.keys = Keys(req)
@@ -66,7 +77,7 @@
 	if p == nil || p.startedMs != startedMs || p.leaving || len(p.silences) >= maxProcessSilences || g.silenceCount >= maxSilences {
 		return
 	}
-	if !sentAt.Before(p.answeredAt) && (p.silentFrom.IsZero() || sentAt.Before(p.silentFrom)) {
+	if !s.begun && !sentAt.Before(p.answeredAt) && (p.silentFrom.IsZero() || sentAt.Before(p.silentFrom)) {
 		p.silentFrom = sentAt
 	}
 	if !p.mayEndAt(&s) {
@@ -161,9 +172,10 @@
 	if p.leaving || p.endedAt.Sub(s.noticedAt) > silenceTTL || s.sentAt.After(p.endedAt) || !p.mayEndAt(s) {
 		return
 	}
-	id := silentCrashID(p, s.sentAt)
+	id := silentCrashID(p, s)
+	parsed := parseCrashID(id)
 	for _, key := range s.keys {
-		if g.answeredAfter(key, s.sentAt) {
+		if g.isExcused(key, &parsed) {
 			continue
 		}
 		e := g.entry(now, key)
@@ -178,7 +190,8 @@
 // process answered nothing after the exchange, and the request was not sent
 // long after it had fallen silent.
 func (p *process) mayEndAt(s *silence) bool {
-	return !s.noticedAt.Before(p.answeredAt) && (p.silentFrom.IsZero() || !s.sentAt.After(p.silentFrom.Add(runBeginSpan)))
+	isLate := !s.begun && !p.silentFrom.IsZero() && s.sentAt.After(p.silentFrom.Add(runBeginSpan))
+	return !s.noticedAt.Before(p.answeredAt) && !isLate
 }
 
 // retractEnd clears the evidence that rests on the end of a process that is
--- a/internal/node/tprelaynode/dark_test.go
+++ b/internal/node/tprelaynode/dark_test.go
@@ -27,7 +27,13 @@
 	darkWindow  = 3 * time.Second
 )
 
-// darkSite is a site with two nodes and plain services that go dark at a crash
+// crashKind tells at which requests servers crash, and how.
+type crashKind struct {
+	path           string // prefix of the URI; empty for none
+	dark, inAnswer bool
+}
+
+// darkSite is a site with two nodes and plain services that crash, or go dark,
 // and come back under the same ID.
 type darkSite struct {
 	site
@@ -35,7 +41,7 @@
 	nodes []*node
 }
 
-func newDarkSite(t *testing.T, servers int, oneZone bool, crashPath string) *darkSite {
+func newDarkSite(t *testing.T, servers int, oneZone bool, kind crashKind) *darkSite {
 	t.Helper()
 	s := &darkSite{}
 	s.site.log = &s.log
@@ -55,7 +61,7 @@
 		if oneZone && i > 0 {
 			zone = "another"
 		}
-		server := &tpguestfake.Server{ID: fmt.Sprint("u", i), CrashPath: crashPath, CrashDark: true}
+		server := &tpguestfake.Server{ID: fmt.Sprint("u", i), CrashPath: kind.path, CrashDark: kind.dark, CrashInAnswer: kind.inAnswer}
 		address := tpprocess.FreeAddress(t)
 		register := func(born int64) {
 			s.store.Set("servers", server.ID, map[string]any{
@@ -141,16 +147,31 @@
 	}
 }
 
-// Guards against a request that darkens one server of its zone, or the only one, again and again and is never refused.
+// Guards against a request that darkens one server of its zone, or the only one, or crashes servers in the middle of its answer, again and again and is never refused.
 func TestRequestThatDarkensServersIsRefused(t *testing.T) {
 	for _, test := range []struct {
 		servers int
 		oneZone bool
 		method  string
-	}{{1, false, "POST"}, {1, false, "GET"}, {3, true, "POST"}, {3, false, "GET"}, {8, true, "GET"}, {8, false, "POST"}} {
-		t.Run(fmt.Sprintf("%d servers, one zone %t, %s", test.servers, test.oneZone, test.method), func(t *testing.T) {
+		kind    crashKind
+	}{
+		{1, false, "POST", crashKind{dark: true}},
+		{1, false, "GET", crashKind{dark: true}},
+		{3, true, "POST", crashKind{dark: true}},
+		{3, false, "GET", crashKind{dark: true}},
+		{8, true, "GET", crashKind{dark: true}},
+		{8, false, "POST", crashKind{dark: true}},
+		{1, false, "POST", crashKind{inAnswer: true}},
+		{3, true, "POST", crashKind{inAnswer: true}},
+		{8, false, "GET", crashKind{inAnswer: true}},
+		{3, false, "POST", crashKind{dark: true, inAnswer: true}},
+		{8, false, "GET", crashKind{dark: true, inAnswer: true}},
+	} {
+		name := fmt.Sprintf("%d servers, one zone %t, %s, dark %t, in the answer %t", test.servers, test.oneZone, test.method, test.kind.dark, test.kind.inAnswer)
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newDarkSite(t, test.servers, test.oneZone, "/"+test.method+"/deadly")
+			test.kind.path = "/" + test.method + "/deadly"
+			s := newDarkSite(t, test.servers, test.oneZone, test.kind)
 			stop := s.background(t)
 			last := 0
 			for i := range darkRounds {
@@ -176,7 +197,7 @@
 	}{{1, "POST"}, {1, "GET"}, {3, "POST"}, {3, "GET"}, {8, "POST"}} {
 		t.Run(fmt.Sprintf("%d servers, %s", test.servers, test.method), func(t *testing.T) {
 			t.Parallel()
-			s := newDarkSite(t, test.servers, true, "")
+			s := newDarkSite(t, test.servers, true, crashKind{dark: true})
 			stop := s.background(t)
 			var calls sync.WaitGroup
 			for i := range darkRounds {
--- a/internal/node/tprelaynode/guard.go
+++ b/internal/node/tprelaynode/guard.go
@@ -41,6 +41,8 @@
 		case r.Request == nil:
 		case r.Cut:
 			guard.RecordCrash(now, r.Request, tpcrash.CrashID(r.Reservation.Target, r.StartedMs))
+		case r.Broken:
+			guard.RecordBreak(now, r.Request, r.Reservation.Target, r.StartedMs, r.SentAt)
 		case r.Silent:
 			guard.RecordSilence(now, r.Request, r.Reservation.Target, r.StartedMs, r.SentAt)
 		case r.Answered:
@@ -49,7 +51,7 @@
 	case tpplace.InputTargets:
 		guard.RecordTargets(now, in.Targets)
 	case tpplace.InputStreamBegun:
-		guard.RecordAnswer(now, in.Begun)
+		guard.RecordBegin(now, in.Begun)
 	case tpplace.InputSuspects:
 		guard.Merge(now, in.Suspects)
 	default:
--- a/internal/proof/relay_crash_test.go
+++ b/internal/proof/relay_crash_test.go
@@ -25,17 +25,17 @@
 	maxLateDeadly      = 3
 )
 
-// newCrashFleet returns relay nodes and engines that crash when they begin an
-// answer to a prompt with deadlyPart. If dark is set, a crash closes none of
-// their connections.
-func newCrashFleet(t *testing.T, nodes int, dark bool) *relayFleet {
+// newCrashFleet returns relay nodes and engines that crash at a prompt with
+// deadlyPart, when they begin an answer or in the middle of it. If dark is set, a
+// crash closes none of their connections.
+func newCrashFleet(t *testing.T, nodes int, dark, inAnswer bool) *relayFleet {
 	t.Helper()
 	f := &relayFleet{}
 	f.address = tpguestfake.Listen(t, &f.store)
 	for i, stage := range []string{"prefill", "decode", "decode", "decode", "decode", "decode"} {
 		server := &tpguestfake.Server{
 			ID: fmt.Sprint("s", i), Stage: stage, EventsPerStream: 8, EventInterval: 10 * time.Millisecond, CrashPart: deadlyPart,
-			CrashDark: dark,
+			CrashDark: dark, CrashInAnswer: inAnswer,
 		}
 		address := tpprocess.FreeAddress(t)
 		register := func(born int64) {
@@ -67,12 +67,17 @@
 
 // Guards against a part of a prompt that crashes one server after the other.
 func TestDeadlyPartStopsCrashing(t *testing.T) {
-	testDeadlyPart(t, newCrashFleet(t, 3, false), 10, 9*time.Second)
+	testDeadlyPart(t, newCrashFleet(t, 3, false, false), 10, 9*time.Second)
 }
 
 // Guards against a part of a prompt that crashes one server after the other without a reset.
 func TestDeadlyPartStopsSilentCrashes(t *testing.T) {
-	testDeadlyPart(t, newCrashFleet(t, 3, true), 25, 16*time.Second)
+	testDeadlyPart(t, newCrashFleet(t, 3, true, false), 25, 16*time.Second)
+}
+
+// Guards against a part of a prompt that crashes one server after the other in the middle of its answer.
+func TestDeadlyPartStopsCrashesInAnswers(t *testing.T) {
+	testDeadlyPart(t, newCrashFleet(t, 3, false, true), 25, 16*time.Second)
 }
 
 // testDeadlyPart sends requests every 20 ms, of which one in deadlyRatio is
--- a/internal/relay/stage2/tpplace/message.go
+++ b/internal/relay/stage2/tpplace/message.go
@@ -121,8 +121,10 @@
 	// any part of its answer arrived. Timeouts and failed connects are no cuts.
 	Cut bool
 	// Silent is true if a run or a call got no part of an answer although its
-	// connection stayed open. It was sent at SentAt.
+	// connection stayed open, and Broken if its answer ended in the middle, in
+	// either way. It was sent at SentAt.
 	Silent bool
+	Broken bool
 	SentAt time.Time
 	// Answered is true if a run or a call was answered completely and with
 	// success.
--- a/internal/relay/stage3/tprelay/task.go
+++ b/internal/relay/stage3/tprelay/task.go
@@ -437,10 +437,17 @@
 	r.Events, r.EventTokens = t.eventCount, t.eventTokens()
 	r.Cut = res.Cut && ran && !t.answerBegun
 	r.Silent, r.SentAt = res.Silent && ran && !t.answerBegun, t.sentAt
+	r.Broken = ran && t.answerBegun && t.isBroken(&res)
 	r.Answered = res.End == EndComplete && ran && res.Status/100 == 2 && (t.answerBegun || !t.req.Route.Stream)
 	t.r.Place(tpplace.Input{Kind: tpplace.InputStepResult, StepResult: r})
 }
 
+// isBroken reports whether the target, and not the client, has ended an answer
+// in its middle.
+func (t *task) isBroken(res *Result) bool {
+	return res.Cut || res.Silent && (res.End != EndCancelled || t.work.Ctx.Err() == nil)
+}
+
 // stepResult returns the result of a step without an answer.
 func (t *task) stepResult(g *tpplace.Grant, res Result) tpplace.StepResult {
 	outcome := tpplace.OutcomeServed
--- a/internal/standin/tpguestfake/server.go
+++ b/internal/standin/tpguestfake/server.go
@@ -56,6 +56,7 @@
 	CrashPart        string          // if not empty, an answer to a prompt with this part crashes the server; see ListenRestarting
 	CrashPath        string          // if not empty, a request whose URI begins with it crashes the server; see ListenRestarting
 	CrashDark        bool            // a crash closes no connection, as a loss of power does
+	CrashInAnswer    bool            // a crash comes in the middle of the answer, of a stream in the second event
 
 	mu             sync.Mutex
 	arrivals       []Arrival
@@ -239,6 +240,9 @@
 		return
 	}
 	if s.crashesAt(r) {
+		if s.CrashInAnswer {
+			s.beginAnswer(w, id)
+		}
 		time.Sleep(crashDelay) // injected fault: works on the request before it crashes
 		s.crash()
 		if s.CrashDark {
@@ -265,6 +269,19 @@
 		s.CrashPath != "" && strings.HasPrefix(r.RequestURI, s.CrashPath)
 }
 
+// beginAnswer writes the part of an answer that comes before a crash.
+func (s *Server) beginAnswer(w http.ResponseWriter, id string) {
+	w.Header().Set("X-Teaselpin-Response-Stamp", s.ID+"."+id)
+	if s.EventsPerStream > 0 {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 0\ndata: piece 0\n\nid: 1\nda")
+	} else {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "answer to ")
+	}
+	_ = http.NewResponseController(w).Flush()
+}
+
 func (s *Server) recordEnd(r *http.Request, index int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
