Ask a relieved target once for each replacement

A relieved target that had refused as well was asked again after each further refusal. Only the first of these retries was reserved in the budget, and the others were not checked against it.

Failing before: TestRelievedTargetIsAskedOnce (3 exchanges instead of 2).

--- a/internal/relay/stage3/tprelay/plan.go
+++ b/internal/relay/stage3/tprelay/plan.go
@@ -113,9 +113,9 @@
 	return next, next.AfterRun(now, target, Result{End: EndTimeout}, false)
 }
 
-// MayAskAgain reports whether the target that a refused replacement should have
-// relieved may be asked for the rest of the answer. It is none of the further
-// targets that the route bounds.
+// MayAskAgain reports whether a target that has run the request before may be
+// asked for the rest of the answer. The route bounds the number of targets, and
+// this is none more.
 func (p *Plan) MayAskAgain(now time.Time) bool {
 	return p.Request.Route.Retryable() && p.Request.Deadline.Sub(now) >= minAttemptTime
 }
--- a/internal/relay/stage3/tprelay/relieved.go
+++ b/internal/relay/stage3/tprelay/relieved.go
@@ -28,6 +28,11 @@
 	}
 }
 
+// hasRelieved reports whether the step in progress is that of a replacement.
+func (t *task) hasRelieved() bool {
+	return t.relieved.name != "" && t.relieved.name != t.grant.Target.Name
+}
+
 // isRefusedReplacement reports whether a step has ended with a refusal of the
 // replacement, after which the relieved target may be asked again. An answer
 // with an error status is a refusal, too.
@@ -42,16 +47,13 @@
 	return refused && !t.answerBegun && t.hasRelieved() && t.plan.MayAskAgain(now)
 }
 
-func (t *task) hasRelieved() bool {
-	return t.relieved.name != "" && t.relieved.name != t.grant.Target.Name
-}
-
 // askRelievedNext requests the step at the relieved target or, if that cannot
-// take it, at another one. It returns false if the placer refuses both.
+// take it, at another one. It returns false if the placer refuses both. The
+// target is asked once for each replacement, whose grant has reserved the retry
+// if the answer had begun.
 func (t *task) askRelievedNext() bool {
-	t.relieved.askNext = false
-	// The grant of the replacement of a begun answer has reserved the retry.
 	g := t.requestRelieved(t.plan.IsRetry() && !t.delivered)
+	t.relieved = relievedTarget{}
 	if g.Refusal != nil {
 		if !t.plan.mayRunAgain() || t.plan.exhausted(t.r.Clock.Now()) {
 			t.grant, t.granted = g, false
--- a/internal/relay/stage3/tprelay/relieved_test.go
+++ b/internal/relay/stage3/tprelay/relieved_test.go
@@ -152,6 +152,32 @@
 	}
 }
 
+// Guards against a target that is asked again and again, beyond the retry that was reserved, after it has refused as well.
+func TestRelievedTargetIsAskedOnce(t *testing.T) {
+	var mu sync.Mutex
+	runs := make(map[string]int)
+	u := &funcUpstream{run: func(ctx context.Context, s *tprelay.UpstreamRequest, deliver func(tpmessage.AnswerPart) error) tprelay.Result {
+		mu.Lock()
+		runs[s.Target.Name]++
+		isFirst := len(runs) == 1
+		mu.Unlock()
+		if isFirst {
+			return sendWithPause(ctx, s, deliver, time.Minute)
+		}
+		if !waitInSilence(ctx, s, 300*time.Millisecond, false) {
+			return tprelay.Result{End: tprelay.EndTimeout}
+		}
+		return tprelay.Result{End: tprelay.EndNotRun, Status: 503}
+	}}
+	got, _ := runFunc(t, u, resumable, tpplace.StepRun, 9)
+	if !got.broken {
+		t.Errorf("all targets refuse: got %q, broken %v, want a broken answer", got.text, got.broken)
+	}
+	if got, want := runs["t0"], 2; got != want {
+		t.Errorf("exchanges with the silent target: got %d, want %d", got, want)
+	}
+}
+
 // Guards against a prompt that stays in the memory of a target that has lost to another one.
 func TestPromptOfTheLoserIsFreed(t *testing.T) {
 	u := &funcUpstream{
