--- a/internal/command/tpcommand/relay.go
+++ b/internal/command/tpcommand/relay.go
@@ -122,7 +122,7 @@
 			err := f.reload()
 			log.Info().Str("event", "reload").Err(err).Send()
 		case <-poll.C:
-			if err, changed := f.reloadIfChanged(); changed {
+			if changed, err := f.reloadIfChanged(); changed {
 				log.Info().Str("event", "settingsChanged").Err(err).Send()
 			}
 		}
--- a/internal/command/tpcommand/settingsfile.go
+++ b/internal/command/tpcommand/settingsfile.go
@@ -38,13 +38,13 @@
 
 // reloadIfChanged is reload for a file whose content has changed since the last
 // call. A file that cannot be read has not changed.
-func (f *settingsFile) reloadIfChanged() (err error, changed bool) {
+func (f *settingsFile) reloadIfChanged() (changed bool, err error) {
 	data, err := os.ReadFile(f.path)
 	if err != nil || f.data != nil && bytes.Equal(data, f.data) {
-		return nil, false
+		return false, nil
 	}
 	isFirst := f.data == nil
 	f.data = data
 	err = f.reload()
-	return err, !isFirst
+	return !isFirst, err
 }
--- a/internal/command/tpcommand/settingsfile_test.go
+++ b/internal/command/tpcommand/settingsfile_test.go
@@ -42,7 +42,7 @@
 		if step.signal {
 			err = f.reload()
 		} else {
-			err, _ = f.reloadIfChanged()
+			_, err = f.reloadIfChanged()
 		}
 		if (err != nil) != step.isInvalid {
 			t.Errorf("%s: got error %v, want one: %t", step.name, err, step.isInvalid)
@@ -54,7 +54,7 @@
 	if err := os.Remove(path); err != nil {
 		t.Fatal(err)
 	}
-	if err, changed := f.reloadIfChanged(); err != nil || changed {
+	if changed, err := f.reloadIfChanged(); err != nil || changed {
 		t.Errorf("file that is gone: got %v, changed %t, want no change", err, changed)
 	}
 }
