Keep the body of an order unread once it counts as not sent

Cause: the engine of the test answers after the head of the order. net/http waits 50 ms for the body after such an answer; beside load the body was read later, so that no byte of it was written and the report was true.

The test asked for an unknown outcome of an order that had not been sent. The change to the code closes what was left to timing: net/http cannot read the body any more once Send has reported that it was not sent.

--- a/internal/order/stage4/tpdispatch/sender.go
+++ b/internal/order/stage4/tpdispatch/sender.go
@@ -8,7 +8,7 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -137,34 +137,56 @@
 	return body.responseError(resp, detail)
 }
 
+// errSendEnded is returned to net/http for a body that it reads after Send has
+// reported that the order was not sent.
+var errSendEnded = errors.New("the order was given up")
+
 // guardedBody is the request body of an order. If confirm is set, net/http
 // reads the body only after the engine's 100 Continue, and confirm then decides
-// whether any byte of it is written.
+// whether any byte of it is written. An engine may answer before the body is
+// read; the body then stays unread if Send reports that it was not sent.
 type guardedBody struct {
 	data    bytes.Reader
 	ctx     context.Context
 	confirm func(context.Context) error
-	started atomic.Bool // a byte of the body may have been written
+
+	mu      sync.Mutex
+	started bool // a byte of the body may have been written
+	ended   bool // no byte of the body was or will be written
 }
 
 // Read implements io.Reader. It returns the error of confirm before the first
 // byte.
 func (b *guardedBody) Read(p []byte) (int, error) {
-	if b.confirm != nil && !b.started.Load() {
+	if b.confirm != nil && !b.hasStarted() {
 		if err := b.confirm(b.ctx); err != nil {
 			return 0, err
 		}
 	}
-	b.started.Store(true)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return 0, errSendEnded
+	}
+	b.started = true
 	return b.data.Read(p)
 }
 
+func (b *guardedBody) hasStarted() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.started
+}
+
 // sendError returns the error of a send without a usable response. It depends
-// on whether a byte of the body may have been written.
+// on whether a byte of the body may have been written. If none was, none will be.
 func (b *guardedBody) sendError(err error) error {
-	if b.started.Load() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.started {
 		return Error.New("%w: %w", tporder.ErrSendUnknown, err)
 	}
+	b.ended = true
 	return Error.New("%w: %w", tporder.ErrNotSent, err)
 }
 
--- a/internal/order/stage4/tpdispatch/status_test.go
+++ b/internal/order/stage4/tpdispatch/status_test.go
@@ -185,7 +185,11 @@
 	}))
 	defer other.Close()
 	for _, status := range []int{http.StatusFound, http.StatusTemporaryRedirect} {
-		engine := httptest.NewServer(http.RedirectHandler(other.URL, status))
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			// An answer before the body may be one to an order that was not sent.
+			_, _ = io.Copy(io.Discard, r.Body)
+			http.Redirect(w, r, other.URL, status)
+		}))
 		defer engine.Close()
 		engines, address := tpdispatch.NewEngineClient(), engine.Listener.Addr().String()
 		if got, err := engines.Status(t.Context(), address, false); err == nil {
