--- /dev/null
+++ b/review/standins3/server.go
@@ -0,0 +1,112 @@
+//go:build review3
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// arrival is a request that a server got.
+type arrival struct {
+	at  time.Time
+	id  string
+	ran bool
+}
+
+// server is a plain service with a number of slots and a queue.
+type server struct {
+	f       *fleet
+	id      string
+	address string
+	slots   chan struct{}
+	queue   int
+	work    time.Duration
+	limit   atomic.Pointer[string] // value of Server-Limit, or nil
+	waiting atomic.Int64
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+func (f *fleet) addServer(id, service, zone string, slots, queue int, work time.Duration) (*server, error) {
+	s := &server{f: f, id: id, slots: make(chan struct{}, slots), queue: queue, work: work}
+	var err error
+	if s.address, err = f.listen(s); err != nil {
+		return nil, err
+	}
+	f.store.Set("servers", id, map[string]any{
+		"service": service, "address": s.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
+		"cold_left_ms": 0, "sequence": 1, "born": f.started.UnixMilli(),
+	})
+	return s, nil
+}
+
+func (s *server) list() []arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]arrival(nil), s.arrivals...)
+}
+
+func (s *server) record(id, what string, ran bool) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, ran: ran})
+	s.mu.Unlock()
+	s.f.note("%s %s %s", s.id, what, id)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("X-Teaselpin-Instance-Id", s.id)
+	if r.URL.Path == "/health" {
+		return
+	}
+	id := r.Header.Get("X-Teaselpin-Request-Id")
+	h.Set("X-Teaselpin-Request-Id", id)
+	if limit := s.limit.Load(); limit != nil {
+		h.Set("Server-Limit", *limit)
+	}
+	if expected := r.Header.Get("X-Teaselpin-Expect-Instance"); expected != "" && expected != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if s.waiting.Add(1) > int64(cap(s.slots)+s.queue) {
+		s.waiting.Add(-1)
+		s.record(id, "rejects", false)
+		h.Set("X-Teaselpin-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.waiting.Add(-1)
+	budget, _ := strconv.ParseFloat(r.Header.Get("X-Teaselpin-Deadline"), 64)
+	over := time.After(time.Duration(budget * float64(time.Millisecond)))
+	select {
+	case s.slots <- struct{}{}:
+	case <-over:
+		s.record(id, "rejects late", false)
+		h.Set("X-Teaselpin-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case <-r.Context().Done():
+		s.record(id, "drops", false)
+		return
+	}
+	defer func() { <-s.slots }()
+	s.record(id, "runs", true)
+	select {
+	case <-time.After(s.work):
+	case <-r.Context().Done():
+		return
+	}
+	h.Set("X-Teaselpin-Response-Stamp", fmt.Sprintf("%s.%s", s.id, id))
+	_, _ = io.WriteString(w, "answer to "+id)
+}
