--- a/review/standins3/server.go
+++ b/review/standins3/server.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -12,6 +13,9 @@
 	"time"
 )
 
+// crashWork is the time that a server works on a request that crashes it.
+const crashWork = 10 * time.Millisecond
+
 // arrival is a request that a server got.
 type arrival struct {
 	at  time.Time
@@ -30,23 +34,69 @@
 	limit   atomic.Pointer[string] // value of Server-Limit, or nil
 	waiting atomic.Int64
 
+	// crashes reports whether a request crashes the server that runs it, or is nil.
+	// The server is back at its address after crashedTime, with a new start.
+	crashes  func(r *http.Request) bool
+	register func(born int64)
+
 	mu       sync.Mutex
 	arrivals []arrival
+	running  *http.Server
+	crashed  []time.Time
 }
 
 func (f *fleet) addServer(id, service, zone string, slots, queue int, work time.Duration) (*server, error) {
-	s := &server{f: f, id: id, slots: make(chan struct{}, slots), queue: queue, work: work}
-	var err error
-	if s.address, err = f.listen(s); err != nil {
+	s := &server{f: f, id: id, address: f.address(), slots: make(chan struct{}, slots), queue: queue, work: work}
+	s.register = func(born int64) {
+		f.store.Set("servers", id, map[string]any{
+			"service": service, "address": s.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
+			"cold_left_ms": 0, "sequence": 1, "born": born,
+		})
+	}
+	if err := s.start(); err != nil {
 		return nil, err
 	}
-	f.store.Set("servers", id, map[string]any{
-		"service": service, "address": s.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
-		"cold_left_ms": 0, "sequence": 1, "born": f.started.UnixMilli(),
-	})
 	return s, nil
 }
 
+// start starts a process of the server.
+func (s *server) start() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.running = &http.Server{Handler: s}
+	go func(running *http.Server) { _ = running.Serve(l) }(s.running)
+	s.mu.Unlock()
+	s.waiting.Store(0)
+	s.register(time.Now().UnixMilli())
+	return nil
+}
+
+// crash ends the process. All its connections are closed.
+func (s *server) crash(id string) {
+	s.mu.Lock()
+	running := s.running
+	s.running = nil
+	if running != nil {
+		s.crashed = append(s.crashed, time.Now())
+	}
+	s.mu.Unlock()
+	if running == nil {
+		return
+	}
+	s.f.note("%s crashes at %s", s.id, id)
+	_ = running.Close()
+	time.AfterFunc(crashedTime, func() {
+		if err := s.start(); err != nil {
+			s.f.note("%s does not start: %v", s.id, err)
+			return
+		}
+		s.f.note("%s is back", s.id)
+	})
+}
+
 func (s *server) list() []arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,7 +136,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer s.waiting.Add(-1)
+	defer func() { s.waiting.Add(-1) }()
 	budget, _ := strconv.ParseFloat(r.Header.Get("X-Teaselpin-Deadline"), 64)
 	over := time.After(time.Duration(budget * float64(time.Millisecond)))
 	select {
@@ -102,6 +152,11 @@
 	}
 	defer func() { <-s.slots }()
 	s.record(id, "runs", true)
+	if s.crashes != nil && s.crashes(r) {
+		time.Sleep(crashWork)
+		s.crash(id)
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(s.work):
 	case <-r.Context().Done():
