--- a/review/standins3/server.go
+++ b/review/standins3/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 	at  time.Time
 	id  string
 	ran bool
+	// paused is true if the answer was 503 with Retry-After.
+	paused bool
 }
 
 // server is a plain service with a number of slots and a queue.
@@ -38,6 +41,13 @@
 	// The server is back at its address after crashedTime, with a new start.
 	crashes  func(r *http.Request) bool
 	register func(born int64)
+	// downTime is the time from a crash to the next start, and registerDelay the
+	// time from that start to the next write of the entry.
+	downTime, registerDelay time.Duration
+	// pause is the Retry-After, in seconds, with which the server turns all
+	// requests away until pausesUntil, in Unix nanoseconds.
+	pause       string
+	pausesUntil atomic.Int64
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -46,7 +56,7 @@
 }
 
 func (f *fleet) addServer(id, service, zone string, slots, queue int, work time.Duration) (*server, error) {
-	s := &server{f: f, id: id, address: f.address(), slots: make(chan struct{}, slots), queue: queue, work: work}
+	s := &server{f: f, id: id, address: f.address(), slots: make(chan struct{}, slots), queue: queue, work: work, downTime: crashedTime}
 	s.register = func(born int64) {
 		f.store.Set("servers", id, map[string]any{
 			"service": service, "address": s.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
@@ -56,6 +66,7 @@
 	if err := s.start(); err != nil {
 		return nil, err
 	}
+	s.register(time.Now().UnixMilli())
 	return s, nil
 }
 
@@ -70,7 +81,6 @@
 	go func(running *http.Server) { _ = running.Serve(l) }(s.running)
 	s.mu.Unlock()
 	s.waiting.Store(0)
-	s.register(time.Now().UnixMilli())
 	return nil
 }
 
@@ -88,12 +98,17 @@
 	}
 	s.f.note("%s crashes at %s", s.id, id)
 	_ = running.Close()
-	time.AfterFunc(crashedTime, func() {
+	time.AfterFunc(s.downTime, func() {
+		born := time.Now().UnixMilli()
 		if err := s.start(); err != nil {
 			s.f.note("%s does not start: %v", s.id, err)
 			return
 		}
 		s.f.note("%s is back", s.id)
+		time.AfterFunc(s.registerDelay, func() {
+			s.register(born)
+			s.f.note("%s registers with born %d", s.id, born)
+		})
 	})
 }
 
@@ -105,7 +120,7 @@
 
 func (s *server) record(id, what string, ran bool) {
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, ran: ran})
+	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, ran: ran, paused: strings.HasPrefix(what, "asks")})
 	s.mu.Unlock()
 	s.f.note("%s %s %s", s.id, what, id)
 }
@@ -129,6 +144,13 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if time.Now().UnixNano() < s.pausesUntil.Load() {
+		s.record(id, "asks for a pause of "+s.pause+" s at", false)
+		h.Set("X-Teaselpin-Not-Run", "1")
+		h.Set("Retry-After", s.pause)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if s.waiting.Add(1) > int64(cap(s.slots)+s.queue) {
 		s.waiting.Add(-1)
 		s.record(id, "rejects", false)
