--- a/review/standins3/drill.go
+++ b/review/standins3/drill.go
@@ -36,7 +36,7 @@
 	f.extra = fmt.Sprintf("dutyAPI: %s\nduties: [usage]\nusageWindow: 5s\nusageLate: 10s\n", dutyAddress)
 	var engines []*engine
 	for i := range 6 {
-		e := f.addEngine(i, "decode", fmt.Sprint("z", i%3))
+		e := f.addEngine(i, "decode", fmt.Sprint("z", i%3), false)
 		e.RefuseOrders = false
 		engines = append(engines, e)
 	}
--- a/review/standins3/poison.go
+++ b/review/standins3/poison.go
@@ -28,7 +28,10 @@
 	poisonPart  = "dead"
 )
 
-func init() { cases["poison-burst"] = playPoisonBurst }
+func init() {
+	cases["poison-burst"] = func(f *fleet) error { return playPoisonBurst(f, false) }
+	cases["poison-burst-dark"] = func(f *fleet) error { return playPoisonBurst(f, true) }
+}
 
 // quietTB lets the stand-ins of the tests run in a program.
 type quietTB struct{ testing.TB }
@@ -44,7 +47,9 @@
 	address string
 }
 
-func (f *fleet) addEngine(i int, stage, zone string) *engine {
+// addEngine starts an engine that crashes at poisonPart: its machine goes dark, or
+// else it cuts its stream off in the middle of the second event.
+func (f *fleet) addEngine(i int, stage, zone string, dark bool) *engine {
 	e := &engine{
 		Server: &tpguestfake.Server{
 			ID: fmt.Sprintf("llm-%d", i), Stage: stage, EventsPerStream: 8, EventInterval: 20 * time.Millisecond, RefuseOrders: true,
@@ -52,7 +57,7 @@
 		address: f.address(),
 	}
 	if f.trouble {
-		e.CrashPart, e.CrashInAnswer = poisonPart, true
+		e.CrashPart, e.CrashDark, e.CrashInAnswer = poisonPart, dark, !dark
 	}
 	register := func(born int64) {
 		f.store.Set("servers", e.ID, map[string]any{
@@ -66,24 +71,24 @@
 	return e
 }
 
-// playPoisonBurst has four callers send a request with a part that crashes
+// playPoisonBurst has six callers send a request with a part that crashes
 // servers at the same moment, and again every five seconds.
-func playPoisonBurst(f *fleet) error {
+func playPoisonBurst(f *fleet, dark bool) error {
 	services := []any{map[string]any{"name": "llm", "engine": map[string]any{"slots": 64, "kv_capacity": 491555, "role_switch_s": 3, "stride": 1}}}
-	f.configure(1, services, route("draft", "stream", "llm", 5000, 800, 2))
+	f.configure(1, services, route("draft", "stream", "llm", 3000, 600, 1))
 	var engines []*engine
 	for i := range 18 {
 		stage := "decode"
 		if i%3 == 0 {
 			stage = "prefill"
 		}
-		engines = append(engines, f.addEngine(i, stage, fmt.Sprint("z", i%9/3)))
+		engines = append(engines, f.addEngine(i, stage, fmt.Sprint("z", i%9/3), dark))
 	}
 	f.extra = "prefillPart: 0.33\n"
-	if err := f.addNodes(4, "z0", "z1", "z2"); err != nil {
+	if err := f.addNodes(6, "z0", "z1", "z2"); err != nil {
 		return err
 	}
-	sound := f.startLoad("draft", http.MethodPost, 5*time.Second, 10, 1)
+	sound := f.startLoad("draft", http.MethodPost, 3*time.Second, 10, 1)
 	sound.header = func(r *http.Request) {
 		id := r.Header.Get("X-Teaselpin-Request-Id")
 		r.Header.Set("X-Teaselpin-Model", "m")
@@ -104,7 +109,7 @@
 					r.Header.Set("X-Teaselpin-Prefix-Hash", fmt.Sprintf("a1:3000,%s:1000,%x:1000", poisonPart, burst*100+i+1))
 				}
 				time.Sleep(time.Duration(rand.IntN(150)) * time.Millisecond)
-				p.send(i, fmt.Sprintf("n%d-poison-%d", i, burst), 5*time.Second)
+				p.send(i, fmt.Sprintf("n%d-poison-%d", i, burst), 3*time.Second)
 			})
 		}
 		time.Sleep(5 * time.Second)
--- a/review/standins3/server.go
+++ b/review/standins3/server.go
@@ -84,6 +84,15 @@
 	return nil
 }
 
+// exit ends the process as planned, for good.
+func (s *server) exit() {
+	s.mu.Lock()
+	running := s.running
+	s.running = nil
+	s.mu.Unlock()
+	_ = running.Close()
+}
+
 // crash ends the process. All its connections are closed.
 func (s *server) crash(id string) {
 	s.mu.Lock()
